--- /dev/null
+++ b/include/canvaswick/Health/FloorGuard.h
@@ -0,0 +1,54 @@
+//===- FloorGuard.h - Keeps removals above the operators' floor -*- C++ -*-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// The last step of every decision about shares. Whatever the evidence says,
+/// the slots that stay in use never fall below the floor because of it.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef CANVASWICK_HEALTH_FLOORGUARD_H
+#define CANVASWICK_HEALTH_FLOORGUARD_H
+
+#include <cstddef>
+#include <vector>
+
+namespace canvaswick {
+
+/// What the evidence wants for one server.
+struct ShareWish {
+  /// Wanted part of the fair share, from 0 to 1.
+  double Share = 1;
+  /// How strong the evidence is; the worst go first.
+  double Score = 0;
+  int Slots = 1;
+  /// Leaving or drained: no new work, whatever the floor says.
+  bool IsLeaving = false;
+  /// Whether the last decision reduced it, so that ties do not flip.
+  bool WasReduced = false;
+};
+
+/// What one server is given.
+struct ShareGrant {
+  double Share = 1;
+  /// The evidence wanted less, and the floor kept it.
+  bool IsKeptByFloor = false;
+};
+
+/// Returns the shares to use. Reduces the worst first while the slots in use,
+/// weighed by share, stay at or above FloorPercent of all configured slots.
+std::vector<ShareGrant> applyFloor(const std::vector<ShareWish> &Wishes,
+                                   int FloorPercent);
+
+/// Returns the slots in use, weighed by share, of servers that do not leave.
+double countUsableSlots(const std::vector<ShareWish> &Wishes,
+                        const std::vector<ShareGrant> &Grants);
+
+} // namespace canvaswick
+
+#endif // CANVASWICK_HEALTH_FLOORGUARD_H
--- /dev/null
+++ b/include/canvaswick/Health/LatencyTracker.h
@@ -0,0 +1,48 @@
+//===- LatencyTracker.h - The usual time of a service -----------*- C++ -*-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Estimates the median answer time over all servers of a service and from it
+/// the time after which an answer counts as slow.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef CANVASWICK_HEALTH_LATENCYTRACKER_H
+#define CANVASWICK_HEALTH_LATENCYTRACKER_H
+
+#include "canvaswick/Support/Time.h"
+
+namespace canvaswick {
+
+/// A running median of the answer times of one service.
+class LatencyTracker {
+public:
+  /// Fixed is the operators' own bound, or zero to follow the median.
+  explicit LatencyTracker(Duration Fixed);
+
+  /// Changes the operators' bound and keeps what was learned.
+  void setFixed(Duration Fixed) { this->Fixed = Fixed; }
+
+  /// Adds the time of one complete answer.
+  void add(Duration Latency);
+
+  /// Returns the time after which an answer counts as slow.
+  Duration getSlowAfter() const;
+
+  /// Returns the median, or zero while there is none.
+  Duration getMedian() const;
+
+private:
+  Duration Fixed;
+  double MedianSeconds = 0;
+  int Samples = 0;
+};
+
+} // namespace canvaswick
+
+#endif // CANVASWICK_HEALTH_LATENCYTRACKER_H
--- /dev/null
+++ b/include/canvaswick/Health/ScopeTracker.h
@@ -0,0 +1,120 @@
+//===- ScopeTracker.h - Sequential evidence about the servers of one service in
+// one scope -*- C++ -*-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// A scope is who the evidence comes from: this daemon alone, all daemons of a
+/// hall, or all daemons. For each server the tracker keeps a cumulative sum of
+/// log likelihood ratios (CUSUM) of "sick" against "as good as its peers",
+/// removes a server when the sum passes the threshold, and lets it back in by
+/// small measured steps.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef CANVASWICK_HEALTH_SCOPETRACKER_H
+#define CANVASWICK_HEALTH_SCOPETRACKER_H
+
+#include "canvaswick/Health/Outcome.h"
+#include "canvaswick/Health/Tuning.h"
+
+#include <vector>
+
+namespace canvaswick {
+
+/// Where a server stands in a scope.
+enum class HealthPhase : uint8_t { Serving, Removed, Returning };
+
+/// Returns the name of a phase as reports print it.
+const char *getName(HealthPhase Phase);
+
+/// Evidence about the servers of one service from one scope.
+class ScopeTracker {
+public:
+  ScopeTracker(HealthTuning Tuning, size_t ServerCount);
+
+  /// Adds counts about one server. PositiveLimit bounds how much evidence
+  /// against the server is taken; pass infinity for no bound. Returns how much
+  /// evidence against it was taken, in nats.
+  double addCounts(size_t Server, const OutcomeCounts &Counts,
+                   double PositiveLimit, TimePoint Now);
+
+  /// Adds to what the whole scope has seen, for servers not named one by one.
+  void addTotalGood(uint32_t Good, TimePoint Now);
+
+  /// Moves servers between phases. Call at least every second. Removals wait
+  /// while MayRemove is false (the scope's evidence is doubted) and for a
+  /// server for which too few sources have contributed.
+  void advance(TimePoint Now, bool MayRemove,
+               const std::vector<int> *SourceCounts);
+
+  /// Lets a server back in by the usual steps, as if its hold had ended.
+  void beginReturn(size_t Server, TimePoint Now);
+
+  /// Takes over what another tracker knows of one of its servers.
+  void adopt(size_t Server, const ScopeTracker &Other, size_t OtherServer);
+
+  /// Returns the part of its fair share, from 0 to 1, that the scope would
+  /// give a server.
+  double getShare(size_t Server) const;
+
+  /// Returns the evidence against a server in nats.
+  double getScore(size_t Server) const;
+
+  HealthPhase getPhase(size_t Server) const;
+
+  /// Returns whether successes of a server should be reported at once: there
+  /// is evidence against it, or it is on its way back.
+  bool isSuspect(size_t Server) const;
+
+  /// Returns whether removals wait because too many servers look sick at once.
+  bool isDoubted() const;
+
+  size_t countServers() const { return this->Servers.size(); }
+
+private:
+  struct ServerState {
+    HealthPhase Phase = HealthPhase::Serving;
+    double Score = 0;
+    TimePoint ScoreAt{};
+    DecayingCount Good;
+    DecayingCount Slow;
+    DecayingCount Failed;
+    TimePoint HoldUntil{};
+    TimePoint StepSince{};
+    TimePoint LastRemoved{};
+    size_t Step = 0;
+    uint32_t GoodInStep = 0;
+    int Removals = 0;
+  };
+
+  /// Usual share of slow and failed requests among servers that look healthy.
+  struct UsualShares {
+    double Slow;
+    double Failed;
+  };
+
+  void updateUsualShares(TimePoint Now);
+  double getUsualShare(DecayingCount ServerState::*Kind, TimePoint Now,
+                       double Total, double Least) const;
+  double computeAgainst(const OutcomeCounts &Counts) const;
+  double computeFor(const OutcomeCounts &Counts) const;
+  void fadeScore(ServerState &State, TimePoint Now);
+  void remove(ServerState &State, TimePoint Now);
+  void advanceReturn(ServerState &State, TimePoint Now);
+  bool areTooManySuspect() const;
+
+  HealthTuning Tuning;
+  std::vector<ServerState> Servers;
+  DecayingCount TotalGood;
+  UsualShares Usual;
+  bool Doubted = false;
+};
+
+} // namespace canvaswick
+
+#endif // CANVASWICK_HEALTH_SCOPETRACKER_H
--- /dev/null
+++ b/include/canvaswick/Metrics/Counters.h
@@ -0,0 +1,91 @@
+//===- Counters.h - Named counters ------------------------------*- C++ -*-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// A fixed table of counters, each an atomic number. Events are counted first;
+/// a log line is written only when a state changes.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef CANVASWICK_METRICS_COUNTERS_H
+#define CANVASWICK_METRICS_COUNTERS_H
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <string>
+
+namespace canvaswick {
+
+/// Every counter of a daemon. The order is that of the table of names.
+enum class Counter : uint8_t {
+  Requests,
+  Answered,
+  RefusedUnknownRoute,
+  RefusedServiceBusy,
+  RefusedOrganisationRate,
+  RefusedDeadline,
+  RefusedNoServer,
+  RefusedClaim,
+  Repeats,
+  ResumedAnswers,
+  CallerHangUps,
+  CutAnswers,
+  ForeignAnswers,
+  UpstreamFailures,
+  UpstreamSheds,
+  ReportsSent,
+  ReportsTaken,
+  DigestsSent,
+  DigestsTaken,
+  CallsSent,
+  CallsFailed,
+  CallsRefused,
+  ControlBytesSent,
+  ControlBytesReceived,
+  PlatformCalls,
+  PlatformFailures,
+  ConfigChanges,
+  ConfigRefused,
+  ClaimsGranted,
+  ClaimsRepeated,
+  ClaimsRefused,
+  ClaimWrites,
+  HeartbeatsSent,
+  MembersLost,
+};
+
+/// How many counters there are.
+inline constexpr size_t CounterCount =
+    static_cast<size_t>(Counter::MembersLost) + 1;
+
+/// Returns the name of a counter, as the metrics page prints it.
+const char *getName(Counter Which);
+
+/// All counters of one daemon. Thread-safe.
+class CounterTable {
+public:
+  void add(Counter Which, uint64_t Amount = 1) {
+    this->Values[static_cast<size_t>(Which)].fetch_add(
+        Amount, std::memory_order_relaxed);
+  }
+  uint64_t get(Counter Which) const {
+    return this->Values[static_cast<size_t>(Which)].load(
+        std::memory_order_relaxed);
+  }
+
+  /// Writes "canvaswick_name value" lines.
+  std::string format() const;
+
+private:
+  std::array<std::atomic<uint64_t>, CounterCount> Values{};
+};
+
+} // namespace canvaswick
+
+#endif // CANVASWICK_METRICS_COUNTERS_H
--- /dev/null
+++ b/include/canvaswick/Proxy/AnswerRelay.h
@@ -0,0 +1,129 @@
+//===- AnswerRelay.h - Passes an answer on to the caller --------*- C++ -*-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Decides at the head of an answer whether the caller gets it, streams the
+/// body without keeping it, and makes a cut visible: a cut answer never looks
+/// like a shorter whole one.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef CANVASWICK_PROXY_ANSWERRELAY_H
+#define CANVASWICK_PROXY_ANSWERRELAY_H
+
+#include "canvaswick/Http/HttpClient.h"
+#include "canvaswick/Http/HttpServer.h"
+
+#include <cstdint>
+#include <string>
+
+namespace canvaswick {
+
+/// What the relay did with an answer at its head.
+enum class AnswerVerdict : uint8_t {
+  /// No head came.
+  None,
+  /// It goes to the caller.
+  Relayed,
+  /// The server says the request was not run.
+  NotRun,
+  /// A failure that another server may make good.
+  Failed,
+  /// It is the answer to another request.
+  Foreign,
+  /// It does not continue what the caller has got.
+  Mismatch,
+};
+
+/// What the relay may do with a failed answer.
+struct RelayRules {
+  /// Set aside an answer of the server that a repeat could better.
+  bool MaySetAsideFailure = false;
+  /// Keep a copy of the answer of at most this many bytes.
+  size_t KeepBytes = 0;
+};
+
+/// A copy of an answer, for the repeat of a keyed request.
+struct KeptAnswer {
+  int Status = 0;
+  std::string ContentType;
+  std::string Body;
+};
+
+/// Relays the answers of the attempts of one request to one caller.
+class AnswerRelay {
+public:
+  /// Exchange is the caller's side; IsHead is true for HEAD requests.
+  AnswerRelay(HttpExchange &Exchange, RelayRules Rules);
+
+  /// Prepares for an attempt. RequestId is what a server may echo.
+  void beginAttempt(const std::string &RequestId);
+
+  /// Changes what may be set aside, before an attempt.
+  void setRules(const RelayRules &Rules) { this->Rules = Rules; }
+
+  /// Takes the head of an answer. Returns false to cancel the exchange.
+  bool takeHead(const httplib::Response &Response);
+
+  /// Takes a piece of the body. Returns false if the caller has left.
+  bool takeBody(const char *Data, size_t Size);
+
+  /// Ends a relayed answer. IsWhole says whether all of it arrived; if not, the
+  /// caller's connection is cut.
+  void finish(bool IsWhole);
+
+  AnswerVerdict getVerdict() const { return this->Verdict; }
+  int getStatus() const { return this->Status; }
+
+  /// Returns whether the caller has got any part of an answer.
+  bool hasBegun() const { return this->HeadWritten; }
+
+  /// Returns whether writing to the caller failed.
+  bool hasCallerLeft() const { return this->CallerLeft; }
+
+  /// Returns whether the rest of a cut answer can be asked for by bytes: it
+  /// was a whole 200 answer to a GET with a strong validator and a length.
+  bool canResume() const;
+
+  /// Returns the request headers that ask for the rest.
+  void addResumeHeaders(httplib::Headers &Headers) const;
+
+  /// Returns whether the kept copy is the whole body so far.
+  bool hasWholeCopy() const { return !this->IsKeptTooLong; }
+
+  /// Returns the copy that was kept.
+  const KeptAnswer &getKept() const { return this->Kept; }
+
+private:
+  AnswerVerdict judgeHead(const httplib::Response &Response) const;
+  bool continuesAnswer(const httplib::Response &Response) const;
+  bool writeHead(const httplib::Response &Response);
+  bool writeToCaller(const std::string &Text);
+
+  HttpExchange &Exchange;
+  RelayRules Rules;
+  std::string RequestId;
+  AnswerVerdict Verdict = AnswerVerdict::None;
+  int Status = 0;
+  bool HeadWritten = false;
+  bool IsChunked = false;
+  bool CallerLeft = false;
+  bool HasLength = false;
+  uint64_t Length = 0;
+  uint64_t Passed = 0;
+  std::string Validator;
+  KeptAnswer Kept;
+  bool IsKeptTooLong = false;
+};
+
+/// Returns whether a header belongs to one connection and is not passed on.
+bool isConnectionHeader(const std::string &Name, const httplib::Headers &All);
+
+} // namespace canvaswick
+
+#endif // CANVASWICK_PROXY_ANSWERRELAY_H
--- /dev/null
+++ b/include/canvaswick/Proxy/RequestProxy.h
@@ -0,0 +1,104 @@
+//===- RequestProxy.h - One caller's request from end to end ----*- C++ -*-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Routes, admits, claims, tries, relays and gives the final answer. Every
+/// refusal says whether the request was run and when to come back.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef CANVASWICK_PROXY_REQUESTPROXY_H
+#define CANVASWICK_PROXY_REQUESTPROXY_H
+
+#include "canvaswick/Claims/ClaimGate.h"
+#include "canvaswick/Http/HttpClient.h"
+#include "canvaswick/Http/HttpServer.h"
+#include "canvaswick/Metrics/Counters.h"
+#include "canvaswick/Proxy/AnswerRelay.h"
+#include "canvaswick/Proxy/FleetRuntime.h"
+
+#include <atomic>
+#include <mutex>
+#include <string>
+
+namespace canvaswick {
+
+/// Says on every failure answer what became of the request.
+inline constexpr const char *OutcomeHeader = "Canvaswick-Outcome";
+inline constexpr const char *ReasonHeader = "Canvaswick-Reason";
+
+/// Names an attempt; a server may echo it to prove whose answer it is.
+inline constexpr const char *RequestIdHeader = "Canvaswick-Request";
+
+/// Carries the time left, in milliseconds, from callers and to servers.
+inline constexpr const char *DeadlineHeader = "X-Deadline-Ms";
+
+/// Names the caller's organisation.
+inline constexpr const char *OrganisationHeader = "X-Organisation";
+
+/// Names a request that must not run twice.
+inline constexpr const char *IdempotencyHeader = "Idempotency-Key";
+
+/// What a caller can rely on after a failure.
+enum class RunOutcome : uint8_t { NotRun, NotKnown, Ran };
+
+/// Returns the name of an outcome as the header carries it.
+const char *getName(RunOutcome Outcome);
+
+/// Proxies requests. Thread-safe.
+class RequestProxy {
+public:
+  /// All references must outlive the proxy. Claims may be null: then no route
+  /// of the class once takes a key.
+  RequestProxy(std::string DaemonName, const FleetRuntimeSlot &Fleet,
+               ConnectionPool &Upstreams, CounterTable &Counters,
+               ClaimGate *Claims);
+
+  /// Handles one request, whatever becomes of it.
+  void handle(HttpExchange &Exchange);
+
+  /// Takes new limits of organisations.
+  void configure(const FleetConfig &Config);
+
+  /// Forgets organisations that are idle.
+  void forgetIdle(TimePoint Now);
+
+private:
+  struct Flow;
+
+  void refuse(HttpExchange &Exchange, int Status, RunOutcome Outcome,
+              const char *Reason, Duration Wait);
+  bool admitOrganisation(Flow &Request);
+  bool readBody(Flow &Request);
+  bool claim(Flow &Request);
+  void answerFromClaim(Flow &Request, const ClaimVerdict &Verdict);
+  void serve(Flow &Request);
+  void runAttempts(Flow &Request, AnswerRelay &Relay);
+  RequestOutcome tryOnce(Flow &Request, AnswerRelay &Relay,
+                         const Attempt &Current);
+  OutgoingRequest buildOutgoing(Flow &Request, const AnswerRelay &Relay,
+                                const std::string &RequestId) const;
+  RequestOutcome judge(Flow &Request, const AnswerRelay &Relay,
+                       const ExchangeResult &Result);
+  bool mayTryAgain(Flow &Request, const AnswerRelay &Relay);
+  void finish(Flow &Request, AnswerRelay &Relay);
+  void settleClaim(Flow &Request, const AnswerRelay &Relay);
+
+  const std::string DaemonName;
+  const FleetRuntimeSlot &Fleet;
+  ConnectionPool &Upstreams;
+  CounterTable &Counters;
+  ClaimGate *Claims;
+  std::mutex OrganisationMutex;
+  OrganisationLimiter Organisations;
+  std::atomic<uint64_t> NextRequest{1};
+};
+
+} // namespace canvaswick
+
+#endif // CANVASWICK_PROXY_REQUESTPROXY_H
--- /dev/null
+++ b/include/canvaswick/Settings/DaemonConfig.h
@@ -0,0 +1,50 @@
+//===- DaemonConfig.h - The daemon's own settings ---------------*- C++ -*-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// What one process must know before it can reach anything: its name, region,
+/// hall and addresses, where the platform is, and its bounds.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef CANVASWICK_SETTINGS_DAEMONCONFIG_H
+#define CANVASWICK_SETTINGS_DAEMONCONFIG_H
+
+#include "canvaswick/Settings/FleetConfig.h"
+
+#include <string>
+#include <vector>
+
+namespace canvaswick {
+
+/// The checked content of a daemon's INI file, section [daemon].
+struct DaemonConfig {
+  std::string Name;
+  std::string Region;
+  std::string Hall;
+  Endpoint Callers;
+  Endpoint Control;
+  Endpoint Platform;
+  std::string KeyFile;
+  int Workers = 0;
+  int MaxConnections = 0;
+  int64_t IdleSeconds = 0;
+  int64_t StopSeconds = 0;
+  /// A settings tree to start from while the platform has none. May be empty.
+  std::string SettingsFile;
+  int ExpectedDaemons = 0;
+  std::vector<Endpoint> Seeds;
+  int64_t ClaimMemorySeconds = 0;
+};
+
+/// Loads and checks a daemon's INI file.
+Result<DaemonConfig> loadDaemonConfig(const std::string &Path);
+
+} // namespace canvaswick
+
+#endif // CANVASWICK_SETTINGS_DAEMONCONFIG_H
--- /dev/null
+++ b/include/canvaswick/Support/Log.h
@@ -0,0 +1,57 @@
+//===- Log.h - Structured log lines on standard error -----------*- C++ -*-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Counters tell how often something happened; a log line tells that a state
+/// changed. A line is "time level event key=value ...", written in one call.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef CANVASWICK_SUPPORT_LOG_H
+#define CANVASWICK_SUPPORT_LOG_H
+
+#include <fmt/format.h>
+
+#include <string>
+#include <utility>
+
+namespace canvaswick {
+
+/// How much a line matters to the person on call.
+enum class LogLevel { Info, Warning, Error };
+
+/// Writes one line. Event is a short constant name, Fields is "key=value ...".
+void writeLogLine(LogLevel Level, const char *Event, const std::string &Fields);
+
+/// Formats the fields and writes one line at the level Info.
+template <typename... Args>
+void logInfo(const char *Event, fmt::format_string<Args...> Format,
+             Args &&...Values) {
+  writeLogLine(LogLevel::Info, Event,
+               fmt::format(Format, std::forward<Args>(Values)...));
+}
+
+/// Formats the fields and writes one line at the level Warning.
+template <typename... Args>
+void logWarning(const char *Event, fmt::format_string<Args...> Format,
+                Args &&...Values) {
+  writeLogLine(LogLevel::Warning, Event,
+               fmt::format(Format, std::forward<Args>(Values)...));
+}
+
+/// Formats the fields and writes one line at the level Error.
+template <typename... Args>
+void logError(const char *Event, fmt::format_string<Args...> Format,
+              Args &&...Values) {
+  writeLogLine(LogLevel::Error, Event,
+               fmt::format(Format, std::forward<Args>(Values)...));
+}
+
+} // namespace canvaswick
+
+#endif // CANVASWICK_SUPPORT_LOG_H
--- /dev/null
+++ b/include/canvaswick/Support/Time.h
@@ -0,0 +1,62 @@
+//===- Time.h - Time types shared by every decision -------------*- C++ -*-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Decisions take the present time as an argument of these types, so that a
+/// test or a bench can drive them. Only programs and input/output code read the
+/// clocks.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef CANVASWICK_SUPPORT_TIME_H
+#define CANVASWICK_SUPPORT_TIME_H
+
+#include <chrono>
+#include <cstdint>
+
+namespace canvaswick {
+
+/// A length of time in microseconds.
+using Duration = std::chrono::microseconds;
+
+/// An instant of the steady clock. Zero is an arbitrary start.
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+/// Reads the steady clock. Only input/output code may call this.
+inline TimePoint readSteadyClock() {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
+/// Reads the calendar clock in whole milliseconds since the epoch.
+inline int64_t readCalendarMillis() {
+  auto Since = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Since).count();
+}
+
+/// Converts seconds to a Duration.
+constexpr Duration fromSeconds(double Seconds) {
+  return Duration(static_cast<int64_t>(Seconds * 1e6));
+}
+
+/// Converts milliseconds to a Duration.
+constexpr Duration fromMillis(int64_t Millis) {
+  return Duration(Millis * 1000);
+}
+
+/// Converts a Duration to seconds.
+constexpr double toSeconds(Duration Length) {
+  return static_cast<double>(Length.count()) / 1e6;
+}
+
+/// Converts a Duration to milliseconds, rounded down.
+constexpr int64_t toMillis(Duration Length) { return Length.count() / 1000; }
+
+} // namespace canvaswick
+
+#endif // CANVASWICK_SUPPORT_TIME_H
--- /dev/null
+++ b/lib/Daemon/ClaimAgent.cpp
@@ -0,0 +1,306 @@
+//===- ClaimAgent.cpp - Grants the right to run a request once ------------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// The caller that gets a shard's write lock writes for all that wait.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Daemon/ClaimAgent.h"
+#include "canvaswick/Support/Hash.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace canvaswick {
+
+/// How long the writer of a shard is waited for.
+static constexpr Duration WriterTimeout = fromSeconds(2);
+
+/// A process that starts anew has an incarnation at least this much higher;
+/// one that refutes suspicions stays below.
+static constexpr uint64_t IncarnationsPerProcess = 1000;
+
+ClaimAgent::ClaimAgent(const ControlContext &Context, MembershipAgent &Members)
+    : Context(Context), Members(Members),
+      Holder(fmt::format("{}#{}", Context.Config.Name, Context.StartMillis)),
+      Random(hashText(this->Holder, std::random_device()())) {
+  for (size_t I = 0; I < ClaimShards; ++I) {
+    auto Each = std::make_unique<Shard>();
+    Each->Log = std::make_unique<ClaimLog>(
+        Context.Platform, I,
+        fromSeconds(static_cast<double>(Context.Config.ClaimMemorySeconds)));
+    this->Shards.push_back(std::move(Each));
+  }
+}
+
+void ClaimAgent::addMethods(JsonRpcDispatcher &Dispatcher) {
+  Dispatcher.add("claim.begin", [this](const Json::Value &Params) {
+    return this->answerBegin(Params);
+  });
+  Dispatcher.add("claim.finish", [this](const Json::Value &Params) {
+    return this->answerFinish(Params);
+  });
+}
+
+ClaimAgent::Shard &ClaimAgent::getShard(const std::string &Key) {
+  return *this->Shards[hashText(Key) % ClaimShards];
+}
+
+std::optional<MemberRecord> ClaimAgent::findWriter(const std::string &Key) {
+  const std::vector<std::string> Working = this->Members.getWorking();
+  if (Working.empty())
+    return std::nullopt;
+  const std::string Shard =
+      fmt::format("claims/{}", hashText(Key) % ClaimShards);
+  const std::string &Writer = Working[rankByRendezvous(Shard, Working)[0]];
+  if (Writer == this->Context.Config.Name)
+    return std::nullopt;
+  return this->Members.find(Writer);
+}
+
+uint64_t ClaimAgent::makeClaim() {
+  std::lock_guard<std::mutex> Lock(this->RandomMutex);
+  return std::max<uint64_t>(1, this->Random());
+}
+
+ClaimEntry ClaimAgent::makeBegin(const std::string &Key,
+                                 const std::string &Fingerprint) {
+  ClaimEntry Entry;
+  Entry.Kind = ClaimEntryKind::Begin;
+  Entry.Key = Key;
+  Entry.Claim = this->makeClaim();
+  Entry.Fingerprint = Fingerprint;
+  Entry.Holder = this->Holder;
+  Entry.TimeMillis = readCalendarMillis();
+  return Entry;
+}
+
+static Json::Value encodeVerdict(const ClaimVerdict &Verdict) {
+  Json::Value Value;
+  Value["kind"] = static_cast<int>(Verdict.Kind);
+  Value["claim"] = static_cast<Json::UInt64>(Verdict.Claim);
+  Value["status"] = Verdict.Answer.Status;
+  Value["type"] = Verdict.Answer.ContentType;
+  Value["body"] = Verdict.Answer.Body;
+  Value["has-body"] = Verdict.Answer.HasBody;
+  return Value;
+}
+
+static ClaimVerdict decodeVerdict(const Json::Value &Value) {
+  ClaimVerdict Verdict;
+  const int Kind = Value.get("kind", -1).asInt();
+  if (Kind < 0 || Kind > static_cast<int>(ClaimKind::Unavailable))
+    return Verdict;
+  Verdict.Kind = static_cast<ClaimKind>(Kind);
+  Verdict.Claim = Value["claim"].asUInt64();
+  Verdict.Answer = {Value["status"].asInt(), Value["type"].asString(),
+                    Value["body"].asString(), Value["has-body"].asBool()};
+  return Verdict;
+}
+
+ClaimVerdict ClaimAgent::begin(const std::string &Key,
+                               const std::string &Fingerprint,
+                               TimePoint Deadline) {
+  ClaimEntry Entry = this->makeBegin(Key, Fingerprint);
+  if (const std::optional<MemberRecord> Writer = this->findWriter(Key)) {
+    Json::Value Params;
+    Params["key"] = Key;
+    Params["fingerprint"] = Fingerprint;
+    Params["claim"] = static_cast<Json::UInt64>(Entry.Claim);
+    Params["holder"] = this->Holder;
+    Params["time"] = static_cast<Json::Int64>(Entry.TimeMillis);
+    const Duration Left = Deadline - readSteadyClock();
+    Result<Json::Value> Answer =
+        this->Context.Caller.call(Writer->Control, "claim.begin", Params,
+                                  std::min(WriterTimeout, Left / 2));
+    if (Answer) {
+      const ClaimVerdict Verdict = decodeVerdict(Answer.value());
+      if (Verdict.Kind != ClaimKind::Unavailable)
+        return Verdict;
+    }
+    // Whatever became of that claim, it will not be run: it is released, and
+    // a claim of another name is made here.
+    Shard &Target = this->getShard(Key);
+    {
+      std::lock_guard<std::mutex> Lock(Target.QueueMutex);
+      Target.GivenUp.emplace_back(Key, Entry.Claim);
+    }
+    Entry = this->makeBegin(Key, Fingerprint);
+  }
+  if (readSteadyClock() >= Deadline)
+    return ClaimVerdict();
+  return this->beginLocally(std::move(Entry));
+}
+
+ClaimVerdict ClaimAgent::beginLocally(ClaimEntry Entry) {
+  Shard &Target = this->getShard(Entry.Key);
+  const std::string Key = Entry.Key;
+  PendingEntry Pending;
+  Pending.Entry = std::move(Entry);
+  {
+    std::lock_guard<std::mutex> Lock(Target.QueueMutex);
+    Target.Queue.push_back(&Pending);
+  }
+  std::lock_guard<std::mutex> Write(Target.WriteMutex);
+  bool IsWaiting = false;
+  {
+    std::lock_guard<std::mutex> Lock(Target.QueueMutex);
+    IsWaiting = std::find(Target.Queue.begin(), Target.Queue.end(), &Pending) !=
+                Target.Queue.end();
+  }
+  // Whoever held the lock before may have written for us.
+  if (IsWaiting)
+    this->writeQueue(Target, readCalendarMillis());
+  return this->resolveRunning(Pending.Verdict, Target, Key);
+}
+
+/// Writes all that waits. The caller holds the shard's write lock.
+void ClaimAgent::writeQueue(Shard &Target, int64_t NowMillis) {
+  std::vector<PendingEntry *> Batch;
+  std::vector<ClaimEntry> Ends;
+  std::vector<std::pair<std::string, uint64_t>> GivenUp;
+  {
+    std::lock_guard<std::mutex> Lock(Target.QueueMutex);
+    Batch.swap(Target.Queue);
+    Ends.swap(Target.Ends);
+    GivenUp.swap(Target.GivenUp);
+  }
+  for (const auto &[Key, Claim] : GivenUp)
+    Target.Log->abandonClaim(Key, Claim);
+  std::vector<PendingEntry> EndEntries(Ends.size());
+  std::vector<PendingEntry *> All;
+  for (size_t I = 0; I < Ends.size(); ++I) {
+    EndEntries[I].Entry = Ends[I];
+    All.push_back(&EndEntries[I]);
+  }
+  All.insert(All.end(), Batch.begin(), Batch.end());
+  const uint64_t Before = Target.Log->countWrites();
+  Target.Log->append(All, NowMillis);
+  this->Context.Counters.add(Counter::ClaimWrites,
+                             Target.Log->countWrites() - Before);
+  // An end that did not land is tried again at the next round.
+  std::lock_guard<std::mutex> Lock(Target.QueueMutex);
+  for (const PendingEntry &Each : EndEntries)
+    if (!Each.IsLanded)
+      Target.Ends.push_back(Each.Entry);
+}
+
+bool ClaimAgent::isHolderRunning(const std::string &RunningHolder) const {
+  const size_t Mark = RunningHolder.rfind('#');
+  if (Mark == std::string::npos)
+    return false;
+  const std::string Name = RunningHolder.substr(0, Mark);
+  const uint64_t Start =
+      std::strtoull(RunningHolder.c_str() + Mark + 1, nullptr, 10);
+  const std::optional<MemberRecord> Member = this->Members.find(Name);
+  return Member && Member->State != MemberState::Dead &&
+         Member->Incarnation < Start + IncarnationsPerProcess;
+}
+
+/// A claim whose holder is gone will never be heard of again.
+ClaimVerdict ClaimAgent::resolveRunning(ClaimVerdict Verdict, Shard &Target,
+                                        const std::string &Key) {
+  if (Verdict.Kind == ClaimKind::StillRunning &&
+      !this->isHolderRunning(Target.Log->getRunningHolder(Key)))
+    Verdict.Kind = ClaimKind::NotKnown;
+  return Verdict;
+}
+
+static ClaimEntryKind getEntryKind(ClaimEnd End) {
+  switch (End) {
+  case ClaimEnd::Ran:
+    return ClaimEntryKind::Ran;
+  case ClaimEnd::NotRun:
+    return ClaimEntryKind::NotRun;
+  case ClaimEnd::NotKnown:
+    return ClaimEntryKind::NotKnown;
+  }
+  return ClaimEntryKind::NotKnown;
+}
+
+void ClaimAgent::finish(const std::string &Key, uint64_t Claim, ClaimEnd End,
+                        const FirstAnswer &Answer) {
+  ClaimEntry Entry;
+  Entry.Kind = getEntryKind(End);
+  Entry.Key = Key;
+  Entry.Claim = Claim;
+  Entry.TimeMillis = readCalendarMillis();
+  Entry.Answer = Answer;
+  if (!Answer.HasBody)
+    Entry.Answer.Body.clear();
+  const std::optional<MemberRecord> Writer = this->findWriter(Key);
+  const bool IsSent =
+      Writer && this->Context.Calls.trySubmit([this, Writer = *Writer, Entry] {
+        Json::Value Params;
+        Params["key"] = Entry.Key;
+        Params["claim"] = static_cast<Json::UInt64>(Entry.Claim);
+        Params["end"] = static_cast<int>(Entry.Kind);
+        Params["time"] = static_cast<Json::Int64>(Entry.TimeMillis);
+        Params["status"] = Entry.Answer.Status;
+        Params["type"] = Entry.Answer.ContentType;
+        Params["body"] = Entry.Answer.Body;
+        Params["has-body"] = Entry.Answer.HasBody;
+        if (!this->Context.Caller.call(Writer.Control, "claim.finish", Params,
+                                       WriterTimeout))
+          this->finishLocally(Entry);
+      });
+  if (!IsSent)
+    this->finishLocally(std::move(Entry));
+}
+
+void ClaimAgent::finishLocally(ClaimEntry Entry) {
+  Shard &Target = this->getShard(Entry.Key);
+  std::lock_guard<std::mutex> Lock(Target.QueueMutex);
+  Target.Ends.push_back(std::move(Entry));
+}
+
+void ClaimAgent::runRound() {
+  for (const std::unique_ptr<Shard> &Each : this->Shards) {
+    bool HasWork = false;
+    {
+      std::lock_guard<std::mutex> Lock(Each->QueueMutex);
+      HasWork = !Each->Ends.empty() || !Each->GivenUp.empty();
+    }
+    std::lock_guard<std::mutex> Write(Each->WriteMutex);
+    if (HasWork)
+      this->writeQueue(*Each, readCalendarMillis());
+    Each->Log->prune(readCalendarMillis());
+  }
+}
+
+Json::Value ClaimAgent::answerBegin(const Json::Value &Params) {
+  ClaimEntry Entry;
+  Entry.Kind = ClaimEntryKind::Begin;
+  Entry.Key = Params["key"].asString();
+  Entry.Claim = Params["claim"].asUInt64();
+  Entry.Fingerprint = Params["fingerprint"].asString();
+  Entry.Holder = Params["holder"].asString();
+  Entry.TimeMillis = Params["time"].asInt64();
+  return encodeVerdict(this->beginLocally(std::move(Entry)));
+}
+
+Json::Value ClaimAgent::answerFinish(const Json::Value &Params) {
+  ClaimEntry Entry;
+  const int Kind = Params["end"].asInt();
+  if (Kind <= static_cast<int>(ClaimEntryKind::Begin) ||
+      Kind > static_cast<int>(ClaimEntryKind::NotKnown))
+    return makeCallError({ErrorKind::InvalidArgument, "no such end"});
+  Entry.Kind = static_cast<ClaimEntryKind>(Kind);
+  Entry.Key = Params["key"].asString();
+  Entry.Claim = Params["claim"].asUInt64();
+  Entry.TimeMillis = Params["time"].asInt64();
+  Entry.Answer = {Params["status"].asInt(), Params["type"].asString(),
+                  Params["body"].asString(), Params["has-body"].asBool()};
+  this->finishLocally(std::move(Entry));
+  return Json::Value(Json::objectValue);
+}
+
+} // namespace canvaswick
--- /dev/null
+++ b/lib/Daemon/Daemon.cpp
@@ -0,0 +1,326 @@
+//===- Daemon.cpp - One daemon of the fleet -------------------------------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// The lock order, outermost first: ConfigAgent's fetch lock and ClaimAgent's
+/// write locks; the agents' own mutexes; FleetRuntimeSlot; ServiceRuntime. No
+/// call to a peer or the platform is made under an agent's own mutex.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Daemon/Daemon.h"
+#include "canvaswick/Daemon/ClaimAgent.h"
+#include "canvaswick/Daemon/ConfigAgent.h"
+#include "canvaswick/Daemon/EvidenceAgent.h"
+#include "canvaswick/Daemon/LeavingAgent.h"
+#include "canvaswick/Daemon/OperatorApi.h"
+#include "canvaswick/Proxy/RequestProxy.h"
+#include "canvaswick/Support/Log.h"
+
+#include <condition_variable>
+#include <functional>
+#include <thread>
+
+namespace canvaswick {
+
+static constexpr size_t CallThreads = 6;
+static constexpr size_t CallQueue = 512;
+static constexpr size_t ControlWorkers = 12;
+static constexpr size_t CallerQueue = 256;
+static constexpr Duration UpstreamIdleLimit = fromSeconds(30);
+
+/// How often each agent's round begins.
+static constexpr Duration EvidenceInterval = fromMillis(100);
+static constexpr Duration MembershipInterval = fromSeconds(1);
+static constexpr Duration LeavingInterval = fromSeconds(2);
+static constexpr Duration ClaimInterval = fromMillis(100);
+static constexpr Duration HousekeepingInterval = fromSeconds(1);
+
+namespace {
+
+/// A thread that runs a round again and again until it is stopped.
+class RoundThread {
+public:
+  void start(Duration Interval, std::function<void()> Round) {
+    this->Thread = std::thread([this, Interval, Round = std::move(Round)] {
+      std::unique_lock<std::mutex> Lock(this->Mutex);
+      while (!this->Stopping) {
+        Lock.unlock();
+        const TimePoint Next = readSteadyClock() + Interval;
+        Round();
+        Lock.lock();
+        this->Changed.wait_until(Lock, Next, [this] { return this->Stopping; });
+      }
+    });
+  }
+
+  void stop() {
+    {
+      std::lock_guard<std::mutex> Lock(this->Mutex);
+      this->Stopping = true;
+    }
+    this->Changed.notify_all();
+    if (this->Thread.joinable())
+      this->Thread.join();
+  }
+
+private:
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  bool Stopping = false;
+  std::thread Thread;
+};
+
+} // namespace
+
+class Daemon::Impl {
+public:
+  explicit Impl(DaemonConfig Given);
+
+  Result<void> start();
+  void beginStop();
+  bool finishStop(TimePoint Deadline);
+
+  DaemonConfig Config;
+  std::unique_ptr<HttpServer> Callers;
+  std::unique_ptr<HttpServer> Control;
+
+private:
+  void applyConfig(const FleetConfigRef &Compiled);
+  void rebuildIfMembersChanged();
+  void housekeep();
+  void handleControl(HttpExchange &Exchange);
+  void startAgents();
+  void stopAgents();
+
+  CounterTable Counters;
+  std::unique_ptr<PeerCaller> Caller;
+  std::unique_ptr<PlatformClient> Platform;
+  std::unique_ptr<WorkerPool> Calls;
+  FleetRuntimeSlot Fleet;
+  std::unique_ptr<ControlContext> Context;
+  std::unique_ptr<MembershipAgent> Members;
+  std::unique_ptr<ConfigAgent> Configs;
+  std::unique_ptr<LeavingAgent> Leaving;
+  std::unique_ptr<EvidenceAgent> Evidence;
+  std::unique_ptr<ClaimAgent> Claims;
+  std::unique_ptr<OperatorApi> Operators;
+  std::unique_ptr<RequestProxy> Proxy;
+  ConnectionPool Upstreams;
+  JsonRpcDispatcher Dispatcher;
+  std::mutex VerifierMutex;
+  std::unique_ptr<CallVerifier> Verifier;
+  /// Guards the building of a new FleetRuntime.
+  std::mutex BuildMutex;
+  uint64_t BuiltForMembers = 0;
+  std::atomic<bool> IsStopping{false};
+  RoundThread Threads[6];
+};
+
+Daemon::Impl::Impl(DaemonConfig Given)
+    : Config(std::move(Given)), Upstreams(0) {}
+
+Result<void> Daemon::Impl::start() {
+  BOOST_OUTCOME_TRY(std::vector<CallKey> Keys,
+                    loadCallKeys(this->Config.KeyFile));
+  this->Caller = std::make_unique<PeerCaller>(Keys[0], &this->Counters);
+  this->Verifier = std::make_unique<CallVerifier>(Keys);
+  this->Platform =
+      std::make_unique<PlatformClient>(this->Config.Platform, &this->Counters);
+  this->Calls = std::make_unique<WorkerPool>(CallThreads, CallQueue);
+  this->Context.reset(new ControlContext{
+      this->Config, this->Counters, *this->Caller, *this->Platform,
+      *this->Calls, this->Fleet, static_cast<uint64_t>(readCalendarMillis())});
+
+  // The control address comes first: its port is part of what peers learn.
+  HttpServerLimits ControlLimits;
+  ControlLimits.Workers = ControlWorkers;
+  this->Control = std::make_unique<HttpServer>(
+      ControlLimits,
+      [this](HttpExchange &Exchange) { this->handleControl(Exchange); });
+  Result<void> Bound = this->Control->start(this->Config.Control);
+  if (!Bound)
+    return outcome::failure(Bound.error());
+  this->Config.Control.Port = this->Control->getPort();
+
+  this->Members = std::make_unique<MembershipAgent>(*this->Context);
+  this->Configs = std::make_unique<ConfigAgent>(
+      *this->Context, *this->Members,
+      [this](FleetConfigRef Compiled) { this->applyConfig(Compiled); });
+  this->Leaving =
+      std::make_unique<LeavingAgent>(*this->Context, *this->Members);
+  this->Evidence =
+      std::make_unique<EvidenceAgent>(*this->Context, *this->Members);
+  this->Claims = std::make_unique<ClaimAgent>(*this->Context, *this->Members);
+  this->Operators = std::make_unique<OperatorApi>(
+      *this->Context, *this->Members, *this->Configs);
+  this->Proxy = std::make_unique<RequestProxy>(this->Config.Name, this->Fleet,
+                                               this->Upstreams, this->Counters,
+                                               this->Claims.get());
+  this->Members->setVersionHooks(
+      [this](Json::Value &Message) {
+        this->Configs->writeVersions(Message);
+        this->Leaving->writeVersions(Message);
+      },
+      [this](const MemberRecord &Peer, const Json::Value &Message) {
+        this->Configs->readVersions(Peer, Message);
+        this->Leaving->readVersions(Peer, Message);
+      });
+  this->Members->addMethods(this->Dispatcher);
+  this->Configs->addMethods(this->Dispatcher);
+  this->Leaving->addMethods(this->Dispatcher);
+  this->Evidence->addMethods(this->Dispatcher);
+  this->Claims->addMethods(this->Dispatcher);
+  this->Operators->addMethods(this->Dispatcher);
+
+  Result<void> Loaded = this->Configs->loadLocal();
+  if (!Loaded)
+    return outcome::failure(Loaded.error());
+  HttpServerLimits CallerLimits;
+  CallerLimits.Workers = static_cast<size_t>(this->Config.Workers);
+  CallerLimits.QueueLimit = CallerQueue;
+  CallerLimits.MaxConnections =
+      static_cast<size_t>(this->Config.MaxConnections);
+  CallerLimits.IdleLimit =
+      fromSeconds(static_cast<double>(this->Config.IdleSeconds));
+  this->Callers = std::make_unique<HttpServer>(
+      CallerLimits,
+      [this](HttpExchange &Exchange) { this->Proxy->handle(Exchange); });
+  Bound = this->Callers->start(this->Config.Callers);
+  if (!Bound)
+    return outcome::failure(Bound.error());
+  this->startAgents();
+  logInfo("daemon-started", "name={} hall={} callers={} control={}",
+          this->Config.Name, this->Config.Hall, this->Callers->getPort(),
+          this->Control->getPort());
+  return outcome::success();
+}
+
+void Daemon::Impl::startAgents() {
+  this->Threads[0].start(EvidenceInterval,
+                         [this] { this->Evidence->runRound(); });
+  this->Threads[1].start(MembershipInterval,
+                         [this] { this->Members->runRound(); });
+  this->Threads[2].start(Duration::zero(),
+                         [this] { this->Configs->runRound(); });
+  this->Threads[3].start(LeavingInterval,
+                         [this] { this->Leaving->runRound(); });
+  this->Threads[4].start(ClaimInterval, [this] { this->Claims->runRound(); });
+  this->Threads[5].start(HousekeepingInterval, [this] { this->housekeep(); });
+}
+
+void Daemon::Impl::stopAgents() {
+  for (RoundThread &Thread : this->Threads)
+    Thread.stop();
+}
+
+void Daemon::Impl::applyConfig(const FleetConfigRef &Compiled) {
+  std::lock_guard<std::mutex> Lock(this->BuildMutex);
+  this->BuiltForMembers = this->Members->getWorkingVersion();
+  DaemonIdentity Identity;
+  Identity.Name = this->Config.Name;
+  Identity.Hall = this->Config.Hall;
+  Identity.Daemons = this->Members->getWorking();
+  Identity.ExpectedDaemons = this->Config.ExpectedDaemons;
+  Identity.StartMillis = this->Context->StartMillis;
+  const FleetRuntimeRef Previous = this->Fleet.get();
+  const FleetRuntimeRef Next(
+      new FleetRuntime(Compiled, Identity, Previous.get(), readSteadyClock()));
+  for (const ServiceRuntimeRef &Service : Next->getServices())
+    for (size_t I = 0; I < Service->countServers(); ++I)
+      this->Upstreams.setBound(
+          Service->getServer(I).Address,
+          static_cast<size_t>(Service->getSubset().Connections[I]));
+  this->Proxy->configure(*Compiled);
+  this->Fleet.set(Next);
+  this->Leaving->apply();
+}
+
+/// Subsets depend on who is a member.
+void Daemon::Impl::rebuildIfMembersChanged() {
+  const FleetRuntimeRef Current = this->Fleet.get();
+  if (!Current || this->BuiltForMembers == this->Members->getWorkingVersion())
+    return;
+  this->applyConfig(FleetConfigRef(&Current->getConfig()));
+}
+
+void Daemon::Impl::housekeep() {
+  const TimePoint Now = readSteadyClock();
+  this->rebuildIfMembersChanged();
+  this->Upstreams.closeIdleSince(Now - UpstreamIdleLimit);
+  this->Caller->closeIdle(Now);
+  this->Proxy->forgetIdle(Now);
+}
+
+void Daemon::Impl::handleControl(HttpExchange &Exchange) {
+  const std::string &Target = Exchange.Request.target;
+  Exchange.Stream.setDeadline(readSteadyClock() + fromSeconds(10));
+  if (Target == CallPath) {
+    serveCall(Exchange, *this->Verifier, this->VerifierMutex, this->Dispatcher,
+              this->Counters);
+    return;
+  }
+  if (Target == "/live") {
+    Exchange.Response.set_content("live\n", "text/plain");
+    return;
+  }
+  if (Target == "/ready") {
+    const bool IsReady = !this->IsStopping && this->Fleet.get() != nullptr;
+    Exchange.Response.status = IsReady ? 200 : 503;
+    Exchange.Response.set_content(IsReady ? "ready\n" : "not ready\n",
+                                  "text/plain");
+    return;
+  }
+  if (Target == "/metrics") {
+    Exchange.Response.set_content(this->Operators->formatMetrics(),
+                                  "text/plain");
+    return;
+  }
+  Exchange.Response.status = 404;
+}
+
+void Daemon::Impl::beginStop() {
+  this->IsStopping = true;
+  logInfo("daemon-stopping", "in-flight={}", this->Callers->countInFlight());
+  this->Members->leave();
+}
+
+bool Daemon::Impl::finishStop(TimePoint Deadline) {
+  const bool AllEnded = this->Callers->stopGracefully(Deadline);
+  this->stopAgents();
+  // Ends of claimed requests that still wait are written now.
+  this->Claims->runRound();
+  this->Calls->stop();
+  this->Claims->runRound();
+  this->Control->stopGracefully(readSteadyClock() + fromSeconds(1));
+  logInfo("daemon-stopped", "all-ended={}", AllEnded);
+  return AllEnded;
+}
+
+Daemon::Daemon(DaemonConfig Config)
+    : Implementation(std::make_unique<Impl>(std::move(Config))) {}
+
+Daemon::~Daemon() = default;
+
+Result<void> Daemon::start() { return this->Implementation->start(); }
+
+void Daemon::beginStop() { this->Implementation->beginStop(); }
+
+bool Daemon::finishStop(TimePoint Deadline) {
+  return this->Implementation->finishStop(Deadline);
+}
+
+uint16_t Daemon::getCallerPort() const {
+  return this->Implementation->Callers->getPort();
+}
+
+uint16_t Daemon::getControlPort() const {
+  return this->Implementation->Control->getPort();
+}
+
+} // namespace canvaswick
--- /dev/null
+++ b/lib/Daemon/EvidenceAgent.cpp
@@ -0,0 +1,293 @@
+//===- EvidenceAgent.cpp - Exchanges evidence about backend servers -------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Messages carry counts as short arrays; a report's answer carries the digest
+/// of what it is about, so that most digests cost no message of their own.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Daemon/EvidenceAgent.h"
+#include "canvaswick/Support/Hash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace canvaswick {
+
+static constexpr Duration ReportTimeout = fromSeconds(1);
+
+/// Daemons that reported within this time get digests sent.
+static constexpr Duration SubscriptionLife = fromSeconds(30);
+
+Json::Value encodeReport(const EvidenceReport &Report) {
+  Json::Value Value;
+  Value["s"] = Report.Service;
+  Value["f"] = Report.Source;
+  Value["h"] = Report.Hall;
+  Value["n"] = static_cast<Json::UInt64>(Report.Sequence);
+  Value["g"] = Report.OtherGood;
+  Value["u"] = Report.UsedServers;
+  Value["e"] = Json::arrayValue;
+  for (const ServerEvidence &Evidence : Report.Servers) {
+    Json::Value Entry(Json::arrayValue);
+    Entry.append(Evidence.Server);
+    Entry.append(Evidence.Counts.Good);
+    Entry.append(Evidence.Counts.Slow);
+    Entry.append(Evidence.Counts.Failed);
+    Value["e"].append(Entry);
+  }
+  return Value;
+}
+
+bool decodeReport(const Json::Value &Value, EvidenceReport &Report) {
+  if (!Value.isObject() || !Value["s"].isString() || !Value["f"].isString() ||
+      !Value["h"].isString() || !Value["n"].isUInt64() ||
+      !Value["g"].isUInt() || !Value["u"].isUInt() || !Value["e"].isArray())
+    return false;
+  Report.Service = Value["s"].asString();
+  Report.Source = Value["f"].asString();
+  Report.Hall = Value["h"].asString();
+  Report.Sequence = Value["n"].asUInt64();
+  Report.OtherGood = Value["g"].asUInt();
+  Report.UsedServers = Value["u"].asUInt();
+  for (const Json::Value &Entry : Value["e"]) {
+    if (!Entry.isArray() || Entry.size() != 4)
+      return false;
+    for (const Json::Value &Number : Entry)
+      if (!Number.isUInt())
+        return false;
+    Report.Servers.push_back(
+        {Entry[0].asUInt(),
+         {Entry[1].asUInt(), Entry[2].asUInt(), Entry[3].asUInt()}});
+  }
+  return true;
+}
+
+Json::Value encodeDigest(const EvidenceDigest &Digest) {
+  Json::Value Value;
+  Value["s"] = Digest.Service;
+  Value["o"] = Digest.Owner;
+  Value["n"] = static_cast<Json::UInt64>(Digest.Sequence);
+  Value["e"] = Json::arrayValue;
+  for (const ServerDigest &Server : Digest.Servers) {
+    Json::Value Entry(Json::arrayValue);
+    Entry.append(Server.Server);
+    Entry.append(static_cast<int>(std::lround(Server.Share * 100)));
+    Entry.append(static_cast<int>(std::lround(Server.Score * 10)));
+    Entry.append(Server.Sources);
+    Entry.append(Server.IsHallOnly ? 1 : 0);
+    Value["e"].append(Entry);
+  }
+  return Value;
+}
+
+bool decodeDigest(const Json::Value &Value, EvidenceDigest &Digest) {
+  if (!Value.isObject() || !Value["s"].isString() || !Value["o"].isString() ||
+      !Value["n"].isUInt64() || !Value["e"].isArray())
+    return false;
+  Digest.Service = Value["s"].asString();
+  Digest.Owner = Value["o"].asString();
+  Digest.Sequence = Value["n"].asUInt64();
+  for (const Json::Value &Entry : Value["e"]) {
+    if (!Entry.isArray() || Entry.size() != 5)
+      return false;
+    for (const Json::Value &Number : Entry)
+      if (!Number.isUInt())
+        return false;
+    ServerDigest Server;
+    Server.Server = Entry[0].asUInt();
+    Server.Share = std::min(1.0, Entry[1].asUInt() / 100.0);
+    Server.Score = Entry[2].asUInt() / 10.0;
+    Server.Sources = Entry[3].asUInt();
+    Server.IsHallOnly = Entry[4].asUInt() != 0;
+    Digest.Servers.push_back(Server);
+  }
+  return true;
+}
+
+EvidenceAgent::EvidenceAgent(const ControlContext &Context,
+                             MembershipAgent &Members)
+    : Context(Context), Members(Members) {}
+
+void EvidenceAgent::addMethods(JsonRpcDispatcher &Dispatcher) {
+  Dispatcher.add("evidence.report", [this](const Json::Value &Params) {
+    return this->answerReport(Params);
+  });
+  Dispatcher.add("evidence.digest", [this](const Json::Value &Params) {
+    return this->answerDigest(Params);
+  });
+}
+
+std::vector<std::string> EvidenceAgent::getOwners(const std::string &Service) {
+  const std::vector<std::string> Working = this->Members.getWorking();
+  const std::vector<size_t> Order =
+      rankByRendezvous("pool/" + Service, Working);
+  std::vector<std::string> Owners;
+  for (size_t I = 0; I < std::min(PoolOwners, Order.size()); ++I)
+    Owners.push_back(Working[Order[I]]);
+  return Owners;
+}
+
+void EvidenceAgent::runRound() {
+  const TimePoint Now = readSteadyClock();
+  this->sendReports(Now);
+  this->advancePools(Now);
+}
+
+void EvidenceAgent::sendReports(TimePoint Now) {
+  const FleetRuntimeRef Fleet = this->Context.Fleet.get();
+  if (!Fleet)
+    return;
+  std::map<std::string, std::vector<EvidenceReport>> ByOwner;
+  for (const ServiceRuntimeRef &Service : Fleet->getServices()) {
+    Service->advance(Now);
+    const std::optional<EvidenceReport> Report = Service->makeReport(Now);
+    if (!Report)
+      continue;
+    for (const std::string &Owner : this->getOwners(Report->Service))
+      ByOwner[Owner].push_back(*Report);
+  }
+  for (auto &[Owner, Reports] : ByOwner) {
+    if (Owner == this->Context.Config.Name)
+      this->takeDigests(this->takeReports(Reports, Now), Now);
+    else
+      this->sendTo(Owner, std::move(Reports));
+  }
+}
+
+void EvidenceAgent::sendTo(const std::string &Owner,
+                           std::vector<EvidenceReport> Reports) {
+  const std::optional<MemberRecord> Peer = this->Members.find(Owner);
+  if (!Peer)
+    return;
+  this->Context.Calls.trySubmit(
+      [this, Peer = *Peer, Reports = std::move(Reports)] {
+        Json::Value Params;
+        for (const EvidenceReport &Report : Reports)
+          Params["reports"].append(encodeReport(Report));
+        this->Context.Counters.add(Counter::ReportsSent, Reports.size());
+        Result<Json::Value> Answer = this->Context.Caller.call(
+            Peer.Control, "evidence.report", Params, ReportTimeout);
+        if (Answer)
+          this->answerDigest(Answer.value());
+      });
+}
+
+EvidencePool *EvidenceAgent::findPool(const std::string &Service) {
+  const FleetRuntimeRef Fleet = this->Context.Fleet.get();
+  const int Index = Fleet ? Fleet->getConfig().findService(Service) : -1;
+  if (Index < 0)
+    return nullptr;
+  const ServiceConfig &Config =
+      Fleet->getConfig().Services[static_cast<size_t>(Index)];
+  std::vector<ServerId> Servers;
+  for (const ServerConfig &Server : Config.Servers)
+    Servers.push_back(getServerId(Config.Name, Server.Name));
+  std::unique_ptr<EvidencePool> &Pool = this->Pools[Service];
+  if (Pool && Pool->getServers() == Servers)
+    return Pool.get();
+  auto Next = std::make_unique<EvidencePool>(
+      Service, this->Context.Config.Name, getTuning(Config.Preference),
+      std::move(Servers), this->Context.StartMillis);
+  if (Pool)
+    Next->adopt(*Pool);
+  Pool = std::move(Next);
+  return Pool.get();
+}
+
+EvidenceAgent::Digests
+EvidenceAgent::takeReports(const std::vector<EvidenceReport> &Reports,
+                           TimePoint Now) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  Digests Made;
+  for (const EvidenceReport &Report : Reports) {
+    EvidencePool *Pool = this->findPool(Report.Service);
+    if (!Pool)
+      continue;
+    this->Context.Counters.add(Counter::ReportsTaken);
+    Pool->takeReport(Report, Now);
+    Pool->advance(Now);
+    if (Pool->hasSuspects())
+      Made.push_back(Pool->makeDigest(Report.Hall));
+  }
+  return Made;
+}
+
+void EvidenceAgent::takeDigests(const Digests &Taken, TimePoint Now) {
+  const FleetRuntimeRef Fleet = this->Context.Fleet.get();
+  if (!Fleet)
+    return;
+  for (const EvidenceDigest &Digest : Taken)
+    if (const ServiceRuntimeRef Service = Fleet->findService(Digest.Service)) {
+      this->Context.Counters.add(Counter::DigestsTaken);
+      Service->takeDigest(Digest, Now);
+    }
+}
+
+void EvidenceAgent::advancePools(TimePoint Now) {
+  std::map<std::string, Digests> ByReader;
+  {
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    for (auto &[Name, Pool] : this->Pools) {
+      Pool->advance(Now);
+      for (const std::string &Hall : Pool->getHalls()) {
+        if (!Pool->hasNews(Hall))
+          continue;
+        const EvidenceDigest Digest = Pool->makeDigest(Hall);
+        for (const std::string &Reader :
+             Pool->getSources(Hall, Now - SubscriptionLife))
+          ByReader[Reader].push_back(Digest);
+      }
+    }
+  }
+  for (auto &[Reader, Made] : ByReader) {
+    if (Reader == this->Context.Config.Name) {
+      this->takeDigests(Made, Now);
+      continue;
+    }
+    const std::optional<MemberRecord> Peer = this->Members.find(Reader);
+    if (!Peer)
+      continue;
+    this->Context.Counters.add(Counter::DigestsSent, Made.size());
+    this->Context.Calls.trySubmit([this, Peer = *Peer, Made = Made] {
+      Json::Value Params;
+      for (const EvidenceDigest &Digest : Made)
+        Params["digests"].append(encodeDigest(Digest));
+      (void)this->Context.Caller.call(Peer.Control, "evidence.digest", Params,
+                                      ReportTimeout);
+    });
+  }
+}
+
+Json::Value EvidenceAgent::answerReport(const Json::Value &Params) {
+  std::vector<EvidenceReport> Reports;
+  for (const Json::Value &Value : Params["reports"]) {
+    EvidenceReport Report;
+    if (decodeReport(Value, Report))
+      Reports.push_back(std::move(Report));
+  }
+  Json::Value Answer(Json::objectValue);
+  for (const EvidenceDigest &Digest :
+       this->takeReports(Reports, readSteadyClock()))
+    Answer["digests"].append(encodeDigest(Digest));
+  return Answer;
+}
+
+Json::Value EvidenceAgent::answerDigest(const Json::Value &Params) {
+  Digests Taken;
+  for (const Json::Value &Value : Params["digests"]) {
+    EvidenceDigest Digest;
+    if (decodeDigest(Value, Digest))
+      Taken.push_back(std::move(Digest));
+  }
+  this->takeDigests(Taken, readSteadyClock());
+  return Json::Value(Json::objectValue);
+}
+
+} // namespace canvaswick
--- /dev/null
+++ b/lib/Daemon/OperatorApi.cpp
@@ -0,0 +1,157 @@
+//===- OperatorApi.cpp - What operators may ask a daemon ------------------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Reads the live state and writes it as JSON; changes nothing.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Daemon/OperatorApi.h"
+#include "canvaswick/Metrics/BurnReport.h"
+
+#include <fmt/format.h>
+
+#include <cmath>
+
+namespace canvaswick {
+
+OperatorApi::OperatorApi(const ControlContext &Context,
+                         MembershipAgent &Members, ConfigAgent &Config)
+    : Context(Context), Members(Members), Config(Config) {}
+
+void OperatorApi::addMethods(JsonRpcDispatcher &Dispatcher) {
+  Dispatcher.add("operator.status",
+                 [this](const Json::Value &) { return this->answerStatus(); });
+  Dispatcher.add("operator.explain", [this](const Json::Value &Params) {
+    return this->answerExplain(Params);
+  });
+  Dispatcher.add("operator.burn",
+                 [this](const Json::Value &) { return this->answerBurn(); });
+}
+
+static Json::Value describeServer(const ServerStatus &Status, TimePoint Now) {
+  const ShareExplanation &Why = Status.Explanation;
+  Json::Value Value;
+  Value["name"] = Status.Name;
+  Value["address"] = Status.Address.format();
+  Value["in-flight"] = Status.InFlight;
+  Value["share"] = Why.Share;
+  Value["wanted-share"] = Why.WantedShare;
+  Value["reason"] = getName(Why.Reason);
+  Value["own-score"] = std::round(Why.OwnScore * 10) / 10;
+  Value["pool-score"] = std::round(Why.PoolScore * 10) / 10;
+  Value["pool-sources"] = Why.PoolSources;
+  Value["good"] = Why.OwnCounts.Good;
+  Value["slow"] = Why.OwnCounts.Slow;
+  Value["failed"] = Why.OwnCounts.Failed;
+  Value["since-s"] = Why.Since == TimePoint{}
+                         ? -1.0
+                         : std::round(toSeconds(Now - Why.Since) * 10) / 10;
+  return Value;
+}
+
+Json::Value OperatorApi::answerStatus() const {
+  const TimePoint Now = readSteadyClock();
+  Json::Value Answer;
+  Answer["name"] = this->Context.Config.Name;
+  Answer["hall"] = this->Context.Config.Hall;
+  Answer["version"] = static_cast<Json::UInt64>(this->Config.getVersion());
+  Answer["confirmed-ms"] =
+      static_cast<Json::Int64>(this->Config.getConfirmedAgeMillis());
+  Answer["members"] = Json::arrayValue;
+  for (const MemberRecord &Record : this->Members.getAll())
+    Answer["members"].append(encodeMember(Record));
+  Answer["services"] = Json::arrayValue;
+  const FleetRuntimeRef Fleet = this->Context.Fleet.get();
+  if (!Fleet)
+    return Answer;
+  for (const ServiceRuntimeRef &Service : Fleet->getServices()) {
+    Json::Value Entry;
+    Entry["name"] = Service->getConfig().Name;
+    Entry["floor-percent"] = Service->getConfig().FloorPercent;
+    Entry["servers"] = Json::arrayValue;
+    for (const ServerStatus &Status : Service->describe())
+      Entry["servers"].append(describeServer(Status, Now));
+    Answer["services"].append(Entry);
+  }
+  return Answer;
+}
+
+Json::Value OperatorApi::answerExplain(const Json::Value &Params) const {
+  const FleetRuntimeRef Fleet = this->Context.Fleet.get();
+  const std::string Service = Params["service"].asString();
+  const std::string Server = Params["server"].asString();
+  const ServiceRuntimeRef Found = Fleet ? Fleet->findService(Service) : nullptr;
+  if (!Found)
+    return makeCallError({ErrorKind::NotFound, "no service " + Service});
+  for (const ServerStatus &Status : Found->describe()) {
+    if (Status.Name != Server)
+      continue;
+    Json::Value Answer = describeServer(Status, readSteadyClock());
+    Answer["daemon"] = this->Context.Config.Name;
+    Answer["hall"] = this->Context.Config.Hall;
+    Answer["floor-percent"] = Found->getConfig().FloorPercent;
+    return Answer;
+  }
+  return makeCallError(
+      {ErrorKind::NotFound, "this daemon does not use " + Server});
+}
+
+Json::Value OperatorApi::answerBurn() const {
+  const TimePoint Now = readSteadyClock();
+  Json::Value Answer;
+  Answer["samples"] = Json::arrayValue;
+  const FleetRuntimeRef Fleet = this->Context.Fleet.get();
+  if (!Fleet)
+    return Answer;
+  for (const ServiceRuntimeRef &Service : Fleet->getServices()) {
+    Json::Value Sample;
+    Sample["service"] = Service->getConfig().Name;
+    Sample["hall"] = this->Context.Config.Hall;
+    Sample["objective"] =
+        static_cast<Json::Int64>(Service->getConfig().ObjectivePercent);
+    Sample["totals"] = Json::arrayValue;
+    for (const int Minutes : BurnWindows) {
+      const ServiceTotals Totals =
+          Service->getMetrics().getTotals(Minutes, Now);
+      Json::Value Pair(Json::arrayValue);
+      Pair.append(static_cast<Json::UInt64>(Totals.All));
+      Pair.append(static_cast<Json::UInt64>(Totals.Good));
+      Sample["totals"].append(Pair);
+    }
+    Answer["samples"].append(Sample);
+  }
+  return Answer;
+}
+
+std::string OperatorApi::formatMetrics() const {
+  std::string Text = this->Context.Counters.format();
+  Text +=
+      fmt::format("canvaswick_config_version {}\n", this->Config.getVersion());
+  Text += fmt::format("canvaswick_config_confirmed_ms {}\n",
+                      this->Config.getConfirmedAgeMillis());
+  Text +=
+      fmt::format("canvaswick_members {}\n", this->Members.getWorking().size());
+  const FleetRuntimeRef Fleet = this->Context.Fleet.get();
+  if (!Fleet)
+    return Text;
+  for (const ServiceRuntimeRef &Service : Fleet->getServices()) {
+    const LatencyHistogram &Histogram = Service->getMetrics().getHistogram();
+    for (const double Part : {0.5, 0.99, 0.999})
+      Text += fmt::format(
+          "canvaswick_latency_ms{{service=\"{}\",quantile=\"{}\"}} {:.3f}\n",
+          Service->getConfig().Name, Part, getQuantile(Histogram, Part));
+    for (const ServerStatus &Status : Service->describe())
+      Text += fmt::format(
+          "canvaswick_share{{service=\"{}\",server=\"{}\"}} {:.2f}\n",
+          Service->getConfig().Name, Status.Name, Status.Explanation.Share);
+  }
+  return Text;
+}
+
+} // namespace canvaswick
--- /dev/null
+++ b/lib/Health/Outcome.cpp
@@ -0,0 +1,31 @@
+//===- Outcome.cpp - Names of the outcomes --------------------------------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Holds the table that reports print.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Health/Outcome.h"
+#include "canvaswick/Support/EnumNames.h"
+
+namespace canvaswick {
+
+static constexpr EnumNames<RequestOutcome, 5> RequestOutcomeNames = {{
+    {RequestOutcome::Good, "good"},
+    {RequestOutcome::Slow, "slow"},
+    {RequestOutcome::Failed, "failed"},
+    {RequestOutcome::Shed, "shed"},
+    {RequestOutcome::Canceled, "canceled"},
+}};
+
+const char *getName(RequestOutcome Outcome) {
+  return getEnumName(RequestOutcomeNames, Outcome);
+}
+
+} // namespace canvaswick
--- /dev/null
+++ b/lib/Health/PooledPolicy.cpp
@@ -0,0 +1,248 @@
+//===- PooledPolicy.cpp - Our policy: own and pooled evidence under the floor
+//-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Combines three scopes by the lowest share and then applies the floor. The
+/// shares are made anew after every piece of evidence that can change them.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Health/HealthPolicy.h"
+
+#include <algorithm>
+#include <cassert>
+#include <limits>
+
+namespace canvaswick {
+
+/// How long an owner's digest holds without being repeated.
+static constexpr Duration DigestLife = fromSeconds(10);
+
+/// Over which time used and failing servers are counted.
+static constexpr Duration UseWindow = fromSeconds(30);
+
+/// A daemon that sees more than this part of its servers fail doubts itself.
+static constexpr double MaxFailingPart = 0.4;
+
+/// How often totals are reported while nothing is wrong.
+static constexpr Duration QuietReportInterval = fromSeconds(10);
+
+PooledPolicy::PooledPolicy(PolicySetup Setup)
+    : Setup(std::move(Setup)), Tuning(getTuning(this->Setup.Preference)),
+      Own(this->Tuning, this->Setup.Servers.size()),
+      ReportSequence(this->Setup.FirstSequence) {
+  for (const PolicyServer &Server : this->Setup.Servers) {
+    this->IndexOfServer[Server.Id] = this->Servers.size();
+    ServerState State;
+    State.Config = Server;
+    this->Servers.push_back(std::move(State));
+  }
+}
+
+void PooledPolicy::recordOutcome(size_t Server, RequestOutcome Outcome,
+                                 TimePoint Now) {
+  if (Outcome == RequestOutcome::Shed || Outcome == RequestOutcome::Canceled)
+    return;
+  ServerState &State = this->Servers[Server];
+  State.LastUsed = Now;
+  State.WasUsed = true;
+  State.Unreported.add(Outcome);
+  State.Counts.add(Outcome);
+  if (Outcome != RequestOutcome::Good) {
+    State.LastBad = Now;
+    State.WasBad = true;
+    this->HasUnreportedBad = true;
+  }
+  OutcomeCounts One;
+  One.add(Outcome);
+  this->Own.addCounts(Server, One, std::numeric_limits<double>::infinity(),
+                      Now);
+}
+
+void PooledPolicy::setLeaving(size_t Server, bool IsLeaving) {
+  this->Servers[Server].IsLeaving = IsLeaving;
+  this->updateShares(this->Servers[Server].Explanation.Since);
+}
+
+void PooledPolicy::updateSelfDoubt(TimePoint Now) {
+  size_t Used = 0;
+  size_t Failing = 0;
+  for (const ServerState &State : this->Servers) {
+    if (State.WasUsed && Now - State.LastUsed <= UseWindow)
+      ++Used;
+    if (State.WasBad && Now - State.LastBad <= UseWindow)
+      ++Failing;
+  }
+  const double Limit =
+      std::max(1.0, MaxFailingPart * static_cast<double>(Used));
+  this->SelfDoubting = static_cast<double>(Failing) > Limit;
+}
+
+void PooledPolicy::expireViews(TimePoint Now) {
+  for (auto &[Owner, View] : this->Views) {
+    if (!View.IsCurrent || Now - View.At <= DigestLife)
+      continue;
+    View.IsCurrent = false;
+    // Nobody speaks for these servers any more: let them back by steps.
+    for (const ServerDigest &Digest : View.Servers) {
+      const auto Found = this->IndexOfServer.find(Digest.Server);
+      if (Found != this->IndexOfServer.end() && Digest.Share < 1 &&
+          this->Own.getPhase(Found->second) == HealthPhase::Serving)
+        this->Own.beginReturn(Found->second, Now);
+    }
+    View.Servers.clear();
+  }
+}
+
+void PooledPolicy::advance(TimePoint Now) {
+  this->updateSelfDoubt(Now);
+  this->expireViews(Now);
+  this->Own.advance(Now, !this->SelfDoubting, nullptr);
+  this->updateShares(Now);
+}
+
+ShareWish PooledPolicy::wishFor(size_t Server, ShareReason &Reason) const {
+  const ServerState &State = this->Servers[Server];
+  ShareWish Wish;
+  Wish.Slots = State.Config.Slots;
+  Wish.IsLeaving = State.IsLeaving;
+  Wish.WasReduced = State.Explanation.Share < 1;
+  Wish.Share = this->Own.getShare(Server);
+  Wish.Score = this->Own.getScore(Server);
+  Reason = Wish.Share < 1 ? ShareReason::OwnEvidence : ShareReason::Healthy;
+  for (const auto &[Owner, View] : this->Views)
+    for (const ServerDigest &Digest : View.Servers) {
+      if (Digest.Server != State.Config.Id)
+        continue;
+      Wish.Score = std::max(Wish.Score, Digest.Score);
+      if (Digest.Share >= Wish.Share)
+        continue;
+      Wish.Share = Digest.Share;
+      Reason = Digest.IsHallOnly ? ShareReason::HallEvidence
+                                 : ShareReason::FleetEvidence;
+    }
+  if (State.IsLeaving)
+    Reason = ShareReason::Leaving;
+  return Wish;
+}
+
+void PooledPolicy::updateShares(TimePoint Now) {
+  std::vector<ShareWish> Wishes;
+  std::vector<ShareReason> Reasons(this->Servers.size());
+  Wishes.reserve(this->Servers.size());
+  for (size_t I = 0; I < this->Servers.size(); ++I)
+    Wishes.push_back(this->wishFor(I, Reasons[I]));
+  const std::vector<ShareGrant> Grants =
+      applyFloor(Wishes, this->Setup.FloorPercent);
+  for (size_t I = 0; I < this->Servers.size(); ++I) {
+    ShareExplanation &Explanation = this->Servers[I].Explanation;
+    if (Explanation.Share != Grants[I].Share)
+      Explanation.Since = Now;
+    Explanation.Share = Grants[I].Share;
+    Explanation.WantedShare = Wishes[I].Share;
+    Explanation.Reason =
+        Grants[I].IsKeptByFloor ? ShareReason::KeptByFloor : Reasons[I];
+  }
+}
+
+double PooledPolicy::getShare(size_t Server) const {
+  return this->Servers[Server].Explanation.Share;
+}
+
+bool PooledPolicy::isReportDue(TimePoint Now) const {
+  const Duration Since = Now - this->LastReport;
+  if (this->HasUnreportedBad)
+    return Since >= this->Tuning.ReportInterval;
+  for (const ServerState &State : this->Servers)
+    if (State.IsPoolSuspect && State.Unreported.Good > 0)
+      return Since >= this->Tuning.ReportInterval;
+  return Since >= QuietReportInterval;
+}
+
+std::optional<EvidenceReport> PooledPolicy::makeReport(TimePoint Now) {
+  if (!this->isReportDue(Now))
+    return std::nullopt;
+  EvidenceReport Report;
+  Report.Service = this->Setup.Service;
+  Report.Source = this->Setup.Source;
+  Report.Hall = this->Setup.Hall;
+  for (size_t I = 0; I < this->Servers.size(); ++I) {
+    ServerState &State = this->Servers[I];
+    if (State.WasUsed && Now - State.LastUsed <= UseWindow)
+      ++Report.UsedServers;
+    const bool IsNamed = State.Unreported.countBad() > 0 ||
+                         (State.IsPoolSuspect && State.Unreported.Good > 0);
+    if (IsNamed)
+      Report.Servers.push_back({State.Config.Id, State.Unreported});
+    else
+      Report.OtherGood += State.Unreported.Good;
+    State.Unreported = OutcomeCounts();
+  }
+  this->HasUnreportedBad = false;
+  this->LastReport = Now;
+  // Quiet services of a quiet daemon say nothing at all.
+  if (Report.UsedServers == 0)
+    return std::nullopt;
+  Report.Sequence = ++this->ReportSequence;
+  return Report;
+}
+
+void PooledPolicy::takeDigest(const EvidenceDigest &Digest, TimePoint Now) {
+  OwnerView &View = this->Views[Digest.Owner];
+  if (View.IsCurrent && Digest.Sequence <= View.Sequence)
+    return;
+  View.Sequence = Digest.Sequence;
+  View.At = Now;
+  View.IsCurrent = true;
+  View.Servers = Digest.Servers;
+  for (ServerState &State : this->Servers)
+    State.IsPoolSuspect = false;
+  for (const auto &[Owner, Other] : this->Views)
+    for (const ServerDigest &Server : Other.Servers) {
+      const auto Found = this->IndexOfServer.find(Server.Server);
+      if (Found != this->IndexOfServer.end())
+        this->Servers[Found->second].IsPoolSuspect = true;
+    }
+  this->updateShares(Now);
+}
+
+void PooledPolicy::adopt(const PooledPolicy &Other, TimePoint Now) {
+  this->Views = Other.Views;
+  this->ReportSequence = Other.ReportSequence;
+  this->LastReport = Other.LastReport;
+  this->HasUnreportedBad = Other.HasUnreportedBad;
+  for (size_t I = 0; I < this->Servers.size(); ++I) {
+    const auto Found = Other.IndexOfServer.find(this->Servers[I].Config.Id);
+    if (Found == Other.IndexOfServer.end())
+      continue;
+    const PolicyServer Config = this->Servers[I].Config;
+    this->Servers[I] = Other.Servers[Found->second];
+    this->Servers[I].Config = Config;
+    this->Servers[I].IsLeaving = false;
+    this->Own.adopt(I, Other.Own, Found->second);
+  }
+  this->updateShares(Now);
+}
+
+ShareExplanation PooledPolicy::explain(size_t Server) const {
+  const ServerState &State = this->Servers[Server];
+  ShareExplanation Explanation = State.Explanation;
+  Explanation.OwnScore = this->Own.getScore(Server);
+  Explanation.OwnCounts = State.Counts;
+  for (const auto &[Owner, View] : this->Views)
+    for (const ServerDigest &Digest : View.Servers)
+      if (Digest.Server == State.Config.Id &&
+          Digest.Score >= Explanation.PoolScore) {
+        Explanation.PoolScore = Digest.Score;
+        Explanation.PoolSources = Digest.Sources;
+      }
+  return Explanation;
+}
+
+} // namespace canvaswick
--- /dev/null
+++ b/lib/Health/ScopeTracker.cpp
@@ -0,0 +1,294 @@
+//===- ScopeTracker.cpp - Sequential evidence about the servers of one service
+// in one scope -===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// The arithmetic of the cumulative sum and the steps of coming back.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Health/ScopeTracker.h"
+#include "canvaswick/Support/EnumNames.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace canvaswick {
+
+static constexpr EnumNames<HealthPhase, 3> HealthPhaseNames = {{
+    {HealthPhase::Serving, "serving"},
+    {HealthPhase::Removed, "removed"},
+    {HealthPhase::Returning, "returning"},
+}};
+
+const char *getName(HealthPhase Phase) {
+  return getEnumName(HealthPhaseNames, Phase);
+}
+
+/// Over which time the usual shares are taken.
+static constexpr Duration UsualHalfLife = fromSeconds(15);
+
+/// Without news, evidence fades with this half-life.
+static constexpr Duration ScoreHalfLife = fromSeconds(60);
+
+/// Requests that even a healthy server fails, or answers slowly, at least.
+static constexpr double LeastUsualFailed = 0.005;
+static constexpr double LeastUsualSlow = 0.02;
+
+/// A sick server fails at least this share of its requests.
+static constexpr double LeastSickShare = 0.25;
+
+/// Largest weight of one request, in nats.
+static constexpr double MaxWeight = 4.0;
+
+/// The part of the servers that look best, from which the usual share is taken.
+static constexpr double HealthyPart = 0.6;
+
+/// When more than this part looks sick at once, the cause is a common one and
+/// removing servers does not help.
+static constexpr double MaxSuspectPart = 0.4;
+
+/// What a suspect score is, as a part of the threshold, for that comparison.
+static constexpr double SuspectPart = 0.33;
+
+/// Evidence below this is noise that needs no extra reports.
+static constexpr double ReportScore = 2.0;
+
+/// A server that fails again within this time is held longer.
+static constexpr Duration FlapMemory = fromSeconds(300);
+
+namespace {
+
+/// One step of coming back.
+struct ReturnStep {
+  double Share;
+  uint32_t GoodNeeded;
+  Duration LongestWait;
+};
+
+} // namespace
+
+/// The first share stays below 5 %: a server on trial counts as removed.
+static constexpr ReturnStep ReturnSteps[] = {
+    {0.04, 2, fromSeconds(10)},
+    {0.15, 4, fromSeconds(8)},
+    {0.40, 8, fromSeconds(6)},
+};
+
+/// Holds of servers that keep failing lengthen the waits of the steps too.
+static constexpr int MaxWaitDoublings = 3;
+
+ScopeTracker::ScopeTracker(HealthTuning Tuning, size_t ServerCount)
+    : Tuning(Tuning),
+      Servers(ServerCount), Usual{LeastUsualSlow, LeastUsualFailed} {}
+
+static double getSickShare(double Usual) {
+  return std::max(LeastSickShare, Usual + (1 - Usual) * 0.5);
+}
+
+static double getBadWeight(double Usual) {
+  return std::min(MaxWeight, std::log(getSickShare(Usual) / Usual));
+}
+
+double ScopeTracker::computeAgainst(const OutcomeCounts &Counts) const {
+  return Counts.Failed * getBadWeight(this->Usual.Failed) +
+         Counts.Slow * getBadWeight(this->Usual.Slow);
+}
+
+double ScopeTracker::computeFor(const OutcomeCounts &Counts) const {
+  // A good request is neither failed nor slow: it speaks against the milder of
+  // the two kinds of sickness, so that one good answer does not wash out more
+  // than it proves.
+  const double Usual = std::min(this->Usual.Failed, this->Usual.Slow);
+  const double Weight =
+      std::log((1 - Usual) / (1 - std::max(LeastSickShare, Usual)));
+  return Counts.Good * Weight;
+}
+
+void ScopeTracker::fadeScore(ServerState &State, TimePoint Now) {
+  if (Now > State.ScoreAt && State.Score > 0)
+    State.Score *=
+        std::exp2(-toSeconds(Now - State.ScoreAt) / toSeconds(ScoreHalfLife));
+  State.ScoreAt = Now;
+}
+
+double ScopeTracker::addCounts(size_t Server, const OutcomeCounts &Counts,
+                               double PositiveLimit, TimePoint Now) {
+  assert(Server < this->Servers.size() && "server index out of range");
+  ServerState &State = this->Servers[Server];
+  State.Good.add(Counts.Good, Now, UsualHalfLife);
+  State.Slow.add(Counts.Slow, Now, UsualHalfLife);
+  State.Failed.add(Counts.Failed, Now, UsualHalfLife);
+  // Requests that were under way when the server was removed are old news.
+  if (State.Phase == HealthPhase::Removed)
+    return 0;
+  this->fadeScore(State, Now);
+  const double Against =
+      std::min(this->computeAgainst(Counts), std::max(0.0, PositiveLimit));
+  State.Score = std::max(0.0, State.Score + Against - this->computeFor(Counts));
+  State.GoodInStep += Counts.Good;
+  return Against;
+}
+
+void ScopeTracker::addTotalGood(uint32_t Good, TimePoint Now) {
+  this->TotalGood.add(Good, Now, UsualHalfLife);
+}
+
+/// Returns the share of one kind of bad outcome among the servers that look
+/// best. Total is the good requests that were not counted server by server.
+double ScopeTracker::getUsualShare(DecayingCount ServerState::*Kind,
+                                   TimePoint Now, double Total,
+                                   double Least) const {
+  std::vector<std::pair<double, double>> BadAndAll;
+  const double OtherGood = Total / static_cast<double>(this->Servers.size());
+  for (const ServerState &State : this->Servers) {
+    const double Bad = (State.*Kind).get(Now, UsualHalfLife);
+    const double All = OtherGood + State.Good.get(Now, UsualHalfLife) +
+                       State.Slow.get(Now, UsualHalfLife) +
+                       State.Failed.get(Now, UsualHalfLife);
+    BadAndAll.emplace_back(Bad, All);
+  }
+  std::sort(BadAndAll.begin(), BadAndAll.end(),
+            [](const auto &Left, const auto &Right) {
+              return Left.first * (Right.second + 1) <
+                     Right.first * (Left.second + 1);
+            });
+  const auto Used = static_cast<size_t>(
+      std::ceil(HealthyPart * static_cast<double>(BadAndAll.size())));
+  double Bad = 0;
+  double All = 0;
+  for (size_t I = 0; I < Used; ++I) {
+    Bad += BadAndAll[I].first;
+    All += BadAndAll[I].second;
+  }
+  // A handful of requests proves no share: lean on the least one.
+  static constexpr double PriorRequests = 20;
+  const double Share = (Bad + Least * PriorRequests) / (All + PriorRequests);
+  return std::clamp(Share, Least, 0.95);
+}
+
+void ScopeTracker::updateUsualShares(TimePoint Now) {
+  if (this->Servers.empty())
+    return;
+  const double Total = this->TotalGood.get(Now, UsualHalfLife);
+  this->Usual.Failed =
+      this->getUsualShare(&ServerState::Failed, Now, Total, LeastUsualFailed);
+  this->Usual.Slow =
+      this->getUsualShare(&ServerState::Slow, Now, Total, LeastUsualSlow);
+}
+
+bool ScopeTracker::areTooManySuspect() const {
+  size_t Suspect = 0;
+  for (const ServerState &State : this->Servers)
+    if (State.Phase == HealthPhase::Removed ||
+        State.Score >= SuspectPart * this->Tuning.Threshold)
+      ++Suspect;
+  const double Limit =
+      MaxSuspectPart * static_cast<double>(this->Servers.size());
+  return Suspect > 1 && static_cast<double>(Suspect) > Limit;
+}
+
+void ScopeTracker::remove(ServerState &State, TimePoint Now) {
+  const bool IsRecent = State.Removals > 0 &&
+                        Now - State.LastRemoved <
+                            FlapMemory + State.HoldUntil - State.LastRemoved;
+  State.Removals = IsRecent ? State.Removals + 1 : 1;
+  const int Doublings = std::min(State.Removals - 1, 10);
+  const Duration Hold = std::min(this->Tuning.LongestHold,
+                                 this->Tuning.FirstHold * (1 << Doublings));
+  State.Phase = HealthPhase::Removed;
+  State.LastRemoved = Now;
+  State.HoldUntil = Now + Hold;
+}
+
+void ScopeTracker::beginReturn(size_t Server, TimePoint Now) {
+  ServerState &State = this->Servers[Server];
+  State.Phase = HealthPhase::Returning;
+  State.Step = 0;
+  State.StepSince = Now;
+  State.GoodInStep = 0;
+  State.Score = 0;
+  State.ScoreAt = Now;
+}
+
+void ScopeTracker::advanceReturn(ServerState &State, TimePoint Now) {
+  if (State.Score >= this->Tuning.ReturnThreshold) {
+    this->remove(State, Now);
+    return;
+  }
+  const ReturnStep &Step = ReturnSteps[State.Step];
+  const int Doublings = std::clamp(State.Removals - 1, 0, MaxWaitDoublings);
+  const bool HasWaited =
+      Now - State.StepSince >= Step.LongestWait * (1 << Doublings);
+  const bool HasProved = State.GoodInStep >= Step.GoodNeeded;
+  if (State.Score > 1 || (!HasWaited && !HasProved))
+    return;
+  ++State.Step;
+  State.StepSince = Now;
+  State.GoodInStep = 0;
+  if (State.Step == std::size(ReturnSteps))
+    State.Phase = HealthPhase::Serving;
+}
+
+void ScopeTracker::advance(TimePoint Now, bool MayRemove,
+                           const std::vector<int> *SourceCounts) {
+  this->updateUsualShares(Now);
+  this->Doubted = this->areTooManySuspect();
+  for (size_t I = 0; I < this->Servers.size(); ++I) {
+    ServerState &State = this->Servers[I];
+    this->fadeScore(State, Now);
+    if (State.Phase == HealthPhase::Returning)
+      this->advanceReturn(State, Now);
+    if (State.Phase == HealthPhase::Removed && Now >= State.HoldUntil) {
+      this->beginReturn(I, Now);
+      continue;
+    }
+    const bool HasSources =
+        !SourceCounts || (*SourceCounts)[I] >= this->Tuning.MinSources;
+    if (State.Phase == HealthPhase::Serving && MayRemove && !this->Doubted &&
+        HasSources && State.Score >= this->Tuning.Threshold)
+      this->remove(State, Now);
+  }
+}
+
+void ScopeTracker::adopt(size_t Server, const ScopeTracker &Other,
+                         size_t OtherServer) {
+  this->Servers[Server] = Other.Servers[OtherServer];
+}
+
+double ScopeTracker::getShare(size_t Server) const {
+  const ServerState &State = this->Servers[Server];
+  switch (State.Phase) {
+  case HealthPhase::Serving:
+    return 1;
+  case HealthPhase::Removed:
+    return 0;
+  case HealthPhase::Returning:
+    return ReturnSteps[State.Step].Share;
+  }
+  assert(false && "phase without a share");
+  return 1;
+}
+
+double ScopeTracker::getScore(size_t Server) const {
+  return this->Servers[Server].Score;
+}
+
+HealthPhase ScopeTracker::getPhase(size_t Server) const {
+  return this->Servers[Server].Phase;
+}
+
+bool ScopeTracker::isSuspect(size_t Server) const {
+  const ServerState &State = this->Servers[Server];
+  return State.Phase != HealthPhase::Serving || State.Score >= ReportScore;
+}
+
+bool ScopeTracker::isDoubted() const { return this->Doubted; }
+
+} // namespace canvaswick
--- /dev/null
+++ b/lib/Http/HttpClient.cpp
@@ -0,0 +1,275 @@
+//===- HttpClient.cpp - One HTTP exchange with a backend server or a peer -===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// A connection goes back to the pool only after a complete, well-framed answer
+/// that left nothing unread; every other one is closed, so that a late answer
+/// can never meet another request.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Http/HttpClient.h"
+#include "canvaswick/Support/EnumNames.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace canvaswick {
+
+static constexpr EnumNames<ExchangeEnd, 6> ExchangeEndNames = {{
+    {ExchangeEnd::Complete, "complete"},
+    {ExchangeEnd::NotSent, "not-sent"},
+    {ExchangeEnd::Timeout, "timeout"},
+    {ExchangeEnd::Broken, "broken"},
+    {ExchangeEnd::Canceled, "canceled"},
+    {ExchangeEnd::NoConnection, "no-connection"},
+}};
+
+const char *getName(ExchangeEnd End) {
+  return getEnumName(ExchangeEndNames, End);
+}
+
+static constexpr size_t MaxAnswerHeadBytes = 65536;
+
+/// Longest answer that is collected when nobody streams it.
+static constexpr size_t MaxCollectedBytes = 4 << 20;
+
+/// How long a new connection may take to come about.
+static constexpr Duration ConnectTime = fromSeconds(1);
+
+namespace {
+
+/// Opens cpp-httplib's reading and writing of one message over our stream.
+class MessageExchanger final : public httplib::ClientImpl {
+public:
+  explicit MessageExchanger(const Endpoint &Address)
+      : httplib::ClientImpl(Address.Host, Address.Port) {
+    this->set_decompress(false);
+    this->set_url_encode(false);
+    this->set_keep_alive(true);
+  }
+
+  bool run(httplib::Stream &Stream, httplib::Request &Request,
+           httplib::Response &Response, httplib::Error &Error) {
+    return this->process_request(Stream, Request, Response, false, Error);
+  }
+};
+
+/// What the hooks of one exchange found out.
+struct AnswerState {
+  bool HeadTaken = false;
+  bool IsBodyless = false;
+  bool IsRefusedBySink = false;
+  bool IsUnframed = false;
+};
+
+} // namespace
+
+static bool isBodyless(int Status) { return Status == 204 || Status == 304; }
+
+/// Returns whether the end of the answer can be told from its headers.
+static bool isFramed(const httplib::Response &Response) {
+  const size_t Lengths = Response.get_header_value_count("Content-Length");
+  const size_t Encodings = Response.get_header_value_count("Transfer-Encoding");
+  if (Lengths + Encodings != 1)
+    return false;
+  if (Encodings == 1)
+    return ::strcasecmp(Response.get_header_value("Transfer-Encoding").c_str(),
+                        "chunked") == 0;
+  const std::string Length = Response.get_header_value("Content-Length");
+  return !Length.empty() &&
+         std::all_of(Length.begin(), Length.end(), [](char Byte) {
+           return std::isdigit(static_cast<unsigned char>(Byte));
+         });
+}
+
+ConnectionPool::ConnectionPool(size_t PerAddress) : PerAddress(PerAddress) {}
+
+void ConnectionPool::setBound(const Endpoint &Endpoint, size_t Bound) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->Addresses[Endpoint.format()].Bound = Bound;
+}
+
+size_t ConnectionPool::countOpen(const Endpoint &Endpoint) const {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  const auto Found = this->Addresses.find(Endpoint.format());
+  return Found == this->Addresses.end() ? 0 : Found->second.Open;
+}
+
+void ConnectionPool::closeIdleSince(TimePoint Limit) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  for (auto &[Name, Entry] : this->Addresses) {
+    const size_t Before = Entry.Idle.size();
+    Entry.Idle.remove_if([Limit](const IdleConnection &Connection) {
+      return Connection.Since < Limit;
+    });
+    Entry.Open -= Before - Entry.Idle.size();
+  }
+}
+
+std::unique_ptr<SocketStream> ConnectionPool::acquire(const Endpoint &Endpoint,
+                                                      TimePoint Deadline,
+                                                      ExchangeEnd &End) {
+  {
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    Address &Entry = this->Addresses[Endpoint.format()];
+    while (!Entry.Idle.empty()) {
+      std::unique_ptr<SocketStream> Stream =
+          std::move(Entry.Idle.back().Stream);
+      Entry.Idle.pop_back();
+      if (!Stream->hasUnexpectedInput())
+        return Stream;
+      --Entry.Open;
+    }
+    const size_t Bound = Entry.Bound ? Entry.Bound : this->PerAddress;
+    if (Bound && Entry.Open >= Bound) {
+      End = ExchangeEnd::NoConnection;
+      return nullptr;
+    }
+    ++Entry.Open;
+  }
+  const TimePoint ConnectBy =
+      std::min(Deadline, readSteadyClock() + ConnectTime);
+  const int Descriptor = connectTcp(Endpoint.Host, Endpoint.Port, ConnectBy);
+  if (Descriptor >= 0)
+    return std::make_unique<SocketStream>(Descriptor);
+  End = ExchangeEnd::NotSent;
+  this->drop(Endpoint, nullptr);
+  return nullptr;
+}
+
+void ConnectionPool::giveBack(const Endpoint &Endpoint,
+                              std::unique_ptr<SocketStream> Stream) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->Addresses[Endpoint.format()].Idle.push_back(
+      {std::move(Stream), readSteadyClock()});
+}
+
+void ConnectionPool::drop(const Endpoint &Endpoint,
+                          std::unique_ptr<SocketStream> Stream) {
+  Stream.reset();
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  --this->Addresses[Endpoint.format()].Open;
+}
+
+static httplib::Request buildRequest(const Endpoint &Address,
+                                     const OutgoingRequest &Outgoing) {
+  httplib::Request Request;
+  Request.method = Outgoing.Method;
+  Request.path = Outgoing.Target;
+  Request.headers = Outgoing.Headers;
+  if (!Request.has_header("Host"))
+    Request.set_header("Host", Address.format());
+  Request.body = Outgoing.Body;
+  if (Outgoing.BodyProvider) {
+    Request.content_provider_ = Outgoing.BodyProvider;
+    Request.content_length_ = Outgoing.BodyLength;
+    Request.is_chunked_content_provider_ = Outgoing.BodyIsChunked;
+    if (Outgoing.BodyIsChunked)
+      Request.set_header("Transfer-Encoding", "chunked");
+  }
+  return Request;
+}
+
+/// Hooks the head and body of the answer of Request up to Sink, or to Result.
+static void hookAnswer(httplib::Request &Request,
+                       const OutgoingRequest &Outgoing, const AnswerSink *Sink,
+                       SocketStream &Stream, AnswerState &State,
+                       ExchangeResult &Result) {
+  Request.response_handler = [&State, &Stream, &Outgoing,
+                              Sink](const httplib::Response &Response) {
+    Stream.endHead();
+    State.IsBodyless = isBodyless(Response.status);
+    State.IsUnframed = !State.IsBodyless && !isFramed(Response);
+    if (State.IsUnframed)
+      return false;
+    State.HeadTaken = true;
+    Stream.setStallLimit(Outgoing.StallLimit);
+    if (Sink)
+      Stream.setDeadline(Outgoing.BodyDeadline);
+    if (Sink && !Sink->TakeHead(Response)) {
+      State.IsRefusedBySink = true;
+      return false;
+    }
+    // An answer such as 304 has no body whatever its length header says.
+    return !State.IsBodyless;
+  };
+  Request.content_receiver = [&State, Sink, &Result](const char *Data,
+                                                     size_t Size, uint64_t,
+                                                     uint64_t) {
+    if (Sink) {
+      State.IsRefusedBySink = !Sink->TakeBody(Data, Size);
+      return !State.IsRefusedBySink;
+    }
+    if (Result.Body.size() + Size > MaxCollectedBytes)
+      return false;
+    Result.Body.append(Data, Size);
+    return true;
+  };
+}
+
+static ExchangeEnd judgeFailure(const SocketStream &Stream,
+                                const AnswerState &State) {
+  if (State.IsRefusedBySink ||
+      Stream.getFailure() == StreamFailure::WatchedPeerGone)
+    return ExchangeEnd::Canceled;
+  if (Stream.getFailure() == StreamFailure::Timeout)
+    return ExchangeEnd::Timeout;
+  return ExchangeEnd::Broken;
+}
+
+static bool allowsReuse(const httplib::Response &Response) {
+  return ::strcasecmp(Response.get_header_value("Connection").c_str(),
+                      "close") != 0 &&
+         Response.version == "HTTP/1.1";
+}
+
+ExchangeResult ConnectionPool::exchange(const Endpoint &Endpoint,
+                                        const OutgoingRequest &Outgoing,
+                                        TimePoint Deadline, int HangUp,
+                                        const AnswerSink *Sink) {
+  ExchangeResult Result;
+  std::unique_ptr<SocketStream> Stream =
+      this->acquire(Endpoint, Deadline, Result.End);
+  if (!Stream)
+    return Result;
+  Stream->beginHead(MaxAnswerHeadBytes);
+  Stream->setDeadline(Deadline);
+  Stream->watchHangUp(HangUp);
+  httplib::Request Request = buildRequest(Endpoint, Outgoing);
+  httplib::Response Response;
+  AnswerState State;
+  hookAnswer(Request, Outgoing, Sink, *Stream, State, Result);
+  httplib::Error Error = httplib::Error::Success;
+  MessageExchanger Exchanger(Endpoint);
+  const bool IsDone = Exchanger.run(*Stream, Request, Response, Error);
+  Stream->watchHangUp(-1);
+  Stream->setStallLimit(Duration::zero());
+  Result.BytesSent = Stream->countBytesWritten();
+  Result.BytesReceived = Stream->countBytesRead();
+  // An answer without a body by its method or status never calls the hook.
+  const bool IsHeadOnly = IsDone && !State.HeadTaken;
+  if (IsHeadOnly && Sink)
+    State.IsRefusedBySink = !Sink->TakeHead(Response);
+  const bool IsWhole = (IsDone || (State.IsBodyless && State.HeadTaken)) &&
+                       !State.IsRefusedBySink;
+  Result.Status = Response.status;
+  Result.HeadTaken = State.HeadTaken || IsHeadOnly;
+  if (!Sink)
+    Result.Headers = Response.headers;
+  Result.End = IsWhole ? ExchangeEnd::Complete : judgeFailure(*Stream, State);
+  const bool IsReusable =
+      IsWhole && allowsReuse(Response) && !Stream->hasUnexpectedInput();
+  if (IsReusable)
+    this->giveBack(Endpoint, std::move(Stream));
+  else
+    this->drop(Endpoint, std::move(Stream));
+  return Result;
+}
+
+} // namespace canvaswick
--- /dev/null
+++ b/lib/Http/HttpServer.cpp
@@ -0,0 +1,350 @@
+//===- HttpServer.cpp - An HTTP server over cpp-httplib with a bounded pool
+//-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// The acceptor thread of cpp-httplib hands each new connection to the parker;
+/// the parker hands readable ones to the pool; a pool thread serves requests
+/// until the connection is idle again and parks it.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Http/HttpServer.h"
+
+#include <fmt/format.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cassert>
+#include <cctype>
+#include <limits>
+
+namespace canvaswick {
+
+namespace {
+
+/// cpp-httplib's pool, replaced by running its job on the acceptor thread: the
+/// job only parks the new connection.
+class InlineTaskQueue final : public httplib::TaskQueue {
+public:
+  void enqueue(std::function<void()> Job) override { Job(); }
+  void shutdown() override {}
+};
+
+/// What the hooks of one request share. cpp-httplib passes no context to its
+/// handlers, so the serving thread keeps it.
+struct ServingContext {
+  SocketStream *Stream = nullptr;
+  httplib::Request *Request = nullptr;
+  bool Handled = false;
+  bool MustClose = false;
+};
+
+} // namespace
+
+static thread_local ServingContext *CurrentContext = nullptr;
+
+static constexpr const char *EveryPath = "/";
+
+/// A request that was refused because everything is busy may come back soon.
+static constexpr int BusyRetrySeconds = 1;
+
+static void setServerSocketOptions(socket_t Socket) {
+  const int On = 1;
+  ::setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+}
+
+HttpServer::HttpServer(HttpServerLimits Limits, ExchangeHandler Handler)
+    : Limits(Limits), Handler(std::move(Handler)),
+      Pool(Limits.Workers, Limits.QueueLimit) {
+  this->new_task_queue = [] { return new InlineTaskQueue; };
+  this->set_socket_options(setServerSocketOptions);
+  this->set_tcp_nodelay(true);
+  this->set_payload_max_length(std::numeric_limits<size_t>::max());
+  const auto Plain = [this](const httplib::Request &Request,
+                            httplib::Response &Response) {
+    this->handle(Request, Response, nullptr);
+  };
+  const auto WithBody = [this](const httplib::Request &Request,
+                               httplib::Response &Response,
+                               const httplib::ContentReader &Body) {
+    this->handle(Request, Response, &Body);
+  };
+  this->Get(EveryPath, Plain);
+  this->Options(EveryPath, Plain);
+  this->Delete(EveryPath, Plain);
+  this->Post(EveryPath, WithBody);
+  this->Put(EveryPath, WithBody);
+  this->Patch(EveryPath, WithBody);
+  this->Delete(EveryPath, WithBody);
+  const auto Ready = [this](std::unique_ptr<SocketStream> Stream) {
+    this->serveReady(std::move(Stream));
+  };
+  const auto Expired = [this](std::unique_ptr<SocketStream> Stream) {
+    this->release(std::move(Stream));
+  };
+  this->Parker = std::make_unique<IdleParker>(Limits.IdleLimit, Ready, Expired);
+}
+
+HttpServer::~HttpServer() { this->stopGracefully(readSteadyClock()); }
+
+Result<void> HttpServer::start(const Endpoint &Address) {
+  if (Address.Port == 0) {
+    const int Chosen = this->bind_to_any_port(Address.Host);
+    if (Chosen <= 0)
+      return makeError(ErrorKind::Io, "cannot bind to " + Address.format());
+    this->Port = static_cast<uint16_t>(Chosen);
+  } else {
+    if (!this->bind_to_port(Address.Host, Address.Port))
+      return makeError(ErrorKind::Io, "cannot bind to " + Address.format());
+    this->Port = Address.Port;
+  }
+  this->Acceptor = std::thread([this] { this->listen_after_bind(); });
+  while (!this->is_running())
+    std::this_thread::yield();
+  return outcome::success();
+}
+
+uint16_t HttpServer::getPort() const { return this->Port; }
+
+const HttpServerCounters &HttpServer::getCounters() const {
+  return this->Counters;
+}
+
+size_t HttpServer::countInFlight() const { return this->InFlight; }
+
+size_t HttpServer::countConnections() const { return this->Connections; }
+
+bool HttpServer::stopGracefully(TimePoint Deadline) {
+  this->Stopping = true;
+  bool AllEnded = true;
+  while (this->InFlight > 0 && AllEnded) {
+    AllEnded = readSteadyClock() < Deadline;
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  if (this->Acceptor.joinable()) {
+    this->stop();
+    this->Acceptor.join();
+  }
+  this->Parker->stop();
+  if (AllEnded)
+    this->Pool.stop();
+  return AllEnded;
+}
+
+bool HttpServer::process_and_close_socket(socket_t Socket) {
+  auto Stream = std::make_unique<SocketStream>(Socket);
+  if (++this->Connections > this->Limits.MaxConnections) {
+    ++this->Counters.RefusedConnections;
+    this->refuse(*Stream, "connections");
+    this->release(std::move(Stream));
+    return true;
+  }
+  this->Parker->park(std::move(Stream));
+  return true;
+}
+
+void HttpServer::release(std::unique_ptr<SocketStream> Stream) {
+  Stream.reset();
+  --this->Connections;
+}
+
+/// Writes a complete refusal without reading the request.
+void HttpServer::refuse(SocketStream &Stream, const char *Reason) {
+  const std::string Answer = fmt::format("HTTP/1.1 503 Service Unavailable\r\n"
+                                         "Content-Length: 0\r\n"
+                                         "Connection: close\r\n"
+                                         "Retry-After: {}\r\n"
+                                         "Canvaswick-Outcome: not-run\r\n"
+                                         "Canvaswick-Reason: {}\r\n\r\n",
+                                         BusyRetrySeconds, Reason);
+  Stream.setDeadline(readSteadyClock() + fromMillis(50));
+  static_cast<httplib::Stream &>(Stream).write(Answer);
+  Stream.beginLinger();
+}
+
+void HttpServer::serveReady(std::unique_ptr<SocketStream> Stream) {
+  if (Stream->isLingering()) {
+    if (Stream->discardInput())
+      this->release(std::move(Stream));
+    else
+      this->Parker->park(std::move(Stream));
+    return;
+  }
+  // The job must be copyable; the pool runs it once.
+  SocketStream *Raw = Stream.release();
+  ++this->InFlight;
+  const auto Job = [this, Raw] {
+    this->serveRequests(std::unique_ptr<SocketStream>(Raw));
+    --this->InFlight;
+  };
+  if (this->Pool.trySubmit(Job))
+    return;
+  Stream.reset(Raw);
+  ++this->Counters.RefusedBusy;
+  this->refuse(*Stream, "busy");
+  --this->InFlight;
+  this->Parker->park(std::move(Stream));
+}
+
+void HttpServer::serveRequests(std::unique_ptr<SocketStream> Stream) {
+  while (this->serveOne(*Stream)) {
+    if (Stream->hasBufferedBytes())
+      continue;
+    this->Parker->park(std::move(Stream));
+    return;
+  }
+  const bool NeedsLinger = Stream->getFailure() == StreamFailure::None;
+  if (!NeedsLinger) {
+    this->release(std::move(Stream));
+    return;
+  }
+  Stream->beginLinger();
+  if (Stream->discardInput())
+    this->release(std::move(Stream));
+  else
+    this->Parker->park(std::move(Stream));
+}
+
+/// Serves one request. Returns whether the connection may be kept.
+bool HttpServer::serveOne(SocketStream &Stream) {
+  ServingContext Context;
+  Context.Stream = &Stream;
+  CurrentContext = &Context;
+  Stream.muteWrites(false);
+  Stream.beginHead(this->Limits.MaxHeadBytes);
+  Stream.setDeadline(readSteadyClock() + this->Limits.HeadTime);
+  Stream.watchHangUp(-1);
+  const auto Setup = [&Context](httplib::Request &Request) {
+    Context.Request = &Request;
+    Context.Stream->endHead();
+    // Every path goes to the one handler; the target keeps what was asked.
+    Request.path = EveryPath;
+    Request.ranges.clear();
+  };
+  bool Closed = false;
+  const bool IsDone =
+      this->process_request(Stream, this->Stopping, Closed, Setup);
+  CurrentContext = nullptr;
+  Stream.watchHangUp(-1);
+  Stream.setStallLimit(Duration::zero());
+  this->Counters.BytesRead += Stream.countBytesRead();
+  this->Counters.BytesWritten += Stream.countBytesWritten();
+  if (Stream.isHeadTooLong() && !Context.Handled) {
+    Stream.muteWrites(false);
+    static_cast<httplib::Stream &>(Stream).write(
+        "HTTP/1.1 431 Request Header Fields Too Large\r\n"
+        "Content-Length: 0\r\nConnection: close\r\n"
+        "Canvaswick-Outcome: not-run\r\n\r\n");
+    Stream.beginLinger();
+  }
+  if (!Context.Handled && Stream.hasReadHeadBytes())
+    ++this->Counters.Malformed;
+  return IsDone && !Closed && Context.Handled && !Context.MustClose &&
+         !this->Stopping;
+}
+
+void HttpServer::handle(const httplib::Request &Request,
+                        httplib::Response &Response,
+                        const httplib::ContentReader *Body) {
+  ServingContext &Context = *CurrentContext;
+  assert(Context.Request && "a handler ran before the setup hook");
+  Context.Handled = true;
+  ++this->Counters.Requests;
+  HttpExchange Exchange{Request, Response, Body, *Context.Stream};
+  Exchange.IsStopping = this->Stopping;
+  const char *Fault = Context.Stream->isHeadMalformed()
+                          ? "line-ending"
+                          : findRequestFault(Request);
+  if (Fault) {
+    ++this->Counters.Malformed;
+    Response.status = 400;
+    Response.set_header("Canvaswick-Outcome", "not-run");
+    Response.set_header("Canvaswick-Reason", Fault);
+    Exchange.MustClose = true;
+  } else {
+    this->Handler(Exchange);
+  }
+  // The connection header of the request decides what cpp-httplib writes.
+  if (Exchange.MustClose) {
+    Context.MustClose = true;
+    Context.Request->headers.erase("Connection");
+    Context.Request->headers.emplace("Connection", "close");
+  }
+}
+
+static bool isTokenByte(char Byte) {
+  static const std::string Others = "!#$%&'*+-.^_`|~";
+  return std::isalnum(static_cast<unsigned char>(Byte)) ||
+         Others.find(Byte) != std::string::npos;
+}
+
+static bool isToken(const std::string &Text) {
+  return !Text.empty() && std::all_of(Text.begin(), Text.end(), isTokenByte);
+}
+
+static bool isDigits(const std::string &Text) {
+  return !Text.empty() && Text.size() <= 18 &&
+         std::all_of(Text.begin(), Text.end(), [](char Byte) {
+           return std::isdigit(static_cast<unsigned char>(Byte));
+         });
+}
+
+static bool hasControlByte(const std::string &Text) {
+  return std::any_of(Text.begin(), Text.end(), [](char Byte) {
+    const auto Value = static_cast<unsigned char>(Byte);
+    return (Value < 0x20 && Value != '\t') || Value == 0x7f;
+  });
+}
+
+static bool equalsIgnoringCase(const std::string &Left, const char *Right) {
+  return ::strcasecmp(Left.c_str(), Right) == 0;
+}
+
+static bool mayHaveBody(const std::string &Method) {
+  return Method == "POST" || Method == "PUT" || Method == "PATCH" ||
+         Method == "DELETE";
+}
+
+const char *findRequestFault(const httplib::Request &Request) {
+  for (const auto &[Name, Value] : Request.headers) {
+    if (!isToken(Name))
+      return "header-name";
+    if (hasControlByte(Value))
+      return "header-value";
+  }
+  if (Request.version != "HTTP/1.1")
+    return "version";
+  if (Request.get_header_value_count("Host") != 1)
+    return "host";
+  if (Request.target.empty() || Request.target[0] != '/' ||
+      hasControlByte(Request.target))
+    return "target";
+  const size_t Lengths = Request.get_header_value_count("Content-Length");
+  const size_t Encodings = Request.get_header_value_count("Transfer-Encoding");
+  if (Lengths > 1 || Encodings > 1 || (Lengths == 1 && Encodings == 1))
+    return "conflicting-length";
+  if (Lengths == 1 && !isDigits(Request.get_header_value("Content-Length")))
+    return "content-length";
+  if (Encodings == 1 &&
+      !equalsIgnoringCase(Request.get_header_value("Transfer-Encoding"),
+                          "chunked"))
+    return "transfer-encoding";
+  const bool HasBody =
+      Encodings == 1 ||
+      (Lengths == 1 && Request.get_header_value("Content-Length") != "0");
+  if (HasBody && !mayHaveBody(Request.method))
+    return "unexpected-body";
+  if (Encodings == 1 && Request.method == "DELETE")
+    return "unexpected-body";
+  return nullptr;
+}
+
+} // namespace canvaswick
--- /dev/null
+++ b/lib/Http/IdleParker.cpp
@@ -0,0 +1,126 @@
+//===- IdleParker.cpp - Waits for input on idle connections ---------------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// One epoll thread; each descriptor is armed once and disarmed when taken.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Http/IdleParker.h"
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <vector>
+
+namespace canvaswick {
+
+static constexpr int WaitMillis = 500;
+static constexpr int MaxEvents = 64;
+
+/// How long a connection that we have ended may take to end on its side.
+static constexpr Duration LingerLimit = fromSeconds(2);
+
+IdleParker::IdleParker(Duration IdleLimit, StreamHandler Ready,
+                       StreamHandler Expired)
+    : IdleLimit(IdleLimit), Ready(std::move(Ready)),
+      Expired(std::move(Expired)), Epoll(::epoll_create1(EPOLL_CLOEXEC)),
+      Wake(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
+  epoll_event Event{};
+  Event.events = EPOLLIN;
+  Event.data.fd = this->Wake;
+  ::epoll_ctl(this->Epoll, EPOLL_CTL_ADD, this->Wake, &Event);
+  this->Thread = std::thread([this] { this->runThread(); });
+}
+
+IdleParker::~IdleParker() {
+  this->stop();
+  ::close(this->Epoll);
+  ::close(this->Wake);
+}
+
+void IdleParker::park(std::unique_ptr<SocketStream> Stream) {
+  const int Descriptor = Stream->socket();
+  {
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    this->Connections[Descriptor] = {std::move(Stream), readSteadyClock()};
+  }
+  epoll_event Event{};
+  Event.events = EPOLLIN | EPOLLRDHUP | EPOLLONESHOT;
+  Event.data.fd = Descriptor;
+  ::epoll_ctl(this->Epoll, EPOLL_CTL_ADD, Descriptor, &Event);
+}
+
+std::unique_ptr<SocketStream> IdleParker::take(int Descriptor) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  const auto Found = this->Connections.find(Descriptor);
+  if (Found == this->Connections.end())
+    return nullptr;
+  std::unique_ptr<SocketStream> Stream = std::move(Found->second.Stream);
+  this->Connections.erase(Found);
+  ::epoll_ctl(this->Epoll, EPOLL_CTL_DEL, Descriptor, nullptr);
+  return Stream;
+}
+
+void IdleParker::closeExpired(TimePoint Now) {
+  std::vector<int> Expired;
+  {
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    for (const auto &[Descriptor, Connection] : this->Connections) {
+      const Duration Limit =
+          Connection.Stream->isLingering() ? LingerLimit : this->IdleLimit;
+      if (Now - Connection.Since > Limit)
+        Expired.push_back(Descriptor);
+    }
+  }
+  for (const int Descriptor : Expired)
+    if (std::unique_ptr<SocketStream> Stream = this->take(Descriptor))
+      this->Expired(std::move(Stream));
+}
+
+void IdleParker::runThread() {
+  TimePoint NextSweep = readSteadyClock();
+  while (!this->Stopping) {
+    epoll_event Events[MaxEvents];
+    const int Count = ::epoll_wait(this->Epoll, Events, MaxEvents, WaitMillis);
+    for (int I = 0; I < Count; ++I)
+      if (std::unique_ptr<SocketStream> Stream = this->take(Events[I].data.fd))
+        this->Ready(std::move(Stream));
+    const TimePoint Now = readSteadyClock();
+    if (Now < NextSweep)
+      continue;
+    this->closeExpired(Now);
+    NextSweep = Now + fromSeconds(1);
+  }
+}
+
+void IdleParker::stop() {
+  if (this->Stopping.exchange(true))
+    return;
+  const uint64_t One = 1;
+  [[maybe_unused]] const ssize_t Ignored =
+      ::write(this->Wake, &One, sizeof(One));
+  this->Thread.join();
+  std::vector<std::unique_ptr<SocketStream>> Left;
+  {
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    for (auto &[Descriptor, Connection] : this->Connections)
+      Left.push_back(std::move(Connection.Stream));
+    this->Connections.clear();
+  }
+  for (std::unique_ptr<SocketStream> &Stream : Left)
+    this->Expired(std::move(Stream));
+}
+
+size_t IdleParker::countParked() const {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  return this->Connections.size();
+}
+
+} // namespace canvaswick
--- /dev/null
+++ b/lib/Http/SocketStream.cpp
@@ -0,0 +1,332 @@
+//===- SocketStream.cpp - A buffered socket with a deadline and a hang-up watch
+//-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Non-blocking sockets and poll; the only place that reads and writes bytes.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Http/SocketStream.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+
+namespace canvaswick {
+
+SocketStream::SocketStream(int Descriptor) : Descriptor(Descriptor) {
+  const int Flags = ::fcntl(Descriptor, F_GETFL);
+  ::fcntl(Descriptor, F_SETFL, Flags | O_NONBLOCK);
+  const int On = 1;
+  ::setsockopt(Descriptor, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+}
+
+SocketStream::~SocketStream() { ::close(this->Descriptor); }
+
+void SocketStream::setDeadline(TimePoint Deadline) {
+  this->Deadline = Deadline;
+}
+
+void SocketStream::setStallLimit(Duration Limit) { this->StallLimit = Limit; }
+
+void SocketStream::watchHangUp(int Descriptor) { this->Watched = Descriptor; }
+
+void SocketStream::beginHead(size_t Limit) {
+  this->InHead = true;
+  this->HeadBytes = 0;
+  this->HeadLimit = Limit;
+  this->HeadTooLong = false;
+  this->HeadMalformed = false;
+  this->HeadLines = 0;
+  this->IsHeadLineEmpty = false;
+  this->IsHeadEscaped = false;
+  if (this->hasBufferedBytes()) {
+    this->Buffer.erase(0, this->BufferAt);
+    this->BufferAt = 0;
+    this->escapeHead();
+  }
+  this->LastHeadByte = 0;
+  this->ByteBeforeLast = 0;
+  this->BytesWritten = 0;
+  this->BytesRead = this->Buffer.size() - this->BufferAt;
+  this->Failure = StreamFailure::None;
+}
+
+void SocketStream::endHead() { this->InHead = false; }
+
+void SocketStream::muteWrites(bool Muted) { this->Muted = Muted; }
+
+bool SocketStream::isHeadTooLong() const { return this->HeadTooLong; }
+
+bool SocketStream::isHeadMalformed() const { return this->HeadMalformed; }
+
+bool SocketStream::hasReadHeadBytes() const { return this->HeadBytes > 0; }
+
+size_t SocketStream::countBytesWritten() const { return this->BytesWritten; }
+
+size_t SocketStream::countBytesRead() const { return this->BytesRead; }
+
+StreamFailure SocketStream::getFailure() const { return this->Failure; }
+
+bool SocketStream::hasBufferedBytes() const {
+  return this->BufferAt < this->Buffer.size();
+}
+
+bool SocketStream::hasUnexpectedInput() const {
+  if (this->hasBufferedBytes())
+    return true;
+  pollfd Poll{this->Descriptor, POLLIN | POLLRDHUP, 0};
+  return ::poll(&Poll, 1, 0) != 0;
+}
+
+/// Waits until the socket is ready. Notes the failure if it never is.
+bool SocketStream::waitFor(short Events) {
+  TimePoint Until = this->Deadline;
+  if (this->StallLimit > Duration::zero())
+    Until = std::min(Until, readSteadyClock() + this->StallLimit);
+  while (true) {
+    const Duration Left = Until == TimePoint::max() ? fromSeconds(3600)
+                                                    : Until - readSteadyClock();
+    if (Left <= Duration::zero()) {
+      this->Failure = StreamFailure::Timeout;
+      return false;
+    }
+    pollfd Polls[2] = {{this->Descriptor, Events, 0},
+                       {this->Watched, POLLRDHUP, 0}};
+    const int64_t Millis = toMillis(Left) + 1;
+    const int Count =
+        ::poll(Polls, this->Watched >= 0 ? 2 : 1, static_cast<int>(Millis));
+    if (Count < 0 && errno != EINTR) {
+      this->Failure = StreamFailure::Io;
+      return false;
+    }
+    if (Count <= 0)
+      continue;
+    if (this->Watched >= 0 && Polls[1].revents != 0) {
+      this->Failure = StreamFailure::WatchedPeerGone;
+      return false;
+    }
+    if (Polls[0].revents != 0)
+      return true;
+  }
+}
+
+ssize_t SocketStream::fill() {
+  this->Buffer.resize(BufferBytes);
+  this->BufferAt = 0;
+  while (true) {
+    const ssize_t Count =
+        ::recv(this->Descriptor, this->Buffer.data(), BufferBytes, 0);
+    if (Count > 0) {
+      this->Buffer.resize(static_cast<size_t>(Count));
+      this->BytesRead += static_cast<size_t>(Count);
+      if (this->InHead && !this->IsHeadEscaped)
+        this->escapeHead();
+      return Count;
+    }
+    const bool IsRetry = Count < 0 && (errno == EAGAIN ||
+                                       errno == EWOULDBLOCK || errno == EINTR);
+    if (!IsRetry) {
+      this->Buffer.clear();
+      this->Failure = Count == 0 ? StreamFailure::Closed : StreamFailure::Io;
+      return Count;
+    }
+    if (!this->waitFor(POLLIN)) {
+      this->Buffer.clear();
+      return -1;
+    }
+  }
+}
+
+/// cpp-httplib percent-decodes the values of headers, which would pass on other
+/// values than were sent. Escaping the percent signs in what it reads undoes
+/// that. The first line it leaves alone.
+void SocketStream::escapeHead() {
+  std::string Escaped;
+  Escaped.reserve(this->Buffer.size());
+  for (const char Byte : this->Buffer) {
+    Escaped += Byte;
+    if (this->IsHeadEscaped)
+      continue;
+    if (Byte == '%' && this->HeadLines > 0)
+      Escaped += "25";
+    if (Byte == '\n') {
+      // An empty line ends the head; the body is not touched.
+      this->IsHeadEscaped = this->HeadLines > 0 && this->IsHeadLineEmpty;
+      ++this->HeadLines;
+      this->IsHeadLineEmpty = true;
+    } else if (Byte != '\r') {
+      this->IsHeadLineEmpty = false;
+    }
+  }
+  this->Buffer = std::move(Escaped);
+}
+
+/// Counts one byte of a head and notes a bare LF or a folded line. Returns
+/// false when the head is too long.
+bool SocketStream::checkHeadByte(char Byte) {
+  if (++this->HeadBytes > this->HeadLimit) {
+    this->HeadTooLong = true;
+    // The answer to this is not cpp-httplib's to choose.
+    this->Muted = true;
+    return false;
+  }
+  if (Byte == '\n' && this->LastHeadByte != '\r')
+    this->HeadMalformed = true;
+  const bool StartsLine =
+      this->LastHeadByte == '\n' && this->ByteBeforeLast == '\r';
+  if (StartsLine && (Byte == ' ' || Byte == '\t'))
+    this->HeadMalformed = true;
+  if (Byte == '\0')
+    this->HeadMalformed = true;
+  this->ByteBeforeLast = this->LastHeadByte;
+  this->LastHeadByte = Byte;
+  return true;
+}
+
+ssize_t SocketStream::read(char *Data, size_t Size) {
+  if (!this->hasBufferedBytes()) {
+    const ssize_t Count = this->fill();
+    if (Count <= 0)
+      return Count;
+  }
+  const size_t Count = std::min(Size, this->Buffer.size() - this->BufferAt);
+  std::memcpy(Data, this->Buffer.data() + this->BufferAt, Count);
+  this->BufferAt += Count;
+  if (!this->InHead)
+    return static_cast<ssize_t>(Count);
+  for (size_t I = 0; I < Count; ++I)
+    if (!this->checkHeadByte(Data[I]))
+      return -1;
+  return static_cast<ssize_t>(Count);
+}
+
+ssize_t SocketStream::write(const char *Data, size_t Size) {
+  if (this->Muted)
+    return static_cast<ssize_t>(Size);
+  size_t Done = 0;
+  while (Done < Size) {
+    const ssize_t Count =
+        ::send(this->Descriptor, Data + Done, Size - Done, MSG_NOSIGNAL);
+    if (Count > 0) {
+      Done += static_cast<size_t>(Count);
+      this->BytesWritten += static_cast<size_t>(Count);
+      continue;
+    }
+    const bool IsRetry = Count < 0 && (errno == EAGAIN ||
+                                       errno == EWOULDBLOCK || errno == EINTR);
+    if (!IsRetry) {
+      this->Failure = StreamFailure::Io;
+      return -1;
+    }
+    if (!this->waitFor(POLLOUT))
+      return -1;
+  }
+  return static_cast<ssize_t>(Size);
+}
+
+void SocketStream::beginLinger() {
+  this->Lingering = true;
+  ::shutdown(this->Descriptor, SHUT_WR);
+}
+
+bool SocketStream::isLingering() const { return this->Lingering; }
+
+bool SocketStream::discardInput() {
+  this->Buffer.clear();
+  this->BufferAt = 0;
+  char Thrown[BufferBytes];
+  for (int I = 0; I < 16; ++I) {
+    const ssize_t Count = ::recv(this->Descriptor, Thrown, sizeof(Thrown), 0);
+    if (Count > 0)
+      continue;
+    return Count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  }
+  return false;
+}
+
+bool SocketStream::is_readable() const { return true; }
+
+bool SocketStream::is_writable() const { return true; }
+
+static void readAddress(const sockaddr_in &Address, std::string &Ip,
+                        int &Port) {
+  char Text[INET_ADDRSTRLEN] = "";
+  ::inet_ntop(AF_INET, &Address.sin_addr, Text, sizeof(Text));
+  Ip = Text;
+  Port = ntohs(Address.sin_port);
+}
+
+void SocketStream::get_remote_ip_and_port(std::string &Ip, int &Port) const {
+  sockaddr_in Address{};
+  socklen_t Length = sizeof(Address);
+  if (::getpeername(this->Descriptor, reinterpret_cast<sockaddr *>(&Address),
+                    &Length) == 0)
+    readAddress(Address, Ip, Port);
+}
+
+void SocketStream::get_local_ip_and_port(std::string &Ip, int &Port) const {
+  sockaddr_in Address{};
+  socklen_t Length = sizeof(Address);
+  if (::getsockname(this->Descriptor, reinterpret_cast<sockaddr *>(&Address),
+                    &Length) == 0)
+    readAddress(Address, Ip, Port);
+}
+
+socket_t SocketStream::socket() const { return this->Descriptor; }
+
+/// Waits for a connection in progress. Returns whether it came about.
+static bool finishConnect(int Descriptor, TimePoint Deadline) {
+  while (true) {
+    const Duration Left = Deadline - readSteadyClock();
+    if (Left <= Duration::zero())
+      return false;
+    pollfd Poll{Descriptor, POLLOUT, 0};
+    const int Count = ::poll(&Poll, 1, static_cast<int>(toMillis(Left) + 1));
+    if (Count < 0 && errno != EINTR)
+      return false;
+    if (Count <= 0)
+      continue;
+    int Code = 0;
+    socklen_t Length = sizeof(Code);
+    ::getsockopt(Descriptor, SOL_SOCKET, SO_ERROR, &Code, &Length);
+    return Code == 0;
+  }
+}
+
+int connectTcp(const std::string &Host, uint16_t Port, TimePoint Deadline) {
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(Port);
+  if (::inet_pton(AF_INET, Host.c_str(), &Address.sin_addr) != 1)
+    return -1;
+  const int Descriptor =
+      ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (Descriptor < 0)
+    return -1;
+  const int Code =
+      ::connect(Descriptor, reinterpret_cast<const sockaddr *>(&Address),
+                sizeof(Address));
+  if (Code == 0)
+    return Descriptor;
+  if (errno == EINPROGRESS && finishConnect(Descriptor, Deadline))
+    return Descriptor;
+  ::close(Descriptor);
+  return -1;
+}
+
+} // namespace canvaswick
--- /dev/null
+++ b/lib/Load/LoadRun.cpp
@@ -0,0 +1,149 @@
+//===- LoadRun.cpp - Open-loop load against a daemon or a backend server --===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// A schedule of Poisson arrivals is drawn before the run; threads take the
+/// next arrival, wait for its time and send. A latency counts from the planned
+/// start, not from when a thread was free.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Load/LoadRun.h"
+#include "canvaswick/Http/HttpClient.h"
+
+#include <fmt/format.h>
+
+#include <cmath>
+#include <random>
+#include <thread>
+
+namespace canvaswick {
+
+LoadSide::LoadSide() : Latencies(makeLatencyHistogram()) {}
+
+namespace {
+
+/// One request of the schedule.
+struct Arrival {
+  TimePoint At;
+  size_t Target;
+  bool IsDirect;
+  uint64_t Key;
+};
+
+} // namespace
+
+static std::vector<Arrival> drawSchedule(const LoadPlan &Plan,
+                                         TimePoint Start) {
+  std::mt19937_64 Random(Plan.Seed);
+  std::exponential_distribution<double> Gap(Plan.RequestsPerSecond);
+  std::vector<Arrival> Schedule;
+  double At = 0;
+  uint64_t Number = 0;
+  const bool HasDirect = Plan.Direct.Port != 0;
+  while (true) {
+    At += Gap(Random);
+    if (At >= Plan.Seconds)
+      return Schedule;
+    const bool IsDirect = HasDirect && Number % 2 == 1;
+    // Both sides of a pair ask for the same thing.
+    const uint64_t Pair = HasDirect ? Number / 2 : Number;
+    Schedule.push_back({Start + fromSeconds(At), Pair % Plan.Targets.size(),
+                        IsDirect, Random()});
+    ++Number;
+  }
+}
+
+static void count(LoadSide &Side, const ExchangeResult &Answer,
+                  Duration Latency) {
+  AnswerKind Kind = AnswerKind::Failed;
+  if (Answer.End == ExchangeEnd::Complete && Answer.Status < 400)
+    Kind = AnswerKind::Good;
+  else if (Answer.End == ExchangeEnd::Complete &&
+           (Answer.Status == 429 || Answer.Status == 503))
+    Kind = AnswerKind::Refused;
+  if (Kind == AnswerKind::Good)
+    ++Side.Served;
+  else if (Kind == AnswerKind::Refused)
+    ++Side.Refused;
+  else
+    ++Side.Failed;
+  // Only good answers say how long an answer takes.
+  if (Kind == AnswerKind::Good)
+    Side.Latencies(toSeconds(Latency) * 1000, static_cast<int>(Kind));
+}
+
+static void sendOne(const LoadPlan &Plan, const Arrival &Each,
+                    ConnectionPool &Pool, LoadResult &Result) {
+  const LoadTarget &Target = Plan.Targets[Each.Target];
+  LoadSide &Side = Each.IsDirect ? Result.Direct : Result.Proxy;
+  OutgoingRequest Request;
+  Request.Method = Target.Method;
+  Request.Target = Target.Target;
+  Request.Body = Target.Body;
+  Request.Headers.emplace("Host", Plan.Host);
+  Request.Headers.emplace("X-Organisation", "load");
+  if (Target.IsKeyed)
+    Request.Headers.emplace("Idempotency-Key",
+                            fmt::format("load-{:x}", Each.Key));
+  std::this_thread::sleep_until(Each.At);
+  const TimePoint Sending = readSteadyClock();
+  if (Sending - Each.At > fromMillis(1))
+    ++Side.LateStarts;
+  ++Side.Sent;
+  const ExchangeResult Answer =
+      Pool.exchange(Each.IsDirect ? Plan.Direct : Plan.Proxy, Request,
+                    Sending + fromMillis(Plan.DeadlineMs), -1, nullptr);
+  count(Side, Answer, readSteadyClock() - Each.At);
+}
+
+void runLoad(const LoadPlan &Plan, LoadResult &Result) {
+  const TimePoint Start = readSteadyClock() + fromMillis(50);
+  const std::vector<Arrival> Schedule = drawSchedule(Plan, Start);
+  ConnectionPool Pool(0);
+  std::atomic<size_t> Next{0};
+  std::vector<std::thread> Threads;
+  for (size_t I = 0; I < Plan.Threads; ++I)
+    Threads.emplace_back([&] {
+      for (size_t At = Next++; At < Schedule.size(); At = Next++)
+        sendOne(Plan, Schedule[At], Pool, Result);
+    });
+  for (std::thread &Thread : Threads)
+    Thread.join();
+  Result.TookSeconds = toSeconds(readSteadyClock() - Start);
+}
+
+static std::string formatSide(const char *Name, const LoadSide &Side) {
+  return fmt::format(
+      "{}: sent {} served {} refused {} failed {} late-starts {} "
+      "p50 {:.3f} ms p99 {:.3f} ms p99.9 {:.3f} ms\n",
+      Name, Side.Sent.load(), Side.Served.load(), Side.Refused.load(),
+      Side.Failed.load(), Side.LateStarts.load(),
+      getQuantile(Side.Latencies, 0.5), getQuantile(Side.Latencies, 0.99),
+      getQuantile(Side.Latencies, 0.999));
+}
+
+std::string formatLoadResult(const LoadPlan &Plan, const LoadResult &Result) {
+  std::string Text = formatSide("proxy", Result.Proxy);
+  if (Plan.Direct.Port != 0) {
+    Text += formatSide("direct", Result.Direct);
+    const auto Added = [&](double Part) {
+      return getQuantile(Result.Proxy.Latencies, Part) -
+             getQuantile(Result.Direct.Latencies, Part);
+    };
+    Text += fmt::format("added: p50 {:.3f} ms p99 {:.3f} ms p99.9 {:.3f} ms\n",
+                        Added(0.5), Added(0.99), Added(0.999));
+  }
+  Text += fmt::format("took {:.1f} s\n", Result.TookSeconds);
+  Text += fmt::format("served {} of {}\n",
+                      Result.Proxy.Served.load() + Result.Direct.Served.load(),
+                      Result.Proxy.Sent.load() + Result.Direct.Sent.load());
+  return Text;
+}
+
+} // namespace canvaswick
--- /dev/null
+++ b/lib/Platform/PlatformClient.cpp
@@ -0,0 +1,154 @@
+//===- PlatformClient.cpp - The platform's key-value service and its list of VMs
+//-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Values travel as bodies, revisions as a header, conditions as a query.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Platform/PlatformClient.h"
+
+#include <fmt/format.h>
+#include <json/json.h>
+
+#include <cstdlib>
+#include <sstream>
+
+namespace canvaswick {
+
+static constexpr size_t ConnectionsToPlatform = 8;
+static constexpr Duration CallTimeout = fromSeconds(2);
+
+PlatformClient::PlatformClient(Endpoint Address, CounterTable *Counters)
+    : Address(std::move(Address)), Counters(Counters),
+      Pool(ConnectionsToPlatform) {}
+
+ExchangeResult PlatformClient::call(const std::string &Method,
+                                    const std::string &Target,
+                                    const std::string &Body, Duration Timeout) {
+  OutgoingRequest Request;
+  Request.Method = Method;
+  Request.Target = Target;
+  Request.Body = Body;
+  ExchangeResult Result = this->Pool.exchange(
+      this->Address, Request, readSteadyClock() + Timeout, -1, nullptr);
+  if (!this->Counters)
+    return Result;
+  this->Counters->add(Counter::PlatformCalls);
+  if (Result.End != ExchangeEnd::Complete)
+    this->Counters->add(Counter::PlatformFailures);
+  return Result;
+}
+
+static std::string getKeyTarget(const std::string &Key) {
+  return "/v1/kv/" + Key;
+}
+
+/// Turns what the platform answered, or that it did not, into an Error.
+static Error describeFailure(const ExchangeResult &Result,
+                             const std::string &What) {
+  if (Result.End == ExchangeEnd::NotSent ||
+      Result.End == ExchangeEnd::NoConnection)
+    return {ErrorKind::Unavailable, What + ": the platform is not reached"};
+  if (Result.End != ExchangeEnd::Complete)
+    return {ErrorKind::OutcomeUnknown, What + ": no answer of the platform"};
+  const std::string Text =
+      fmt::format("{}: the platform answered {}", What, Result.Status);
+  switch (Result.Status) {
+  case 404:
+    return {ErrorKind::NotFound, Text};
+  case 408:
+    return {ErrorKind::Timeout, Text};
+  case 409:
+    return {ErrorKind::Conflict, Text};
+  case 429:
+    return {ErrorKind::RateLimited, Text};
+  case 503:
+    return {ErrorKind::Unavailable, Text};
+  default:
+    return {ErrorKind::OutcomeUnknown, Text};
+  }
+}
+
+static uint64_t readRevision(const ExchangeResult &Result) {
+  const auto Found = Result.Headers.find("Revision");
+  if (Found == Result.Headers.end())
+    return 0;
+  return std::strtoull(Found->second.c_str(), nullptr, 10);
+}
+
+static bool isOk(const ExchangeResult &Result) {
+  return Result.End == ExchangeEnd::Complete && Result.Status == 200;
+}
+
+Result<PlatformValue> PlatformClient::get(const std::string &Key) {
+  ExchangeResult Answer = this->call("GET", getKeyTarget(Key), "", CallTimeout);
+  if (!isOk(Answer))
+    return outcome::failure(describeFailure(Answer, "read " + Key));
+  return PlatformValue{std::move(Answer.Body), readRevision(Answer)};
+}
+
+Result<PlatformValue> PlatformClient::watch(const std::string &Key,
+                                            uint64_t After, Duration Wait) {
+  const std::string Target = fmt::format("/v1/watch/{}?after={}&wait-ms={}",
+                                         Key, After, toMillis(Wait));
+  ExchangeResult Answer = this->call("GET", Target, "", Wait + CallTimeout);
+  if (!isOk(Answer))
+    return outcome::failure(describeFailure(Answer, "watch " + Key));
+  return PlatformValue{std::move(Answer.Body), readRevision(Answer)};
+}
+
+Result<uint64_t> PlatformClient::put(const std::string &Key,
+                                     const std::string &Value,
+                                     uint64_t Expected) {
+  if (Value.size() > MaxPlatformValueBytes)
+    return makeError(ErrorKind::InvalidArgument,
+                     "write " + Key + ": the value is too long");
+  const std::string Target =
+      fmt::format("{}?revision={}", getKeyTarget(Key), Expected);
+  const ExchangeResult Answer = this->call("PUT", Target, Value, CallTimeout);
+  if (!isOk(Answer))
+    return outcome::failure(describeFailure(Answer, "write " + Key));
+  return readRevision(Answer);
+}
+
+Result<void> PlatformClient::remove(const std::string &Key, uint64_t Expected) {
+  const std::string Target =
+      fmt::format("{}?revision={}", getKeyTarget(Key), Expected);
+  const ExchangeResult Answer = this->call("DELETE", Target, "", CallTimeout);
+  if (!isOk(Answer))
+    return outcome::failure(describeFailure(Answer, "remove " + Key));
+  return outcome::success();
+}
+
+Result<VmList> PlatformClient::listVms() {
+  const ExchangeResult Answer = this->call("GET", "/v1/vms", "", CallTimeout);
+  if (!isOk(Answer))
+    return outcome::failure(describeFailure(Answer, "list of VMs"));
+  Json::Value List;
+  std::istringstream Stream(Answer.Body);
+  std::string Problem;
+  if (!Json::parseFromStream(Json::CharReaderBuilder(), Stream, &List,
+                             &Problem) ||
+      !List.isArray())
+    return makeError(ErrorKind::OutcomeUnknown, "list of VMs: not understood");
+  VmList Vms;
+  Vms.Revision = readRevision(Answer);
+  for (const Json::Value &Each : List) {
+    if (!Each.isObject())
+      continue;
+    Vms.Entries.push_back({Each.get("name", "").asString(),
+                           Each.get("address", "").asString(),
+                           Each.get("tag", "").asString(),
+                           Each.get("state", "").asString() == "leaving"});
+  }
+  return Vms;
+}
+
+} // namespace canvaswick
--- /dev/null
+++ b/lib/Proxy/FleetRuntime.cpp
@@ -0,0 +1,50 @@
+//===- FleetRuntime.cpp - One version of the settings as a daemon runs it -===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Builds the services, reusing those that did not change.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Proxy/FleetRuntime.h"
+
+namespace canvaswick {
+
+FleetRuntime::FleetRuntime(FleetConfigRef Given, const DaemonIdentity &Identity,
+                           const FleetRuntime *Previous, TimePoint Now)
+    : Config(std::move(Given)), Routes(this->Config->Routes) {
+  for (const ServiceConfig &Service : this->Config->Services) {
+    ServiceRuntimeRef Old;
+    if (Previous)
+      Old = Previous->findService(Service.Name);
+    if (Old && Old->isFor(Service, Identity))
+      this->Services.push_back(Old);
+    else
+      this->Services.emplace_back(
+          new ServiceRuntime(Service, Identity, Old.get(), Now));
+  }
+}
+
+ServiceRuntimeRef FleetRuntime::findService(const std::string &Name) const {
+  for (const ServiceRuntimeRef &Service : this->Services)
+    if (Service->getConfig().Name == Name)
+      return Service;
+  return nullptr;
+}
+
+FleetRuntimeRef FleetRuntimeSlot::get() const {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  return this->Current;
+}
+
+void FleetRuntimeSlot::set(FleetRuntimeRef Runtime) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->Current.swap(Runtime);
+}
+
+} // namespace canvaswick
--- /dev/null
+++ b/lib/Rpc/PeerCaller.cpp
@@ -0,0 +1,141 @@
+//===- PeerCaller.cpp - Signed calls to another process of the system -----===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// The client side of a call, and the check that every arrived call passes.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Rpc/PeerCaller.h"
+#include "canvaswick/Support/EnumNames.h"
+#include "canvaswick/Support/Log.h"
+
+#include <random>
+
+namespace canvaswick {
+
+static constexpr size_t ConnectionsPerPeer = 4;
+
+/// Longest call that is read. A whole tree of settings fits.
+static constexpr size_t MaxCallBytes = 8 << 20;
+
+/// Connections between daemons are closed after this time without a call.
+static constexpr Duration PeerIdleLimit = fromSeconds(60);
+
+PeerCaller::PeerCaller(CallKey Key, CounterTable *Counters)
+    : Key(std::move(Key)), Counters(Counters),
+      NextNonce((static_cast<uint64_t>(std::random_device()()) << 32) ^
+                std::random_device()()),
+      Pool(ConnectionsPerPeer) {}
+
+void PeerCaller::count(Counter Which, uint64_t Amount) {
+  if (this->Counters)
+    this->Counters->add(Which, Amount);
+}
+
+void PeerCaller::closeIdle(TimePoint Now) {
+  this->Pool.closeIdleSince(Now - PeerIdleLimit);
+}
+
+static ErrorKind findErrorKind(const std::string &Name) {
+  for (const ErrorKind Kind :
+       {ErrorKind::InvalidArgument, ErrorKind::NotFound, ErrorKind::Conflict,
+        ErrorKind::Unavailable, ErrorKind::Timeout, ErrorKind::Unauthorized,
+        ErrorKind::RateLimited, ErrorKind::Io})
+    if (Name == getName(Kind))
+      return Kind;
+  return ErrorKind::OutcomeUnknown;
+}
+
+Result<Json::Value> PeerCaller::call(const Endpoint &Peer,
+                                     const std::string &Method,
+                                     const Json::Value &Params,
+                                     Duration Timeout) {
+  ExchangeResult Exchange;
+  const JsonRpcTransport Transport = [&](const std::string &Request,
+                                         std::string &Answer) {
+    OutgoingRequest Outgoing;
+    Outgoing.Method = "POST";
+    Outgoing.Target = CallPath;
+    Outgoing.Body = Request;
+    Outgoing.Headers.emplace(
+        CallSignatureHeader,
+        signCall(this->Key, Request, readCalendarMillis(), this->NextNonce++));
+    Exchange = this->Pool.exchange(Peer, Outgoing, readSteadyClock() + Timeout,
+                                   -1, nullptr);
+    Answer = Exchange.Body;
+    return Exchange.End == ExchangeEnd::Complete && Exchange.Status == 200;
+  };
+  Json::Value Answer;
+  const std::string Failure = callJsonRpc(Transport, Method, Params, Answer);
+  this->count(Counter::CallsSent, 1);
+  this->count(Counter::ControlBytesSent, Exchange.BytesSent);
+  this->count(Counter::ControlBytesReceived, Exchange.BytesReceived);
+  if (!Failure.empty()) {
+    this->count(Counter::CallsFailed, 1);
+    if (Exchange.Status == 401)
+      return makeError(ErrorKind::Unauthorized, Exchange.Body);
+    const bool IsNotSent = Exchange.End == ExchangeEnd::NotSent ||
+                           Exchange.End == ExchangeEnd::NoConnection;
+    return makeError(IsNotSent ? ErrorKind::Unavailable
+                               : ErrorKind::OutcomeUnknown,
+                     Method + " to " + Peer.format() + ": " + Failure);
+  }
+  if (Answer.isMember("error"))
+    return makeError(findErrorKind(Answer["error"].asString()),
+                     Answer["message"].asString());
+  return Answer;
+}
+
+Json::Value makeCallError(const Error &Failure) {
+  Json::Value Answer;
+  Answer["error"] = getName(Failure.Kind);
+  Answer["message"] = Failure.Message;
+  return Answer;
+}
+
+bool readWholeBody(HttpExchange &Exchange, size_t Limit, std::string &Body) {
+  const httplib::Request &Request = Exchange.Request;
+  const bool HasBody = Request.has_header("Content-Length") ||
+                       Request.has_header("Transfer-Encoding");
+  if (!Exchange.Body || !HasBody)
+    return true;
+  return (*Exchange.Body)([&](const char *Data, size_t Size) {
+    if (Body.size() + Size > Limit)
+      return false;
+    Body.append(Data, Size);
+    return true;
+  });
+}
+
+void serveCall(HttpExchange &Exchange, CallVerifier &Verifier,
+               std::mutex &VerifierMutex, const JsonRpcDispatcher &Dispatcher,
+               CounterTable &Counters) {
+  std::string Body;
+  if (!readWholeBody(Exchange, MaxCallBytes, Body)) {
+    Exchange.Response.status = 413;
+    Exchange.MustClose = true;
+    return;
+  }
+  const std::string Signature =
+      Exchange.Request.get_header_value(CallSignatureHeader);
+  Result<void> Check = outcome::success();
+  {
+    std::lock_guard<std::mutex> Lock(VerifierMutex);
+    Check = Verifier.verify(Signature, Body, readCalendarMillis());
+  }
+  if (!Check) {
+    Counters.add(Counter::CallsRefused);
+    Exchange.Response.status = 401;
+    Exchange.Response.set_content(Check.error().Message, "text/plain");
+    return;
+  }
+  Exchange.Response.set_content(Dispatcher.handle(Body), "application/json");
+}
+
+} // namespace canvaswick
--- /dev/null
+++ b/lib/Settings/SettingsTree.cpp
@@ -0,0 +1,228 @@
+//===- SettingsTree.cpp - The operators' tree of settings -----------------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Builds the nodes from INI sections, checks every value and every reference
+/// between nodes, and resolves a value by looking upwards.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Settings/SettingsTree.h"
+
+#include <fmt/format.h>
+
+#include <cassert>
+
+namespace canvaswick {
+
+const SettingOverride *SettingNode::find(SettingKey Key) const {
+  for (const SettingOverride &Override : this->Overrides)
+    if (Override.Key == Key)
+      return &Override;
+  return nullptr;
+}
+
+std::string getServiceOfServer(const std::string &ServerNodeName) {
+  return ServerNodeName.substr(0, ServerNodeName.find('/'));
+}
+
+static std::string describeProblem(const std::string &FileName,
+                                   const IniSection &Section,
+                                   const IniEntry &Entry,
+                                   const std::string &What) {
+  return fmt::format("{}:{}: [{}] {} = {}: {}", FileName, Entry.Line,
+                     Section.Name, Entry.Key, Entry.Value, What);
+}
+
+static void appendLine(std::string &Text, const std::string &Line) {
+  if (!Text.empty())
+    Text += "\n";
+  Text += Line;
+}
+
+/// Checks the entries of a section into Node. Returns the problems, one a line.
+static std::string fillNode(const IniSection &Section,
+                            const std::string &FileName, SettingNode &Node) {
+  std::string Problems;
+  for (const IniEntry &Entry : Section.Entries) {
+    const SettingSpec *Spec = findSettingSpec(Entry.Key, Node.Level);
+    if (!Spec) {
+      const std::string Hint = suggestSettingName(Entry.Key, Node.Level);
+      appendLine(Problems,
+                 describeProblem(FileName, Section, Entry,
+                                 "unknown key; the nearest is '" + Hint + "'"));
+      continue;
+    }
+    if (Node.find(Spec->Key)) {
+      appendLine(Problems, describeProblem(FileName, Section, Entry,
+                                           "this key stands twice"));
+      continue;
+    }
+    Result<SettingValue> Value = parseSettingValue(*Spec, Entry.Value);
+    if (!Value) {
+      appendLine(Problems, describeProblem(FileName, Section, Entry,
+                                           Value.error().Message));
+      continue;
+    }
+    Node.Overrides.push_back({Spec->Key, Value.value(), Entry.Line});
+  }
+  return Problems;
+}
+
+Result<SettingNode> buildNode(const IniSection &Section, SettingLevel Level,
+                              const std::string &Name,
+                              const std::string &FileName) {
+  SettingNode Node{Name, Level, Section.Line, {}};
+  const std::string Problems = fillNode(Section, FileName, Node);
+  if (!Problems.empty())
+    return makeError(ErrorKind::InvalidArgument, Problems);
+  return Node;
+}
+
+static const SettingLevel TreeLevels[] = {
+    SettingLevel::Region, SettingLevel::Service, SettingLevel::Server,
+    SettingLevel::Route, SettingLevel::Organisation};
+
+/// Returns the level that a section name such as "server catalogue/c1" states,
+/// or Default when it states none.
+static SettingLevel findLevelOfSection(const std::string &SectionName) {
+  const std::string Word = SectionName.substr(0, SectionName.find(' '));
+  for (const SettingLevel Level : TreeLevels)
+    if (Word == getName(Level))
+      return Level;
+  return SettingLevel::Default;
+}
+
+Result<SettingsTree> SettingsTree::build(const IniDocument &Document) {
+  SettingsTree Tree;
+  std::string Problems;
+  for (const IniSection &Section : Document.Sections) {
+    const SettingLevel Level = findLevelOfSection(Section.Name);
+    const size_t Space = Section.Name.find(' ');
+    if (Level == SettingLevel::Default || Space == std::string::npos) {
+      appendLine(Problems,
+                 fmt::format("{}:{}: [{}]: expected '[region NAME]', "
+                             "'[service NAME]', '[server SERVICE/NAME]', "
+                             "'[route NAME]' or '[organisation NAME]'",
+                             Document.FileName, Section.Line, Section.Name));
+      continue;
+    }
+    const std::string Name = Section.Name.substr(Space + 1);
+    SettingNode Node{Name, Level, Section.Line, {}};
+    const std::string Found = fillNode(Section, Document.FileName, Node);
+    if (!Found.empty())
+      appendLine(Problems, Found);
+    Tree.Nodes[static_cast<size_t>(Level)].emplace(Name, std::move(Node));
+  }
+  const std::string Broken = Tree.checkReferences(Document.FileName);
+  if (!Broken.empty())
+    appendLine(Problems, Broken);
+  if (!Problems.empty())
+    return makeError(ErrorKind::InvalidArgument, Problems);
+  return Tree;
+}
+
+Result<SettingsTree> SettingsTree::parse(const std::string &Text,
+                                         const std::string &FileName) {
+  BOOST_OUTCOME_TRY(IniDocument Document, parseIni(Text, FileName));
+  return SettingsTree::build(Document);
+}
+
+const std::map<std::string, SettingNode> &
+SettingsTree::getNodes(SettingLevel Level) const {
+  return this->Nodes[static_cast<size_t>(Level)];
+}
+
+const SettingNode *SettingsTree::find(SettingLevel Level,
+                                      const std::string &Name) const {
+  const std::map<std::string, SettingNode> &Level2Nodes = this->getNodes(Level);
+  const auto Found = Level2Nodes.find(Name);
+  return Found == Level2Nodes.end() ? nullptr : &Found->second;
+}
+
+const SettingNode *SettingsTree::getParent(const SettingNode &Node) const {
+  if (Node.Level == SettingLevel::Server)
+    return this->find(SettingLevel::Service, getServiceOfServer(Node.Name));
+  if (Node.Level != SettingLevel::Service)
+    return nullptr;
+  const SettingOverride *Region = Node.find(SettingKey::RegionOfService);
+  if (!Region)
+    return nullptr;
+  return this->find(SettingLevel::Region, std::get<std::string>(Region->Value));
+}
+
+EffectiveSetting SettingsTree::lookup(const SettingNode &Node,
+                                      SettingKey Key) const {
+  const SettingSpec &Spec = getSettingSpec(Key);
+  for (const SettingNode *At = &Node; At; At = this->getParent(*At))
+    if (const SettingOverride *Override = At->find(Key))
+      return {&Spec, Override->Value, At->Level};
+  if (!*Spec.Default)
+    return {&Spec, SettingValue(std::string()), SettingLevel::Default};
+  Result<SettingValue> Default = parseSettingValue(Spec, Spec.Default);
+  assert(Default && "a default breaks its own bounds");
+  return {&Spec, Default.value(), SettingLevel::Default};
+}
+
+int64_t SettingsTree::lookupInteger(const SettingNode &Node,
+                                    SettingKey Key) const {
+  return std::get<int64_t>(this->lookup(Node, Key).Value);
+}
+
+std::string SettingsTree::lookupText(const SettingNode &Node,
+                                     SettingKey Key) const {
+  return std::get<std::string>(this->lookup(Node, Key).Value);
+}
+
+static std::string describeNode(const std::string &FileName,
+                                const SettingNode &Node,
+                                const std::string &What) {
+  return fmt::format("{}:{}: [{} {}]: {}", FileName, Node.Line,
+                     getName(Node.Level), Node.Name, What);
+}
+
+std::string SettingsTree::checkReferences(const std::string &FileName) const {
+  std::string Problems;
+  for (const auto &[Name, Node] : this->getNodes(SettingLevel::Service)) {
+    const std::string Region =
+        this->lookupText(Node, SettingKey::RegionOfService);
+    if (!this->find(SettingLevel::Region, Region))
+      appendLine(Problems, describeNode(FileName, Node,
+                                        "region = " + Region +
+                                            ": expected a [region NAME] of "
+                                            "this tree"));
+  }
+  for (const auto &[Name, Node] : this->getNodes(SettingLevel::Server)) {
+    if (Name.find('/') == std::string::npos || !this->getParent(Node))
+      appendLine(Problems, describeNode(FileName, Node,
+                                        "expected SERVICE/NAME with a "
+                                        "[service NAME] of this tree"));
+    if (!Node.find(SettingKey::ServerAddress))
+      appendLine(Problems, describeNode(FileName, Node, "address is missing"));
+    if (!Node.find(SettingKey::Hall))
+      appendLine(Problems, describeNode(FileName, Node, "hall is missing"));
+  }
+  for (const auto &[Name, Node] : this->getNodes(SettingLevel::Route)) {
+    const std::string Service =
+        this->lookupText(Node, SettingKey::RouteService);
+    if (!this->find(SettingLevel::Service, Service))
+      appendLine(Problems, describeNode(FileName, Node,
+                                        "service = " + Service +
+                                            ": expected a [service NAME] of "
+                                            "this tree"));
+    const std::string Prefix = this->lookupText(Node, SettingKey::RoutePrefix);
+    if (Prefix[0] != '/')
+      appendLine(Problems,
+                 describeNode(FileName, Node,
+                              "prefix = " + Prefix +
+                                  ": expected a path that begins with '/'"));
+  }
+  return Problems;
+}
+
+} // namespace canvaswick
--- /dev/null
+++ b/tools/canvaswickd/canvaswickd.cpp
@@ -0,0 +1,81 @@
+//===- canvaswickd.cpp - The daemon's program -----------------------------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Loads the settings, runs the daemon until a signal, stops it in order.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Daemon/Daemon.h"
+#include "canvaswick/Settings/SettingsTree.h"
+#include "canvaswick/Support/Log.h"
+#include "canvaswick/Tool/Program.h"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+DEFINE_string(settings, "", "The daemon's INI file");
+DEFINE_bool(check_settings, false, "Check the settings and exit");
+DEFINE_int64(grace_ms, 3000,
+             "Time between turning readiness red and closing kept connections");
+
+using namespace canvaswick;
+
+static constexpr const char *ProgramName = "canvaswickd";
+
+static Result<void> checkSettings(const DaemonConfig &Config) {
+  if (Config.SettingsFile.empty())
+    return outcome::success();
+  BOOST_OUTCOME_TRY(std::string Text, readFile(Config.SettingsFile));
+  Result<SettingsTree> Tree = SettingsTree::parse(Text, Config.SettingsFile);
+  if (!Tree)
+    return outcome::failure(Tree.error());
+  return outcome::success();
+}
+
+static int runDaemon(const DaemonConfig &Config) {
+  Daemon Server(Config);
+  Result<void> Started = Server.start();
+  if (!Started) {
+    printError(ProgramName, Started.error());
+    return toInt(ExitCode::Failure);
+  }
+  waitForStopSignal();
+  Server.beginStop();
+  // The balancer sees red readiness during this time and sends nothing new.
+  const bool IsHurried = waitForSecondStopSignal(FLAGS_grace_ms);
+  const double Seconds =
+      IsHurried ? 0 : static_cast<double>(Config.StopSeconds);
+  const bool AllEnded =
+      Server.finishStop(readSteadyClock() + fromSeconds(Seconds));
+  std::fflush(stderr);
+  // Threads that still hold a request end with the process.
+  std::_Exit(toInt(AllEnded ? ExitCode::Success : ExitCode::CutShort));
+}
+
+int main(int Count, char **Values) {
+  blockStopSignals();
+  parseCommandLine(&Count, &Values,
+                   "Serves callers in front of backend servers.\n"
+                   "canvaswickd --settings daemon.ini");
+  Result<DaemonConfig> Config = loadDaemonConfig(FLAGS_settings);
+  if (!Config) {
+    printError(ProgramName, Config.error());
+    return toInt(ExitCode::BadSettings);
+  }
+  Result<void> Checked = checkSettings(Config.value());
+  if (!Checked) {
+    printError(ProgramName, Checked.error());
+    return toInt(ExitCode::BadSettings);
+  }
+  if (FLAGS_check_settings) {
+    fmt::print("{}: settings are good\n", ProgramName);
+    return toInt(ExitCode::Success);
+  }
+  return runDaemon(Config.value());
+}
--- /dev/null
+++ b/unittests/Proxy/RequestProxyTest.cpp
@@ -0,0 +1,353 @@
+//===- RequestProxyTest.cpp - Tests of one request from end to end --------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// A proxy between real sockets and stand-in backend servers with faults.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Proxy/RequestProxy.h"
+#include "canvaswick/StandIn/BackendStandIn.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <memory>
+#include <thread>
+
+using namespace canvaswick;
+
+namespace {
+
+/// A proxy with two servers of one service, and a client.
+class Bench {
+public:
+  explicit Bench(const std::string &ServiceSettings = "", int Slots = 3)
+      : Upstreams(0), Client(0) {
+    for (int I = 0; I < 2; ++I) {
+      BackendSetup Setup;
+      Setup.Name = fmt::format("b{}", I);
+      Setup.ServiceMs = 1;
+      Setup.Slots = Slots;
+      Backends[I] = std::make_unique<BackendStandIn>(Setup);
+      REQUIRE(Backends[I]->start({"127.0.0.1", 0}));
+    }
+    const std::string Text = fmt::format(
+        "[region r]\n"
+        "[service s]\nregion = r\nfloor-percent = 0\n{}\n"
+        "[server s/b0]\naddress = 127.0.0.1:{}\nhall = a\n"
+        "[server s/b1]\naddress = 127.0.0.1:{}\nhall = a\n"
+        "[route read]\nprefix = /read\nservice = s\n"
+        "[route pay]\nprefix = /pay\nservice = s\nclass = once\n"
+        "[organisation small]\nrequests-per-second = 1\nburst = 1\n",
+        ServiceSettings, Backends[0]->getPort(), Backends[1]->getPort());
+    Result<SettingsTree> Tree = SettingsTree::parse(Text, "bench.ini");
+    REQUIRE(Tree);
+    DaemonIdentity Identity;
+    Identity.Name = "d1";
+    Identity.Hall = "a";
+    Identity.Daemons = {"d1"};
+    const FleetConfigRef Config = compileFleetConfig(Tree.value(), 1);
+    Fleet.set(FleetRuntimeRef(
+        new FleetRuntime(Config, Identity, nullptr, readSteadyClock())));
+    Proxy = std::make_unique<RequestProxy>("d1", Fleet, Upstreams, Counters,
+                                           nullptr);
+    Proxy->configure(*Config);
+    HttpServerLimits Limits;
+    Server = std::make_unique<HttpServer>(
+        Limits, [this](HttpExchange &E) { this->Proxy->handle(E); });
+    REQUIRE(Server->start({"127.0.0.1", 0}));
+  }
+
+  ExchangeResult send(const std::string &Method, const std::string &Target,
+                      httplib::Headers Headers = {},
+                      const std::string &Body = "") {
+    OutgoingRequest Request;
+    Request.Method = Method;
+    Request.Target = Target;
+    Request.Headers = std::move(Headers);
+    Request.Body = Body;
+    return this->Client.exchange({"127.0.0.1", this->Server->getPort()},
+                                 Request, readSteadyClock() + fromSeconds(20),
+                                 -1, nullptr);
+  }
+
+  void setFaults(const BackendFaults &Faults) {
+    for (std::unique_ptr<BackendStandIn> &Each : this->Backends)
+      Each->setFaults(Faults);
+  }
+
+  uint64_t countRuns() const {
+    return this->Backends[0]->countRuns() + this->Backends[1]->countRuns();
+  }
+
+  /// Sends raw bytes and returns all that comes back until the end.
+  std::string sendRaw(const std::string &Bytes) {
+    const int Descriptor = connectTcp("127.0.0.1", this->Server->getPort(),
+                                      readSteadyClock() + fromSeconds(5));
+    SocketStream Stream(Descriptor);
+    Stream.setDeadline(readSteadyClock() + fromSeconds(5));
+    static_cast<httplib::Stream &>(Stream).write(Bytes);
+    std::string All;
+    char Piece[4096];
+    while (true) {
+      const ssize_t Count = Stream.read(Piece, sizeof(Piece));
+      if (Count <= 0)
+        return All;
+      All.append(Piece, static_cast<size_t>(Count));
+    }
+  }
+
+  std::unique_ptr<BackendStandIn> Backends[2];
+  FleetRuntimeSlot Fleet;
+  ConnectionPool Upstreams;
+  ConnectionPool Client;
+  CounterTable Counters;
+  std::unique_ptr<RequestProxy> Proxy;
+  std::unique_ptr<HttpServer> Server;
+};
+
+} // namespace
+
+static std::string getHeader(const ExchangeResult &Result, const char *Name) {
+  const auto Found = Result.Headers.find(Name);
+  return Found == Result.Headers.end() ? "" : Found->second;
+}
+
+TEST_CASE("a request is served and its answer is whole") {
+  Bench Under;
+  const ExchangeResult Small = Under.send("GET", "/read/1");
+  CHECK(Small.Status == 200);
+  CHECK(Small.Body.find("served by b") == 0);
+  const ExchangeResult Large = Under.send("GET", "/read/1?bytes=3000000");
+  CHECK(Large.Status == 200);
+  CHECK(Large.Body.size() == 3000000);
+  const ExchangeResult Posted =
+      Under.send("POST", "/pay/1", {}, std::string(200000, 'x'));
+  CHECK(Posted.Status == 200);
+  CHECK(Under.send("HEAD", "/read/1").Status == 200);
+}
+
+TEST_CASE("an unknown route is refused and nothing is forwarded") {
+  Bench Under;
+  const ExchangeResult Result = Under.send("GET", "/else");
+  CHECK(Result.Status == 404);
+  CHECK(getHeader(Result, OutcomeHeader) == "not-run");
+  CHECK(Under.send("GET", "/read/../pay/1").Status == 400);
+  CHECK(Under.send("GET", "/read/%2e%2E/pay/1").Status == 400);
+  CHECK(Under.countRuns() == 0);
+}
+
+TEST_CASE("requests that could be read in two ways are refused") {
+  Bench Under;
+  const std::string Host = "Host: x\r\n";
+  const std::string Shapes[] = {
+      "POST /pay/1 HTTP/1.1\r\n" + Host +
+          "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+      "POST /pay/1 HTTP/1.1\r\n" + Host +
+          "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "POST /pay/1 HTTP/1.1\r\n" + Host +
+          "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+      "POST /pay/1 HTTP/1.1\r\n" + Host +
+          "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+      "POST /pay/1 HTTP/1.1\r\n" + Host + "Content-Length: +3\r\n\r\nabc",
+      "POST /pay/1 HTTP/1.1\r\n" + Host + "Content-Length: 3\n\r\nabc",
+      "POST /pay/1 HTTP/1.1\r\n" + Host + "X: a\r\n b\r\n\r\n",
+      "GET /read/1 HTTP/1.1\r\n" + Host + "Content-Length: 3\r\n\r\nabc",
+      "GET /read/1 HTTP/1.1\r\n\r\n",
+      "GET /read/1 HTTP/1.1\r\n" + Host + Host + "\r\n",
+      "GET /read/1 HTTP/1.0\r\n" + Host + "\r\n",
+      "GET read HTTP/1.1\r\n" + Host + "\r\n",
+      "GETT /read/1 HTTP/1.1\r\n" + Host + "\r\n",
+      "nonsense\r\n\r\n",
+  };
+  for (const std::string &Shape : Shapes) {
+    CAPTURE(Shape);
+    const std::string Answer = Under.sendRaw(Shape);
+    CHECK(Answer.find("HTTP/1.1 400 ") == 0);
+    // One answer, then the end: what follows is never read as a request.
+    CHECK(Answer.find("HTTP/1.1", 5) == std::string::npos);
+  }
+  const std::string Oversize = Under.sendRaw(
+      "GET /read/1 HTTP/1.1\r\n" + Host + "X: " + std::string(7000, 'a') +
+      "\r\nY: " + std::string(7000, 'a') + "\r\nZ: " + std::string(7000, 'a') +
+      "\r\nA: " + std::string(7000, 'a') + "\r\nB: " + std::string(7000, 'a') +
+      "\r\n\r\n");
+  CHECK(Oversize.find("HTTP/1.1 431 ") == 0);
+  CHECK(Under.countRuns() == 0);
+}
+
+TEST_CASE("header values pass through unchanged") {
+  Bench Under;
+  for (const std::string Value :
+       {"a%20b", "100%", "%2541", "a+b, c", "a%0d%0aY: b"}) {
+    const ExchangeResult Result =
+        Under.send("GET", "/read/1", {{"X-Echo", Value}});
+    CHECK(getHeader(Result, "X-Echo") == Value);
+    CHECK(getHeader(Result, "Location") == Value);
+  }
+}
+
+TEST_CASE("a failure is repeated only where the route allows it") {
+  Bench Under("retry-percent = 100");
+  BackendFaults Fail;
+  Fail.Fail = true;
+  Under.Backends[0]->setFaults(Fail);
+  int Good = 0;
+  for (int I = 0; I < 10; ++I)
+    Good += Under.send("GET", "/read/1").Status == 200;
+  CHECK(Good == 10);
+  Under.setFaults(Fail);
+  const uint64_t Before = Under.countRuns();
+  CHECK(Under.send("POST", "/pay/1").Status == 500);
+  CHECK(Under.countRuns() == Before + 1);
+}
+
+TEST_CASE("a request without a known outcome is never sent again") {
+  Bench Under;
+  BackendFaults Lose;
+  Lose.LoseAnswer = true;
+  Under.setFaults(Lose);
+  const ExchangeResult Result = Under.send("POST", "/pay/1", {}, "order");
+  CHECK(Result.Status == 502);
+  CHECK(getHeader(Result, OutcomeHeader) == "not-known");
+  CHECK(getHeader(Result, "Retry-After") == "1");
+  CHECK(Under.countRuns() == 1);
+}
+
+TEST_CASE("a request that was not run goes to another server or says so") {
+  Bench Under;
+  BackendFaults Shed;
+  Shed.Shed = true;
+  Under.Backends[0]->setFaults(Shed);
+  for (int I = 0; I < 10; ++I)
+    CHECK(Under.send("POST", "/pay/1", {}, "order").Status == 200);
+  Under.setFaults(Shed);
+  const ExchangeResult Result = Under.send("POST", "/pay/1", {}, "order");
+  CHECK(Result.Status == 502);
+  CHECK(getHeader(Result, OutcomeHeader) == "not-run");
+  Under.Backends[0]->stop();
+  Under.Backends[1]->stop();
+  const ExchangeResult Refused = Under.send("POST", "/pay/1", {}, "order");
+  CHECK(Refused.Status == 502);
+  CHECK(getHeader(Refused, OutcomeHeader) == "not-run");
+}
+
+TEST_CASE("a cut answer is visible as cut") {
+  Bench Under;
+  BackendFaults Cut;
+  Cut.CutAfter = 1000;
+  Under.setFaults(Cut);
+  const ExchangeResult Result = Under.send("GET", "/read/1?bytes=200000");
+  CHECK(Result.End != ExchangeEnd::Complete);
+}
+
+TEST_CASE("a stalled answer goes on from another server by its bytes") {
+  Bench Under("stall-ms = 300");
+  BackendFaults Stall;
+  Stall.StallAfter = 70000;
+  Under.Backends[0]->setFaults(Stall);
+  // Which server is asked is drawn at random: ask until the stalled one was.
+  for (int I = 0; I < 100 && Under.Counters.get(Counter::ResumedAnswers) == 0;
+       ++I) {
+    const ExchangeResult Result = Under.send("GET", "/read/1?bytes=500000");
+    REQUIRE(Result.End == ExchangeEnd::Complete);
+    REQUIRE(Result.Body.size() == 500000);
+    for (size_t At = 0; At < Result.Body.size(); ++At)
+      REQUIRE(Result.Body[At] == static_cast<char>('a' + At % 23));
+  }
+  CHECK(Under.Counters.get(Counter::ResumedAnswers) > 0);
+}
+
+TEST_CASE("an over-long answer never meets the next request") {
+  Bench Under;
+  BackendFaults Overlong;
+  Overlong.Overlong = true;
+  Under.setFaults(Overlong);
+  for (int I = 0; I < 20; ++I) {
+    const ExchangeResult Result = Under.send("GET", "/read/1?bytes=100");
+    CHECK(Result.Status == 200);
+    CHECK(Result.Body.size() == 100);
+  }
+}
+
+TEST_CASE("an answer to another request is not passed on") {
+  Bench Under;
+  BackendFaults Foreign;
+  Foreign.ForeignAnswer = true;
+  Under.setFaults(Foreign);
+  const ExchangeResult Result = Under.send("POST", "/pay/1", {}, "order");
+  CHECK(Result.Status == 502);
+  CHECK(getHeader(Result, OutcomeHeader) == "not-known");
+  CHECK(Under.Counters.get(Counter::ForeignAnswers) == 1);
+}
+
+TEST_CASE("an answer whose end cannot be told is not passed on") {
+  Bench Under;
+  BackendFaults Unframed;
+  Unframed.Unframed = true;
+  Under.setFaults(Unframed);
+  CHECK(Under.send("POST", "/pay/1", {}, "order").Status == 502);
+}
+
+TEST_CASE("a deadline is kept and passed on") {
+  Bench Under;
+  BackendFaults Hang;
+  Hang.Hang = true;
+  Under.setFaults(Hang);
+  const TimePoint Before = readSteadyClock();
+  const ExchangeResult Result =
+      Under.send("POST", "/pay/1", {{DeadlineHeader, "200"}}, "order");
+  CHECK(Result.Status == 504);
+  CHECK(getHeader(Result, OutcomeHeader) == "not-known");
+  CHECK(readSteadyClock() - Before < fromSeconds(15));
+}
+
+TEST_CASE("a caller that hangs up cancels at the server") {
+  Bench Under;
+  BackendFaults Hang;
+  Hang.Hang = true;
+  Under.setFaults(Hang);
+  {
+    const int Descriptor = connectTcp("127.0.0.1", Under.Server->getPort(),
+                                      readSteadyClock() + fromSeconds(5));
+    SocketStream Stream(Descriptor);
+    static_cast<httplib::Stream &>(Stream).write(
+        "GET /read/1 HTTP/1.1\r\nHost: x\r\n\r\n");
+    while (Under.countRuns() == 0)
+      std::this_thread::yield();
+  }
+  const TimePoint GiveUp = readSteadyClock() + fromSeconds(20);
+  while (Under.Backends[0]->countCanceled() +
+                 Under.Backends[1]->countCanceled() ==
+             0 &&
+         readSteadyClock() < GiveUp)
+    std::this_thread::yield();
+  CHECK(Under.Backends[0]->countCanceled() +
+            Under.Backends[1]->countCanceled() ==
+        1);
+}
+
+TEST_CASE("an organisation above its rate is refused at once") {
+  Bench Under;
+  const httplib::Headers Small = {{OrganisationHeader, "small"}};
+  CHECK(Under.send("GET", "/read/1", Small).Status == 200);
+  const ExchangeResult Result = Under.send("GET", "/read/1", Small);
+  CHECK(Result.Status == 429);
+  CHECK(getHeader(Result, "Retry-After") == "1");
+  CHECK(getHeader(Result, OutcomeHeader) == "not-run");
+}
+
+TEST_CASE("a keyed request without a store of claims is not run") {
+  Bench Under;
+  const ExchangeResult Result =
+      Under.send("POST", "/pay/1", {{IdempotencyHeader, "k"}}, "order");
+  CHECK(Result.Status == 503);
+  CHECK(getHeader(Result, OutcomeHeader) == "not-run");
+  CHECK(Under.countRuns() == 0);
+}
