--- a/include/canvaswick/Health/EvidencePool.h
+++ b/include/canvaswick/Health/EvidencePool.h
@@ -29,13 +29,21 @@
 
 namespace canvaswick {
 
+/// What a pool must know of a server.
+struct PooledServer {
+  ServerId Id = 0;
+  int Slots = 1;
+  bool operator==(const PooledServer &) const = default;
+};
+
 /// Evidence about the servers of one service from every daemon.
 class EvidencePool {
 public:
   /// Owner is the name of the daemon that keeps the pool. Digests are numbered
   /// from FirstSequence, so that a new owner is not taken for its own past.
   EvidencePool(std::string Service, std::string Owner, HealthTuning Tuning,
-               std::vector<ServerId> Servers, uint64_t FirstSequence);
+               std::vector<PooledServer> Servers, int FloorPercent,
+               uint64_t FirstSequence);
 
   /// Takes over what an earlier version of the pool knows.
   void adopt(const EvidencePool &Other);
@@ -49,6 +57,9 @@
   /// Returns the digest for a hall, with every server that is suspect.
   EvidenceDigest makeDigest(const std::string &Hall);
 
+  /// Notes that all daemons of a hall were sent what there is to say now.
+  void noteSent(const std::string &Hall);
+
   /// Returns whether a digest differs in substance from the last one for the
   /// hall, so that it should be sent at once.
   bool hasNews(const std::string &Hall) const;
@@ -64,7 +75,10 @@
   std::vector<std::string> getHalls() const;
 
   /// Returns the servers in the order of the settings.
-  const std::vector<ServerId> &getServers() const { return this->Servers; }
+  const std::vector<PooledServer> &getServers() const { return this->Servers; }
+
+  /// Returns the floor it keeps to, in percent of all slots.
+  int getFloorPercent() const { return this->FloorPercent; }
 
   /// Returns whether a source's evidence is taken.
   bool isCredible(const std::string &Source, TimePoint Now) const;
@@ -89,6 +103,7 @@
   bool isCredible(const SourceState &Source, TimePoint Now) const;
   void addServer(const EvidenceReport &Report, size_t Server,
                  const OutcomeCounts &Counts, bool IsCredible, TimePoint Now);
+  RemovalRules makeRules(std::vector<int> SourceCounts) const;
   std::vector<int> countSources(const std::string *Hall, TimePoint Now) const;
   std::string summarize(const std::string &Hall) const;
   ServerDigest describe(size_t Server, const std::string &Hall) const;
@@ -96,7 +111,8 @@
   const std::string Service;
   const std::string Owner;
   const HealthTuning Tuning;
-  std::vector<ServerId> Servers;
+  const std::vector<PooledServer> Servers;
+  const int FloorPercent;
   std::unordered_map<ServerId, size_t> IndexOfServer;
   ScopeTracker Fleet;
   std::map<std::string, ScopeTracker> Halls;
--- a/include/canvaswick/Health/HealthPolicy.h
+++ b/include/canvaswick/Health/HealthPolicy.h
@@ -43,6 +43,8 @@
   std::string Hall;
   Weighing Preference = Weighing::Balanced;
   int FloorPercent = 0;
+  /// A server that comes back from leaving may be slow for this long.
+  Duration ColdStart{};
   /// Reports are numbered from here, so that a daemon that starts anew is not
   /// taken for its own past.
   uint64_t FirstSequence = 0;
@@ -81,7 +83,7 @@
 public:
   explicit NonePolicy(PolicySetup Setup);
   void recordOutcome(size_t Server, RequestOutcome Outcome, TimePoint Now);
-  void setLeaving(size_t Server, bool IsLeaving);
+  void setLeaving(size_t Server, bool IsLeaving, TimePoint Now);
   void advance(TimePoint Now);
   double getShare(size_t Server) const;
 
@@ -95,7 +97,7 @@
 public:
   explicit BaselinePolicy(PolicySetup Setup);
   void recordOutcome(size_t Server, RequestOutcome Outcome, TimePoint Now);
-  void setLeaving(size_t Server, bool IsLeaving);
+  void setLeaving(size_t Server, bool IsLeaving, TimePoint Now);
   void advance(TimePoint Now);
   double getShare(size_t Server) const;
 
@@ -118,7 +120,7 @@
 public:
   explicit PooledPolicy(PolicySetup Setup);
   void recordOutcome(size_t Server, RequestOutcome Outcome, TimePoint Now);
-  void setLeaving(size_t Server, bool IsLeaving);
+  void setLeaving(size_t Server, bool IsLeaving, TimePoint Now);
   void advance(TimePoint Now);
   double getShare(size_t Server) const;
 
@@ -135,19 +137,15 @@
   /// Returns why a server has its share.
   ShareExplanation explain(size_t Server) const;
 
-  /// Returns whether this daemon doubts its own evidence now.
-  bool isSelfDoubting() const { return this->SelfDoubting; }
-
 private:
   struct ServerState {
     PolicyServer Config;
     OutcomeCounts Unreported;
     OutcomeCounts Counts;
     TimePoint LastUsed{};
-    TimePoint LastBad{};
     bool WasUsed = false;
-    bool WasBad = false;
     bool IsLeaving = false;
+    TimePoint ColdUntil{};
     bool IsPoolSuspect = false;
     ShareExplanation Explanation;
   };
@@ -160,7 +158,9 @@
 
   void updateShares(TimePoint Now);
   void expireViews(TimePoint Now);
-  void updateSelfDoubt(TimePoint Now);
+  void noteRecent(size_t Server, RequestOutcome Outcome);
+  bool isSpecific(size_t Server) const;
+  RemovalRules makeRules() const;
   ShareWish wishFor(size_t Server, ShareReason &Reason) const;
   bool isReportDue(TimePoint Now) const;
 
@@ -173,7 +173,8 @@
   uint64_t ReportSequence = 0;
   TimePoint LastReport{};
   bool HasUnreportedBad = false;
-  bool SelfDoubting = false;
+  /// The last outcomes of this daemon, oldest first: server, and whether bad.
+  std::deque<std::pair<size_t, bool>> Recent;
 };
 
 /// Any of the policies.
@@ -196,7 +197,8 @@
                    TimePoint Now);
 
 /// Marks a server as leaving or not.
-void setLeaving(HealthPolicy &Policy, size_t Server, bool IsLeaving);
+void setLeaving(HealthPolicy &Policy, size_t Server, bool IsLeaving,
+                TimePoint Now);
 
 /// Moves a policy on in time.
 void advancePolicy(HealthPolicy &Policy, TimePoint Now);
--- a/include/canvaswick/Health/ScopeTracker.h
+++ b/include/canvaswick/Health/ScopeTracker.h
@@ -32,6 +32,18 @@
 /// Returns the name of a phase as reports print it.
 const char *getName(HealthPhase Phase);
 
+/// What a scope must heed when it removes servers.
+struct RemovalRules {
+  /// Which servers may be removed now. Empty: all.
+  std::vector<bool> MayRemove;
+  /// How many sources testify against each server. Empty: do not ask.
+  std::vector<int> Sources;
+  /// Slots of each server; 0 for one that is leaving.
+  std::vector<int> Slots;
+  /// Slots that must stay in use.
+  double FloorSlots = 0;
+};
+
 /// Evidence about the servers of one service from one scope.
 class ScopeTracker {
 public:
@@ -43,17 +55,19 @@
   double addCounts(size_t Server, const OutcomeCounts &Counts,
                    double PositiveLimit, TimePoint Now);
 
-  /// Adds to what the whole scope has seen, for servers not named one by one.
-  void addTotalGood(uint32_t Good, TimePoint Now);
+  /// Adds good requests to servers that were not named one by one: each server
+  /// for which IsNamed is false is credited with an equal part.
+  void addOtherGood(uint32_t Good, const std::vector<bool> &IsNamed,
+                    TimePoint Now);
 
-  /// Moves servers between phases. Call at least every second. Removals wait
-  /// while MayRemove is false (the scope's evidence is doubted) and for a
-  /// server for which too few sources have contributed.
-  void advance(TimePoint Now, bool MayRemove,
-               const std::vector<int> *SourceCounts);
+  /// Moves servers between phases. Call at least every second. The worst are
+  /// removed first; one that the floor keeps goes on being judged by what its
+  /// requests show.
+  void advance(TimePoint Now, const RemovalRules &Rules);
 
-  /// Lets a server back in by the usual steps, as if its hold had ended.
-  void beginReturn(size_t Server, TimePoint Now);
+  /// Lets a server back in by the usual steps, beginning with the first that
+  /// gives at least Share.
+  void beginReturn(size_t Server, double Share, TimePoint Now);
 
   /// Takes over what another tracker knows of one of its servers.
   void adopt(size_t Server, const ScopeTracker &Other, size_t OtherServer);
@@ -87,6 +101,7 @@
     TimePoint HoldUntil{};
     TimePoint StepSince{};
     TimePoint LastRemoved{};
+    DecayingCount SlowTaken;
     size_t Step = 0;
     uint32_t GoodInStep = 0;
     int Removals = 0;
@@ -101,12 +116,15 @@
   void updateUsualShares(TimePoint Now);
   double getUsualShare(DecayingCount ServerState::*Kind, TimePoint Now,
                        double Total, double Least) const;
-  double computeAgainst(const OutcomeCounts &Counts) const;
+  double computeAgainst(ServerState &State, const OutcomeCounts &Counts,
+                        TimePoint Now) const;
   double computeFor(const OutcomeCounts &Counts) const;
   void fadeScore(ServerState &State, TimePoint Now);
   void remove(ServerState &State, TimePoint Now);
   void advanceReturn(ServerState &State, TimePoint Now);
   bool areTooManySuspect() const;
+  bool isRemovable(size_t Server, const RemovalRules &Rules) const;
+  void removeWorst(TimePoint Now, const RemovalRules &Rules);
 
   HealthTuning Tuning;
   std::vector<ServerState> Servers;
--- a/include/canvaswick/Health/Tuning.h
+++ b/include/canvaswick/Health/Tuning.h
@@ -23,21 +23,24 @@
 /// How quickly evidence removes a backend server and how it comes back.
 struct HealthTuning {
   /// Evidence, in nats of log likelihood ratio, that removes a server.
-  double Threshold;
+  double Threshold = 0;
   /// The same for a server that is still being let back in.
-  double ReturnThreshold;
+  double ReturnThreshold = 0;
   /// Sources that must have contributed before others believe them.
-  int MinSources;
+  int MinSources = 1;
   /// Largest part of Threshold that one source may contribute.
-  double SourceBound;
+  double SourceBound = 1;
   /// Largest part of Threshold that one hall may contribute to all halls.
-  double HallBound;
+  double HallBound = 1;
+  /// Largest evidence in one second from slow answers. A queue that builds up
+  /// and empties again makes many at once; sickness lasts.
+  double SlowPerSecond = 0;
   /// First time a removed server is left alone. Doubles each time it fails
   /// again soon after.
-  Duration FirstHold;
-  Duration LongestHold;
+  Duration FirstHold{};
+  Duration LongestHold{};
   /// How often evidence is reported while there is any.
-  Duration ReportInterval;
+  Duration ReportInterval{};
 };
 
 /// Returns the values of a preset.
--- a/include/canvaswick/Proxy/ServiceRuntime.h
+++ b/include/canvaswick/Proxy/ServiceRuntime.h
@@ -100,10 +100,8 @@
   void takeDigest(const EvidenceDigest &Digest, TimePoint Now);
 
   /// Marks servers as leaving, by what the platform or the server itself said.
-  void setLeavingAddresses(const std::set<std::string> &Addresses);
-
-  /// Marks one server as leaving because it said so itself.
-  void noteSelfLeaving(size_t Server, bool IsLeaving);
+  void setLeavingAddresses(const std::set<std::string> &Addresses,
+                           TimePoint Now);
 
   /// Takes a load report of a server.
   void noteLoad(size_t Server, double Load, TimePoint Now);
@@ -129,7 +127,7 @@
                                                const ServiceRuntime *Previous,
                                                TimePoint Now) const;
   PolicySetup makeSetup(const DaemonIdentity &Identity) const;
-  void applyLeaving(size_t Server);
+  void applyLeaving(size_t Server, TimePoint Now);
 
   const ServiceConfig Config;
   const ServerSubset Subset;
@@ -141,8 +139,8 @@
   InFlightLimit InFlight;
   RandomSource Random;
   AttemptList Attempts;
-  std::vector<bool> LeavingBySelf;
   std::vector<bool> LeavingByList;
+  std::vector<bool> IsLeaving;
   std::shared_ptr<ServiceMetrics> Metrics;
 };
 
--- a/lib/Daemon/EvidenceAgent.cpp
+++ b/lib/Daemon/EvidenceAgent.cpp
@@ -186,15 +186,16 @@
     return nullptr;
   const ServiceConfig &Config =
       Fleet->getConfig().Services[static_cast<size_t>(Index)];
-  std::vector<ServerId> Servers;
+  std::vector<PooledServer> Servers;
   for (const ServerConfig &Server : Config.Servers)
-    Servers.push_back(getServerId(Config.Name, Server.Name));
+    Servers.push_back({getServerId(Config.Name, Server.Name), Server.Slots});
   std::unique_ptr<EvidencePool> &Pool = this->Pools[Service];
-  if (Pool && Pool->getServers() == Servers)
+  if (Pool && Pool->getServers() == Servers &&
+      Pool->getFloorPercent() == Config.FloorPercent)
     return Pool.get();
   auto Next = std::make_unique<EvidencePool>(
       Service, this->Context.Config.Name, getTuning(Config.Preference),
-      std::move(Servers), this->Context.StartMillis);
+      std::move(Servers), Config.FloorPercent, this->Context.StartMillis);
   if (Pool)
     Next->adopt(*Pool);
   Pool = std::move(Next);
@@ -240,6 +241,7 @@
         if (!Pool->hasNews(Hall))
           continue;
         const EvidenceDigest Digest = Pool->makeDigest(Hall);
+        Pool->noteSent(Hall);
         for (const std::string &Reader :
              Pool->getSources(Hall, Now - SubscriptionLife))
           ByReader[Reader].push_back(Digest);
--- a/lib/Daemon/LeavingAgent.cpp
+++ b/lib/Daemon/LeavingAgent.cpp
@@ -175,7 +175,7 @@
     Leaving = this->Board.getLeaving(readCalendarMillis());
   }
   for (const ServiceRuntimeRef &Service : Fleet->getServices())
-    Service->setLeavingAddresses(Leaving);
+    Service->setLeavingAddresses(Leaving, readSteadyClock());
 }
 
 void LeavingAgent::spread(const Json::Value &News, const std::string &Except) {
--- a/lib/Health/EvidencePool.cpp
+++ b/lib/Health/EvidencePool.cpp
@@ -37,19 +37,19 @@
 static constexpr Duration CredibilityWindow = fromSeconds(30);
 
 /// A source that sees more than this part of its servers fail is doubted.
-static constexpr double MaxFailingPart = 0.4;
+static constexpr double MaxFailingPart = 0.6;
 
 /// A source that is silent for this long is forgotten.
 static constexpr Duration SourceLife = fromSeconds(120);
 
 EvidencePool::EvidencePool(std::string Service, std::string Owner,
-                           HealthTuning Tuning, std::vector<ServerId> Servers,
-                           uint64_t FirstSequence)
+                           HealthTuning Tuning, std::vector<PooledServer> Given,
+                           int FloorPercent, uint64_t FirstSequence)
     : Service(std::move(Service)), Owner(std::move(Owner)), Tuning(Tuning),
-      Servers(std::move(Servers)), Fleet(Tuning, this->Servers.size()),
-      Sequence(FirstSequence) {
+      Servers(std::move(Given)), FloorPercent(FloorPercent),
+      Fleet(Tuning, this->Servers.size()), Sequence(FirstSequence) {
   for (size_t I = 0; I < this->Servers.size(); ++I)
-    this->IndexOfServer[this->Servers[I]] = I;
+    this->IndexOfServer[this->Servers[I].Id] = I;
 }
 
 void EvidencePool::adopt(const EvidencePool &Other) {
@@ -152,8 +152,15 @@
   Source.LastReport = Now;
   this->noteBadServers(Source, Report, Now);
   const bool IsCredible = this->isCredible(Source, Now);
-  this->Fleet.addTotalGood(Report.OtherGood, Now);
-  this->getHallTracker(Report.Hall).addTotalGood(Report.OtherGood, Now);
+  std::vector<bool> IsNamed(this->Servers.size(), false);
+  for (const ServerEvidence &Evidence : Report.Servers) {
+    const auto Found = this->IndexOfServer.find(Evidence.Server);
+    if (Found != this->IndexOfServer.end())
+      IsNamed[Found->second] = true;
+  }
+  this->Fleet.addOtherGood(Report.OtherGood, IsNamed, Now);
+  this->getHallTracker(Report.Hall)
+      .addOtherGood(Report.OtherGood, IsNamed, Now);
   for (const ServerEvidence &Evidence : Report.Servers) {
     const auto Found = this->IndexOfServer.find(Evidence.Server);
     if (Found == this->IndexOfServer.end())
@@ -178,6 +185,18 @@
   return Counts;
 }
 
+RemovalRules EvidencePool::makeRules(std::vector<int> SourceCounts) const {
+  RemovalRules Rules;
+  Rules.Sources = std::move(SourceCounts);
+  double All = 0;
+  for (const PooledServer &Server : this->Servers) {
+    Rules.Slots.push_back(Server.Slots);
+    All += Server.Slots;
+  }
+  Rules.FloorSlots = All * this->FloorPercent / 100;
+  return Rules;
+}
+
 void EvidencePool::advance(TimePoint Now) {
   std::erase_if(this->BySource, [Now](const auto &Entry) {
     return Entry.second.Taken.get(Now, ContributionHalfLife) < 0.01;
@@ -186,10 +205,10 @@
     return Now - Entry.second.LastReport > SourceLife;
   });
   this->FleetSources = this->countSources(nullptr, Now);
-  this->Fleet.advance(Now, true, &this->FleetSources);
+  this->Fleet.advance(Now, this->makeRules(this->FleetSources));
   for (auto &[Hall, Tracker] : this->Halls) {
     std::vector<int> Counts = this->countSources(&Hall, Now);
-    Tracker.advance(Now, true, &Counts);
+    Tracker.advance(Now, this->makeRules(Counts));
     this->HallSources[Hall] = std::move(Counts);
   }
 }
@@ -197,7 +216,7 @@
 ServerDigest EvidencePool::describe(size_t Server,
                                     const std::string &Hall) const {
   ServerDigest Digest;
-  Digest.Server = this->Servers[Server];
+  Digest.Server = this->Servers[Server].Id;
   Digest.Share = this->Fleet.getShare(Server);
   Digest.Score = this->Fleet.getScore(Server);
   if (Server < this->FleetSources.size())
@@ -229,10 +248,13 @@
     if (this->Fleet.isSuspect(I) || IsHallSuspect)
       Digest.Servers.push_back(this->describe(I, Hall));
   }
-  this->LastSummary[Hall] = this->summarize(Hall);
   return Digest;
 }
 
+void EvidencePool::noteSent(const std::string &Hall) {
+  this->LastSummary[Hall] = this->summarize(Hall);
+}
+
 /// Returns a text that changes when a digest for the hall would say something
 /// new: another share, or another set of suspects.
 std::string EvidencePool::summarize(const std::string &Hall) const {
--- a/lib/Health/HealthPolicy.cpp
+++ b/lib/Health/HealthPolicy.cpp
@@ -65,8 +65,10 @@
              Policy);
 }
 
-void setLeaving(HealthPolicy &Policy, size_t Server, bool IsLeaving) {
-  std::visit([&](auto &Any) { Any.setLeaving(Server, IsLeaving); }, Policy);
+void setLeaving(HealthPolicy &Policy, size_t Server, bool IsLeaving,
+                TimePoint Now) {
+  std::visit([&](auto &Any) { Any.setLeaving(Server, IsLeaving, Now); },
+             Policy);
 }
 
 void advancePolicy(HealthPolicy &Policy, TimePoint Now) {
@@ -83,7 +85,7 @@
 
 void NonePolicy::recordOutcome(size_t, RequestOutcome, TimePoint) {}
 
-void NonePolicy::setLeaving(size_t Server, bool IsLeaving) {
+void NonePolicy::setLeaving(size_t Server, bool IsLeaving, TimePoint) {
   this->Leaving[Server] = IsLeaving;
 }
 
@@ -125,7 +127,7 @@
   State.RemovedUntil = Now + BaselineRemoval * State.Removals;
 }
 
-void BaselinePolicy::setLeaving(size_t Server, bool IsLeaving) {
+void BaselinePolicy::setLeaving(size_t Server, bool IsLeaving, TimePoint) {
   this->Servers[Server].IsLeaving = IsLeaving;
 }
 
--- a/lib/Health/PooledPolicy.cpp
+++ b/lib/Health/PooledPolicy.cpp
@@ -27,8 +27,12 @@
 /// Over which time used and failing servers are counted.
 static constexpr Duration UseWindow = fromSeconds(30);
 
-/// A daemon that sees more than this part of its servers fail doubts itself.
-static constexpr double MaxFailingPart = 0.4;
+/// A daemon of whose other requests more than this part fail doubts itself.
+static constexpr double MaxFailingPart = 0.25;
+
+/// Its last outcomes by which it judges that, and how many must be of others.
+static constexpr size_t RecentKept = 24;
+static constexpr size_t LeastOthers = 3;
 
 /// How often totals are reported while nothing is wrong.
 static constexpr Duration QuietReportInterval = fromSeconds(10);
@@ -50,13 +54,15 @@
   if (Outcome == RequestOutcome::Shed || Outcome == RequestOutcome::Canceled)
     return;
   ServerState &State = this->Servers[Server];
+  // A cold server is expected to be slow.
+  if (Outcome == RequestOutcome::Slow && Now < State.ColdUntil)
+    return;
+  this->noteRecent(Server, Outcome);
   State.LastUsed = Now;
   State.WasUsed = true;
   State.Unreported.add(Outcome);
   State.Counts.add(Outcome);
   if (Outcome != RequestOutcome::Good) {
-    State.LastBad = Now;
-    State.WasBad = true;
     this->HasUnreportedBad = true;
   }
   OutcomeCounts One;
@@ -65,23 +71,49 @@
                       Now);
 }
 
-void PooledPolicy::setLeaving(size_t Server, bool IsLeaving) {
-  this->Servers[Server].IsLeaving = IsLeaving;
-  this->updateShares(this->Servers[Server].Explanation.Since);
+void PooledPolicy::setLeaving(size_t Server, bool IsLeaving, TimePoint Now) {
+  ServerState &State = this->Servers[Server];
+  if (State.IsLeaving == IsLeaving)
+    return;
+  if (State.IsLeaving)
+    State.ColdUntil = Now + this->Setup.ColdStart;
+  State.IsLeaving = IsLeaving;
+  this->updateShares(Now);
 }
 
-void PooledPolicy::updateSelfDoubt(TimePoint Now) {
-  size_t Used = 0;
-  size_t Failing = 0;
-  for (const ServerState &State : this->Servers) {
-    if (State.WasUsed && Now - State.LastUsed <= UseWindow)
-      ++Used;
-    if (State.WasBad && Now - State.LastBad <= UseWindow)
-      ++Failing;
+void PooledPolicy::noteRecent(size_t Server, RequestOutcome Outcome) {
+  this->Recent.emplace_back(Server, Outcome != RequestOutcome::Good);
+  if (this->Recent.size() > RecentKept)
+    this->Recent.pop_front();
+}
+
+/// Returns whether what this daemon saw is about this server and not about the
+/// daemon itself: its last requests to other servers went well.
+bool PooledPolicy::isSpecific(size_t Server) const {
+  size_t Others = 0;
+  size_t Bad = 0;
+  for (const auto &[Other, IsBad] : this->Recent) {
+    if (Other == Server)
+      continue;
+    ++Others;
+    Bad += IsBad ? 1 : 0;
+  }
+  return Others >= LeastOthers &&
+         static_cast<double>(Bad) <=
+             MaxFailingPart * static_cast<double>(Others);
+}
+
+RemovalRules PooledPolicy::makeRules() const {
+  RemovalRules Rules;
+  double All = 0;
+  for (size_t I = 0; I < this->Servers.size(); ++I) {
+    const ServerState &State = this->Servers[I];
+    Rules.MayRemove.push_back(this->isSpecific(I));
+    Rules.Slots.push_back(State.IsLeaving ? 0 : State.Config.Slots);
+    All += State.Config.Slots;
   }
-  const double Limit =
-      std::max(1.0, MaxFailingPart * static_cast<double>(Used));
-  this->SelfDoubting = static_cast<double>(Failing) > Limit;
+  Rules.FloorSlots = All * this->Setup.FloorPercent / 100;
+  return Rules;
 }
 
 void PooledPolicy::expireViews(TimePoint Now) {
@@ -94,16 +126,15 @@
       const auto Found = this->IndexOfServer.find(Digest.Server);
       if (Found != this->IndexOfServer.end() && Digest.Share < 1 &&
           this->Own.getPhase(Found->second) == HealthPhase::Serving)
-        this->Own.beginReturn(Found->second, Now);
+        this->Own.beginReturn(Found->second, Digest.Share, Now);
     }
     View.Servers.clear();
   }
 }
 
 void PooledPolicy::advance(TimePoint Now) {
-  this->updateSelfDoubt(Now);
   this->expireViews(Now);
-  this->Own.advance(Now, !this->SelfDoubting, nullptr);
+  this->Own.advance(Now, this->makeRules());
   this->updateShares(Now);
 }
 
--- a/lib/Health/ScopeTracker.cpp
+++ b/lib/Health/ScopeTracker.cpp
@@ -37,6 +37,10 @@
 /// Without news, evidence fades with this half-life.
 static constexpr Duration ScoreHalfLife = fromSeconds(60);
 
+/// What slow answers added is forgotten with this half-life: over a longer time
+/// that comes to the rate of the tuning.
+static constexpr Duration SlowHalfLife = fromSeconds(0.69);
+
 /// Requests that even a healthy server fails, or answers slowly, at least.
 static constexpr double LeastUsualFailed = 0.005;
 static constexpr double LeastUsualSlow = 0.02;
@@ -48,17 +52,17 @@
 static constexpr double MaxWeight = 4.0;
 
 /// The part of the servers that look best, from which the usual share is taken.
-static constexpr double HealthyPart = 0.6;
+static constexpr double HealthyPart = 0.4;
 
 /// When more than this part looks sick at once, the cause is a common one and
 /// removing servers does not help.
-static constexpr double MaxSuspectPart = 0.4;
+static constexpr double MaxSuspectPart = 0.6;
 
 /// What a suspect score is, as a part of the threshold, for that comparison.
 static constexpr double SuspectPart = 0.33;
 
 /// Evidence below this is noise that needs no extra reports.
-static constexpr double ReportScore = 2.0;
+static constexpr double ReportScore = 5.0;
 
 /// A server that fails again within this time is held longer.
 static constexpr Duration FlapMemory = fromSeconds(300);
@@ -96,9 +100,16 @@
   return std::min(MaxWeight, std::log(getSickShare(Usual) / Usual));
 }
 
-double ScopeTracker::computeAgainst(const OutcomeCounts &Counts) const {
-  return Counts.Failed * getBadWeight(this->Usual.Failed) +
-         Counts.Slow * getBadWeight(this->Usual.Slow);
+double ScopeTracker::computeAgainst(ServerState &State,
+                                    const OutcomeCounts &Counts,
+                                    TimePoint Now) const {
+  // What slow answers may add fills up again at the rate of the tuning.
+  const double Room = std::max(0.0, this->Tuning.SlowPerSecond -
+                                        State.SlowTaken.get(Now, SlowHalfLife));
+  const double Slow =
+      std::min(Room, Counts.Slow * getBadWeight(this->Usual.Slow));
+  State.SlowTaken.add(Slow, Now, SlowHalfLife);
+  return Counts.Failed * getBadWeight(this->Usual.Failed) + Slow;
 }
 
 double ScopeTracker::computeFor(const OutcomeCounts &Counts) const {
@@ -129,15 +140,30 @@
   if (State.Phase == HealthPhase::Removed)
     return 0;
   this->fadeScore(State, Now);
-  const double Against =
-      std::min(this->computeAgainst(Counts), std::max(0.0, PositiveLimit));
+  const double Against = std::min(this->computeAgainst(State, Counts, Now),
+                                  std::max(0.0, PositiveLimit));
   State.Score = std::max(0.0, State.Score + Against - this->computeFor(Counts));
   State.GoodInStep += Counts.Good;
   return Against;
 }
 
-void ScopeTracker::addTotalGood(uint32_t Good, TimePoint Now) {
+void ScopeTracker::addOtherGood(uint32_t Good, const std::vector<bool> &IsNamed,
+                                TimePoint Now) {
   this->TotalGood.add(Good, Now, UsualHalfLife);
+  const auto Others = std::count(IsNamed.begin(), IsNamed.end(), false);
+  if (Others == 0)
+    return;
+  OutcomeCounts One;
+  One.Good = 1;
+  const double Credit =
+      this->computeFor(One) * Good / static_cast<double>(Others);
+  for (size_t I = 0; I < this->Servers.size(); ++I) {
+    ServerState &State = this->Servers[I];
+    if (IsNamed[I] || State.Phase != HealthPhase::Serving)
+      continue;
+    this->fadeScore(State, Now);
+    State.Score = std::max(0.0, State.Score - Credit);
+  }
 }
 
 /// Returns the share of one kind of bad outcome among the servers that look
@@ -207,10 +233,13 @@
   State.HoldUntil = Now + Hold;
 }
 
-void ScopeTracker::beginReturn(size_t Server, TimePoint Now) {
+void ScopeTracker::beginReturn(size_t Server, double Share, TimePoint Now) {
   ServerState &State = this->Servers[Server];
   State.Phase = HealthPhase::Returning;
   State.Step = 0;
+  while (State.Step + 1 < std::size(ReturnSteps) &&
+         ReturnSteps[State.Step].Share < Share)
+    ++State.Step;
   State.StepSince = Now;
   State.GoodInStep = 0;
   State.Score = 0;
@@ -236,8 +265,39 @@
     State.Phase = HealthPhase::Serving;
 }
 
-void ScopeTracker::advance(TimePoint Now, bool MayRemove,
-                           const std::vector<int> *SourceCounts) {
+bool ScopeTracker::isRemovable(size_t Server, const RemovalRules &Rules) const {
+  const ServerState &State = this->Servers[Server];
+  if (State.Phase != HealthPhase::Serving ||
+      State.Score < this->Tuning.Threshold)
+    return false;
+  if (!Rules.MayRemove.empty() && !Rules.MayRemove[Server])
+    return false;
+  return Rules.Sources.empty() ||
+         Rules.Sources[Server] >= this->Tuning.MinSources;
+}
+
+/// Removes servers above the threshold, worst first, down to the floor.
+void ScopeTracker::removeWorst(TimePoint Now, const RemovalRules &Rules) {
+  std::vector<size_t> Candidates;
+  double Usable = 0;
+  for (size_t I = 0; I < this->Servers.size(); ++I) {
+    Usable += Rules.Slots[I] * this->getShare(I);
+    if (this->isRemovable(I, Rules))
+      Candidates.push_back(I);
+  }
+  std::sort(Candidates.begin(), Candidates.end(),
+            [this](size_t Left, size_t Right) {
+              return this->Servers[Left].Score > this->Servers[Right].Score;
+            });
+  for (const size_t I : Candidates) {
+    if (Usable - Rules.Slots[I] < Rules.FloorSlots)
+      continue;
+    Usable -= Rules.Slots[I];
+    this->remove(this->Servers[I], Now);
+  }
+}
+
+void ScopeTracker::advance(TimePoint Now, const RemovalRules &Rules) {
   this->updateUsualShares(Now);
   this->Doubted = this->areTooManySuspect();
   for (size_t I = 0; I < this->Servers.size(); ++I) {
@@ -245,16 +305,11 @@
     this->fadeScore(State, Now);
     if (State.Phase == HealthPhase::Returning)
       this->advanceReturn(State, Now);
-    if (State.Phase == HealthPhase::Removed && Now >= State.HoldUntil) {
-      this->beginReturn(I, Now);
-      continue;
-    }
-    const bool HasSources =
-        !SourceCounts || (*SourceCounts)[I] >= this->Tuning.MinSources;
-    if (State.Phase == HealthPhase::Serving && MayRemove && !this->Doubted &&
-        HasSources && State.Score >= this->Tuning.Threshold)
-      this->remove(State, Now);
+    if (State.Phase == HealthPhase::Removed && Now >= State.HoldUntil)
+      this->beginReturn(I, 0, Now);
   }
+  if (!this->Doubted)
+    this->removeWorst(Now, Rules);
 }
 
 void ScopeTracker::adopt(size_t Server, const ScopeTracker &Other,
--- a/lib/Health/Tuning.cpp
+++ b/lib/Health/Tuning.cpp
@@ -17,20 +17,46 @@
 
 namespace canvaswick {
 
+/// What the three presets share.
+static HealthTuning makeCommonTuning() {
+  HealthTuning Tuning;
+  Tuning.MinSources = 3;
+  Tuning.HallBound = 0.6;
+  Tuning.LongestHold = fromSeconds(120);
+  return Tuning;
+}
+
 HealthTuning getTuning(Weighing Preference) {
+  HealthTuning Tuning = makeCommonTuning();
   switch (Preference) {
   case Weighing::Detection:
-    return {11.0,           5.0, 2, 0.5, 0.7, fromSeconds(4), fromSeconds(120),
-            fromMillis(500)};
+    Tuning.Threshold = 11;
+    Tuning.ReturnThreshold = 5;
+    Tuning.SourceBound = 0.4;
+    Tuning.HallBound = 0.7;
+    Tuning.SlowPerSecond = 5;
+    Tuning.FirstHold = fromSeconds(4);
+    Tuning.ReportInterval = fromMillis(500);
+    return Tuning;
   case Weighing::Balanced:
-    return {14.0,          6.0, 3, 0.4, 0.6, fromSeconds(5), fromSeconds(120),
-            fromSeconds(1)};
+    Tuning.Threshold = 14;
+    Tuning.ReturnThreshold = 6;
+    Tuning.SourceBound = 0.4;
+    Tuning.SlowPerSecond = 4;
+    Tuning.FirstHold = fromSeconds(5);
+    Tuning.ReportInterval = fromSeconds(1);
+    return Tuning;
   case Weighing::FalseEjections:
-    return {18.0,          8.0, 3, 0.34, 0.6, fromSeconds(5), fromSeconds(120),
-            fromSeconds(1)};
+    Tuning.Threshold = 18;
+    Tuning.ReturnThreshold = 8;
+    Tuning.SourceBound = 0.34;
+    Tuning.SlowPerSecond = 4;
+    Tuning.FirstHold = fromSeconds(5);
+    Tuning.ReportInterval = fromSeconds(1);
+    return Tuning;
   }
   assert(false && "weighing without a tuning");
-  return {};
+  return Tuning;
 }
 
 } // namespace canvaswick
--- a/lib/Proxy/ServiceRuntime.cpp
+++ b/lib/Proxy/ServiceRuntime.cpp
@@ -41,8 +41,8 @@
       Latency(fromMillis(this->Config.SlowAfterMs)),
       Retries(this->Config.RetryPercent), InFlight(this->Config.MaxInFlight),
       Random(makeSeed(this->Config.Name, Identity.Name, Now)),
-      LeavingBySelf(this->Subset.Servers.size(), false),
       LeavingByList(this->Subset.Servers.size(), false),
+      IsLeaving(this->Subset.Servers.size(), false),
       Metrics(Previous ? Previous->Metrics
                        : std::make_shared<ServiceMetrics>()) {
   if (Previous) {
@@ -52,7 +52,7 @@
     this->Latency.setFixed(fromMillis(this->Config.SlowAfterMs));
   }
   for (size_t I = 0; I < this->countServers(); ++I)
-    this->applyLeaving(I);
+    this->applyLeaving(I, Now);
   this->Policy.advance(Now);
 }
 
@@ -99,6 +99,7 @@
   Setup.Source = Identity.Name;
   Setup.Hall = Identity.Hall;
   Setup.Preference = this->Config.Preference;
+  Setup.ColdStart = fromMillis(this->Config.ColdStartMs);
   Setup.FirstSequence = Identity.StartMillis;
   Setup.FloorPercent = this->Config.FloorPercent;
   for (size_t I = 0; I < this->Subset.Servers.size(); ++I) {
@@ -109,11 +110,14 @@
   return Setup;
 }
 
-void ServiceRuntime::applyLeaving(size_t Server) {
+void ServiceRuntime::applyLeaving(size_t Server, TimePoint Now) {
   const bool IsLeaving =
       this->getServer(Server).State == ServerState::Draining ||
-      this->LeavingBySelf[Server] || this->LeavingByList[Server];
-  this->Policy.setLeaving(Server, IsLeaving);
+      this->LeavingByList[Server];
+  if (this->IsLeaving[Server] && !IsLeaving)
+    this->Selector.restartColdStart(Server, Now);
+  this->IsLeaving[Server] = IsLeaving;
+  this->Policy.setLeaving(Server, IsLeaving, Now);
 }
 
 Refusal ServiceRuntime::admit(Duration Left, TimePoint Now, Duration &Wait) {
@@ -198,23 +202,17 @@
   this->Policy.takeDigest(Digest, Now);
 }
 
-void ServiceRuntime::setLeavingAddresses(
-    const std::set<std::string> &Addresses) {
+void ServiceRuntime::setLeavingAddresses(const std::set<std::string> &Addresses,
+                                         TimePoint Now) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   for (size_t I = 0; I < this->countServers(); ++I) {
     const ServerConfig &Server = this->getServer(I);
     this->LeavingByList[I] = Addresses.count(Server.Address.Host) > 0 ||
                              Addresses.count(Server.Address.format()) > 0;
-    this->applyLeaving(I);
+    this->applyLeaving(I, Now);
   }
 }
 
-void ServiceRuntime::noteSelfLeaving(size_t Server, bool IsLeaving) {
-  std::lock_guard<std::mutex> Lock(this->Mutex);
-  this->LeavingBySelf[Server] = IsLeaving;
-  this->applyLeaving(Server);
-}
-
 void ServiceRuntime::noteLoad(size_t Server, double Load, TimePoint Now) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   this->Selector.noteReportedLoad(Server, Load, Now);
