Pooled policy under the floor: wider evidence first, kept servers stay judged

Cause: with 45 % of the servers sick, halls and single daemons spent the floor on different servers, and servers that the floor kept were removed after the fault had ended, because their evidence had grown without bound while they were condemned (own score 308 against a threshold of 18, seen in a trace).

Ruled out: doubting at 40 % of servers (it blinds the policy exactly then); two owners side by side (their different choices add up).

Change: the digest of the first-ranked owner holds; fleet goes before hall before own in the floor; a scope yields to a wider one; evidence is capped at 1.2 thresholds; a daemon whose other requests fail doubts itself; slow answers of a server that failed outright count as a cold start.

--- a/include/canvaswick/Daemon/EvidenceAgent.h
+++ b/include/canvaswick/Daemon/EvidenceAgent.h
@@ -49,6 +49,7 @@
   void advancePools(TimePoint Now);
   EvidencePool *findPool(const std::string &Service);
   std::vector<std::string> getOwners(const std::string &Service);
+  uint32_t getRank(const std::string &Service);
   Json::Value answerReport(const Json::Value &Params);
   Json::Value answerDigest(const Json::Value &Params);
 
--- a/include/canvaswick/Health/Evidence.h
+++ b/include/canvaswick/Health/Evidence.h
@@ -68,6 +68,9 @@
 struct EvidenceDigest {
   std::string Service;
   std::string Owner;
+  /// The owner's place among the owners, as it sees it. Of several digests the
+  /// one of the lowest rank holds, so that all daemons follow one of them.
+  uint32_t Rank = 0;
   uint64_t Sequence = 0;
   std::vector<ServerDigest> Servers;
 };
--- a/include/canvaswick/Health/EvidencePool.h
+++ b/include/canvaswick/Health/EvidencePool.h
@@ -57,6 +57,9 @@
   /// Returns the digest for a hall, with every server that is suspect.
   EvidenceDigest makeDigest(const std::string &Hall);
 
+  /// Sets this owner's place among the owners.
+  void setRank(uint32_t Rank) { this->Rank = Rank; }
+
   /// Notes that all daemons of a hall were sent what there is to say now.
   void noteSent(const std::string &Hall);
 
@@ -104,6 +107,7 @@
   void addServer(const EvidenceReport &Report, size_t Server,
                  const OutcomeCounts &Counts, bool IsCredible, TimePoint Now);
   RemovalRules makeRules(std::vector<int> SourceCounts) const;
+  void heedFleet(RemovalRules &Rules) const;
   std::vector<int> countSources(const std::string *Hall, TimePoint Now) const;
   std::string summarize(const std::string &Hall) const;
   ServerDigest describe(size_t Server, const std::string &Hall) const;
@@ -123,6 +127,7 @@
   std::vector<int> FleetSources;
   std::map<std::string, std::vector<int>> HallSources;
   uint64_t Sequence;
+  uint32_t Rank = 0;
 };
 
 } // namespace canvaswick
--- a/include/canvaswick/Health/FloorGuard.h
+++ b/include/canvaswick/Health/FloorGuard.h
@@ -16,10 +16,14 @@
 #define CANVASWICK_HEALTH_FLOORGUARD_H
 
 #include <cstddef>
+#include <cstdint>
 #include <vector>
 
 namespace canvaswick {
 
+/// Whose evidence it is, widest first.
+enum class EvidenceScope : uint8_t { Fleet, Hall, Own };
+
 /// What the evidence wants for one server.
 struct ShareWish {
   /// Wanted part of the fair share, from 0 to 1.
@@ -29,6 +33,9 @@
   int Slots = 1;
   /// Leaving or drained: no new work, whatever the floor says.
   bool IsLeaving = false;
+  /// Who shares the evidence. What more daemons agree on goes first, so that
+  /// they do not spend the floor on different servers.
+  EvidenceScope Scope = EvidenceScope::Own;
   /// Whether the last decision reduced it, so that ties do not flip.
   bool WasReduced = false;
 };
--- a/include/canvaswick/Health/HealthPolicy.h
+++ b/include/canvaswick/Health/HealthPolicy.h
@@ -151,6 +151,7 @@
   };
   struct OwnerView {
     uint64_t Sequence = 0;
+    uint32_t Rank = 0;
     TimePoint At{};
     bool IsCurrent = false;
     std::vector<ServerDigest> Servers;
@@ -161,6 +162,8 @@
   void noteRecent(size_t Server, RequestOutcome Outcome);
   bool isSpecific(size_t Server) const;
   RemovalRules makeRules() const;
+  const OwnerView *findLeadingView() const;
+  const ServerDigest *findDigest(size_t Server) const;
   ShareWish wishFor(size_t Server, ShareReason &Reason) const;
   bool isReportDue(TimePoint Now) const;
 
--- a/include/canvaswick/Health/ScopeTracker.h
+++ b/include/canvaswick/Health/ScopeTracker.h
@@ -38,7 +38,7 @@
   std::vector<bool> MayRemove;
   /// How many sources testify against each server. Empty: do not ask.
   std::vector<int> Sources;
-  /// Slots of each server; 0 for one that is leaving.
+  /// Slots of each server; 0 for one that is leaving or that others removed.
   std::vector<int> Slots;
   /// Slots that must stay in use.
   double FloorSlots = 0;
@@ -52,7 +52,7 @@
   /// Adds counts about one server. PositiveLimit bounds how much evidence
   /// against the server is taken; pass infinity for no bound. Returns how much
   /// evidence against it was taken, in nats.
-  double addCounts(size_t Server, const OutcomeCounts &Counts,
+  double addCounts(size_t Server, const OutcomeCounts &Given,
                    double PositiveLimit, TimePoint Now);
 
   /// Adds good requests to servers that were not named one by one: each server
@@ -105,6 +105,7 @@
     size_t Step = 0;
     uint32_t GoodInStep = 0;
     int Removals = 0;
+    bool WasRemovedForSlowness = false;
   };
 
   /// Usual share of slow and failed requests among servers that look healthy.
@@ -119,11 +120,15 @@
   double computeAgainst(ServerState &State, const OutcomeCounts &Counts,
                         TimePoint Now) const;
   double computeFor(const OutcomeCounts &Counts) const;
+  void addScore(ServerState &State, double Amount);
+  double getBadShare(const ServerState &State, TimePoint Now) const;
   void fadeScore(ServerState &State, TimePoint Now);
   void remove(ServerState &State, TimePoint Now);
   void advanceReturn(ServerState &State, TimePoint Now);
   bool areTooManySuspect() const;
   bool isRemovable(size_t Server, const RemovalRules &Rules) const;
+  double countUsable(const RemovalRules &Rules) const;
+  void yieldToFloor(const RemovalRules &Rules);
   void removeWorst(TimePoint Now, const RemovalRules &Rules);
 
   HealthTuning Tuning;
--- a/lib/Bench/PolicyBench.cpp
+++ b/lib/Bench/PolicyBench.cpp
@@ -208,6 +208,8 @@
     this->Daemons[D].Pool = std::make_unique<EvidencePool>(
         "bench", this->Daemons[D].Name, getTuning(this->Under.Preference),
         Pooled, this->Under.FloorPercent, 0);
+  for (size_t D = 0; D < std::min(Owners, this->Daemons.size()); ++D)
+    this->Daemons[D].Pool->setRank(static_cast<uint32_t>(D));
 }
 
 void BenchRun::arrive() {
--- a/lib/Daemon/EvidenceAgent.cpp
+++ b/lib/Daemon/EvidenceAgent.cpp
@@ -73,6 +73,7 @@
   Json::Value Value;
   Value["s"] = Digest.Service;
   Value["o"] = Digest.Owner;
+  Value["r"] = Digest.Rank;
   Value["n"] = static_cast<Json::UInt64>(Digest.Sequence);
   Value["e"] = Json::arrayValue;
   for (const ServerDigest &Server : Digest.Servers) {
@@ -89,8 +90,9 @@
 
 bool decodeDigest(const Json::Value &Value, EvidenceDigest &Digest) {
   if (!Value.isObject() || !Value["s"].isString() || !Value["o"].isString() ||
-      !Value["n"].isUInt64() || !Value["e"].isArray())
+      !Value["r"].isUInt() || !Value["n"].isUInt64() || !Value["e"].isArray())
     return false;
+  Digest.Rank = Value["r"].asUInt();
   Digest.Service = Value["s"].asString();
   Digest.Owner = Value["o"].asString();
   Digest.Sequence = Value["n"].asUInt64();
@@ -134,6 +136,14 @@
   return Owners;
 }
 
+/// Returns this daemon's place among the owners of a pool.
+uint32_t EvidenceAgent::getRank(const std::string &Service) {
+  const std::vector<std::string> Owners = this->getOwners(Service);
+  const auto Found =
+      std::find(Owners.begin(), Owners.end(), this->Context.Config.Name);
+  return static_cast<uint32_t>(Found - Owners.begin());
+}
+
 void EvidenceAgent::runRound() {
   const TimePoint Now = readSteadyClock();
   this->sendReports(Now);
@@ -236,6 +246,7 @@
   {
     std::lock_guard<std::mutex> Lock(this->Mutex);
     for (auto &[Name, Pool] : this->Pools) {
+      Pool->setRank(this->getRank(Name));
       Pool->advance(Now);
       for (const std::string &Hall : Pool->getHalls()) {
         if (!Pool->hasNews(Hall))
--- a/lib/Health/EvidencePool.cpp
+++ b/lib/Health/EvidencePool.cpp
@@ -197,6 +197,13 @@
   return Rules;
 }
 
+/// What the fleet has removed is no longer there for a hall to use.
+void EvidencePool::heedFleet(RemovalRules &Rules) const {
+  for (size_t I = 0; I < this->Servers.size(); ++I)
+    if (this->Fleet.getShare(I) < 1)
+      Rules.Slots[I] = 0;
+}
+
 void EvidencePool::advance(TimePoint Now) {
   std::erase_if(this->BySource, [Now](const auto &Entry) {
     return Entry.second.Taken.get(Now, ContributionHalfLife) < 0.01;
@@ -208,7 +215,9 @@
   this->Fleet.advance(Now, this->makeRules(this->FleetSources));
   for (auto &[Hall, Tracker] : this->Halls) {
     std::vector<int> Counts = this->countSources(&Hall, Now);
-    Tracker.advance(Now, this->makeRules(Counts));
+    RemovalRules Rules = this->makeRules(Counts);
+    this->heedFleet(Rules);
+    Tracker.advance(Now, Rules);
     this->HallSources[Hall] = std::move(Counts);
   }
 }
@@ -227,9 +236,9 @@
   const double HallShare = Found->second.getShare(Server);
   if (HallShare >= Digest.Share)
     return Digest;
-  Digest.Share = HallShare;
   Digest.Score = Found->second.getScore(Server);
-  Digest.IsHallOnly = true;
+  Digest.IsHallOnly = Digest.Share >= 1;
+  Digest.Share = HallShare;
   const auto Counts = this->HallSources.find(Hall);
   if (Counts != this->HallSources.end())
     Digest.Sources = static_cast<uint32_t>(Counts->second[Server]);
@@ -240,6 +249,7 @@
   EvidenceDigest Digest;
   Digest.Service = this->Service;
   Digest.Owner = this->Owner;
+  Digest.Rank = this->Rank;
   Digest.Sequence = ++this->Sequence;
   const auto Found = this->Halls.find(Hall);
   for (size_t I = 0; I < this->Servers.size(); ++I) {
--- a/lib/Health/FloorGuard.cpp
+++ b/lib/Health/FloorGuard.cpp
@@ -31,6 +31,8 @@
 
 /// Returns whether Left is to be reduced before Right.
 static bool isWorse(const ShareWish &Left, const ShareWish &Right) {
+  if (Left.Scope != Right.Scope)
+    return Left.Scope < Right.Scope;
   if (Left.WasReduced != Right.WasReduced)
     return Left.WasReduced;
   if (Left.Share != Right.Share)
--- a/lib/Health/PooledPolicy.cpp
+++ b/lib/Health/PooledPolicy.cpp
@@ -31,9 +31,12 @@
 static constexpr double MaxFailingPart = 0.25;
 
 /// Its last outcomes by which it judges that, and how many must be of others.
-static constexpr size_t RecentKept = 24;
+static constexpr size_t RecentKept = 12;
 static constexpr size_t LeastOthers = 3;
 
+/// How often at least while the pool suspects a server.
+static constexpr Duration SuspectReportInterval = fromSeconds(4);
+
 /// How often totals are reported while nothing is wrong.
 static constexpr Duration QuietReportInterval = fromSeconds(10);
 
@@ -67,8 +70,10 @@
   }
   OutcomeCounts One;
   One.add(Outcome);
-  this->Own.addCounts(Server, One, std::numeric_limits<double>::infinity(),
-                      Now);
+  // What may be this daemon's own fault is no evidence against the server.
+  const double Limit =
+      this->isSpecific(Server) ? std::numeric_limits<double>::infinity() : 0;
+  this->Own.addCounts(Server, One, Limit, Now);
 }
 
 void PooledPolicy::setLeaving(size_t Server, bool IsLeaving, TimePoint Now) {
@@ -109,7 +114,9 @@
   for (size_t I = 0; I < this->Servers.size(); ++I) {
     const ServerState &State = this->Servers[I];
     Rules.MayRemove.push_back(this->isSpecific(I));
-    Rules.Slots.push_back(State.IsLeaving ? 0 : State.Config.Slots);
+    const ServerDigest *Digest = this->findDigest(I);
+    const bool IsUsable = !State.IsLeaving && (!Digest || Digest->Share >= 1);
+    Rules.Slots.push_back(IsUsable ? State.Config.Slots : 0);
     All += State.Config.Slots;
   }
   Rules.FloorSlots = All * this->Setup.FloorPercent / 100;
@@ -138,6 +145,29 @@
   this->updateShares(Now);
 }
 
+/// Returns the view to follow: of those that say anything, the one of the
+/// owner that ranks first.
+const PooledPolicy::OwnerView *PooledPolicy::findLeadingView() const {
+  const OwnerView *Leading = nullptr;
+  for (const auto &[Owner, View] : this->Views) {
+    if (!View.IsCurrent || View.Servers.empty())
+      continue;
+    if (!Leading || View.Rank < Leading->Rank)
+      Leading = &View;
+  }
+  return Leading;
+}
+
+const ServerDigest *PooledPolicy::findDigest(size_t Server) const {
+  const OwnerView *View = this->findLeadingView();
+  if (!View)
+    return nullptr;
+  for (const ServerDigest &Digest : View->Servers)
+    if (Digest.Server == this->Servers[Server].Config.Id)
+      return &Digest;
+  return nullptr;
+}
+
 ShareWish PooledPolicy::wishFor(size_t Server, ShareReason &Reason) const {
   const ServerState &State = this->Servers[Server];
   ShareWish Wish;
@@ -147,17 +177,16 @@
   Wish.Share = this->Own.getShare(Server);
   Wish.Score = this->Own.getScore(Server);
   Reason = Wish.Share < 1 ? ShareReason::OwnEvidence : ShareReason::Healthy;
-  for (const auto &[Owner, View] : this->Views)
-    for (const ServerDigest &Digest : View.Servers) {
-      if (Digest.Server != State.Config.Id)
-        continue;
-      Wish.Score = std::max(Wish.Score, Digest.Score);
-      if (Digest.Share >= Wish.Share)
-        continue;
-      Wish.Share = Digest.Share;
-      Reason = Digest.IsHallOnly ? ShareReason::HallEvidence
-                                 : ShareReason::FleetEvidence;
+  if (const ServerDigest *Digest = this->findDigest(Server)) {
+    Wish.Score = std::max(Wish.Score, Digest->Score);
+    if (Digest->Share < Wish.Share) {
+      Wish.Share = Digest->Share;
+      Wish.Scope =
+          Digest->IsHallOnly ? EvidenceScope::Hall : EvidenceScope::Fleet;
+      Reason = Digest->IsHallOnly ? ShareReason::HallEvidence
+                                  : ShareReason::FleetEvidence;
     }
+  }
   if (State.IsLeaving)
     Reason = ShareReason::Leaving;
   return Wish;
@@ -190,9 +219,13 @@
   const Duration Since = Now - this->LastReport;
   if (this->HasUnreportedBad)
     return Since >= this->Tuning.ReportInterval;
-  for (const ServerState &State : this->Servers)
-    if (State.IsPoolSuspect && State.Unreported.Good > 0)
+  for (const ServerState &State : this->Servers) {
+    if (!State.IsPoolSuspect)
+      continue;
+    // The answer repeats the digest, which ends otherwise.
+    if (State.Unreported.Good > 0 || Since >= SuspectReportInterval)
       return Since >= this->Tuning.ReportInterval;
+  }
   return Since >= QuietReportInterval;
 }
 
@@ -218,7 +251,7 @@
   this->HasUnreportedBad = false;
   this->LastReport = Now;
   // Quiet services of a quiet daemon say nothing at all.
-  if (Report.UsedServers == 0)
+  if (Report.UsedServers == 0 && !this->findLeadingView())
     return std::nullopt;
   Report.Sequence = ++this->ReportSequence;
   return Report;
@@ -229,6 +262,7 @@
   if (View.IsCurrent && Digest.Sequence <= View.Sequence)
     return;
   View.Sequence = Digest.Sequence;
+  View.Rank = Digest.Rank;
   View.At = Now;
   View.IsCurrent = true;
   View.Servers = Digest.Servers;
@@ -266,13 +300,10 @@
   ShareExplanation Explanation = State.Explanation;
   Explanation.OwnScore = this->Own.getScore(Server);
   Explanation.OwnCounts = State.Counts;
-  for (const auto &[Owner, View] : this->Views)
-    for (const ServerDigest &Digest : View.Servers)
-      if (Digest.Server == State.Config.Id &&
-          Digest.Score >= Explanation.PoolScore) {
-        Explanation.PoolScore = Digest.Score;
-        Explanation.PoolSources = Digest.Sources;
-      }
+  if (const ServerDigest *Digest = this->findDigest(Server)) {
+    Explanation.PoolScore = Digest->Score;
+    Explanation.PoolSources = Digest->Sources;
+  }
   return Explanation;
 }
 
--- a/lib/Health/ScopeTracker.cpp
+++ b/lib/Health/ScopeTracker.cpp
@@ -61,6 +61,10 @@
 /// What a suspect score is, as a part of the threshold, for that comparison.
 static constexpr double SuspectPart = 0.33;
 
+/// Evidence beyond this many thresholds is not added up, so that a server that
+/// could not be removed is soon believed when it gets well.
+static constexpr double MostScore = 1.2;
+
 /// Evidence below this is noise that needs no extra reports.
 static constexpr double ReportScore = 5.0;
 
@@ -86,7 +90,7 @@
 };
 
 /// Holds of servers that keep failing lengthen the waits of the steps too.
-static constexpr int MaxWaitDoublings = 3;
+static constexpr int MaxWaitDoublings = 1;
 
 ScopeTracker::ScopeTracker(HealthTuning Tuning, size_t ServerCount)
     : Tuning(Tuning),
@@ -129,20 +133,33 @@
   State.ScoreAt = Now;
 }
 
-double ScopeTracker::addCounts(size_t Server, const OutcomeCounts &Counts,
+void ScopeTracker::addScore(ServerState &State, double Amount) {
+  const double Most = this->Tuning.Threshold * MostScore;
+  State.Score = std::clamp(State.Score + Amount, 0.0, Most);
+}
+
+double ScopeTracker::getBadShare(const ServerState &State,
+                                 TimePoint Now) const {
+  const double Bad =
+      State.Failed.get(Now, UsualHalfLife) + State.Slow.get(Now, UsualHalfLife);
+  return Bad / (1 + Bad + State.Good.get(Now, UsualHalfLife));
+}
+
+double ScopeTracker::addCounts(size_t Server, const OutcomeCounts &Given,
                                double PositiveLimit, TimePoint Now) {
+  OutcomeCounts Counts = Given;
   assert(Server < this->Servers.size() && "server index out of range");
   ServerState &State = this->Servers[Server];
   State.Good.add(Counts.Good, Now, UsualHalfLife);
   State.Slow.add(Counts.Slow, Now, UsualHalfLife);
   State.Failed.add(Counts.Failed, Now, UsualHalfLife);
-  // Requests that were under way when the server was removed are old news.
-  if (State.Phase == HealthPhase::Removed)
-    return 0;
+  // A server that failed outright may have started anew and be cold.
+  if (State.Phase == HealthPhase::Returning && !State.WasRemovedForSlowness)
+    Counts.Slow = 0;
   this->fadeScore(State, Now);
   const double Against = std::min(this->computeAgainst(State, Counts, Now),
                                   std::max(0.0, PositiveLimit));
-  State.Score = std::max(0.0, State.Score + Against - this->computeFor(Counts));
+  this->addScore(State, Against - this->computeFor(Counts));
   State.GoodInStep += Counts.Good;
   return Against;
 }
@@ -162,7 +179,7 @@
     if (IsNamed[I] || State.Phase != HealthPhase::Serving)
       continue;
     this->fadeScore(State, Now);
-    State.Score = std::max(0.0, State.Score - Credit);
+    this->addScore(State, -Credit);
   }
 }
 
@@ -228,6 +245,8 @@
   const int Doublings = std::min(State.Removals - 1, 10);
   const Duration Hold = std::min(this->Tuning.LongestHold,
                                  this->Tuning.FirstHold * (1 << Doublings));
+  State.WasRemovedForSlowness =
+      State.Slow.get(Now, UsualHalfLife) > State.Failed.get(Now, UsualHalfLife);
   State.Phase = HealthPhase::Removed;
   State.LastRemoved = Now;
   State.HoldUntil = Now + Hold;
@@ -276,18 +295,51 @@
          Rules.Sources[Server] >= this->Tuning.MinSources;
 }
 
+double ScopeTracker::countUsable(const RemovalRules &Rules) const {
+  double Usable = 0;
+  for (size_t I = 0; I < this->Servers.size(); ++I)
+    Usable += Rules.Slots[I] * this->getShare(I);
+  return Usable;
+}
+
+/// Gives back servers, the least bad first, when a wider scope has used up the
+/// floor since: they are used anyway and must go on being judged.
+void ScopeTracker::yieldToFloor(const RemovalRules &Rules) {
+  double Usable = this->countUsable(Rules);
+  while (Usable < Rules.FloorSlots) {
+    ServerState *Least = nullptr;
+    size_t LeastIndex = 0;
+    for (size_t I = 0; I < this->Servers.size(); ++I) {
+      ServerState &State = this->Servers[I];
+      const bool IsReduced =
+          State.Phase != HealthPhase::Serving && Rules.Slots[I] > 0;
+      if (!IsReduced || (Least && Least->Score <= State.Score))
+        continue;
+      Least = &State;
+      LeastIndex = I;
+    }
+    if (!Least)
+      return;
+    Usable += Rules.Slots[LeastIndex] * (1 - this->getShare(LeastIndex));
+    Least->Phase = HealthPhase::Serving;
+  }
+}
+
 /// Removes servers above the threshold, worst first, down to the floor.
 void ScopeTracker::removeWorst(TimePoint Now, const RemovalRules &Rules) {
   std::vector<size_t> Candidates;
-  double Usable = 0;
-  for (size_t I = 0; I < this->Servers.size(); ++I) {
-    Usable += Rules.Slots[I] * this->getShare(I);
+  double Usable = this->countUsable(Rules);
+  for (size_t I = 0; I < this->Servers.size(); ++I)
     if (this->isRemovable(I, Rules))
       Candidates.push_back(I);
-  }
   std::sort(Candidates.begin(), Candidates.end(),
-            [this](size_t Left, size_t Right) {
-              return this->Servers[Left].Score > this->Servers[Right].Score;
+            [this, Now](size_t Left, size_t Right) {
+              const ServerState &First = this->Servers[Left];
+              const ServerState &Second = this->Servers[Right];
+              if (First.Score != Second.Score)
+                return First.Score > Second.Score;
+              return this->getBadShare(First, Now) >
+                     this->getBadShare(Second, Now);
             });
   for (const size_t I : Candidates) {
     if (Usable - Rules.Slots[I] < Rules.FloorSlots)
@@ -300,12 +352,18 @@
 void ScopeTracker::advance(TimePoint Now, const RemovalRules &Rules) {
   this->updateUsualShares(Now);
   this->Doubted = this->areTooManySuspect();
+  this->yieldToFloor(Rules);
   for (size_t I = 0; I < this->Servers.size(); ++I) {
     ServerState &State = this->Servers[I];
     this->fadeScore(State, Now);
     if (State.Phase == HealthPhase::Returning)
       this->advanceReturn(State, Now);
-    if (State.Phase == HealthPhase::Removed && Now >= State.HoldUntil)
+    if (State.Phase != HealthPhase::Removed)
+      continue;
+    // One that the floor kept in use may prove that it is well again.
+    if (State.Score <= 0)
+      this->beginReturn(I, 1, Now);
+    else if (Now >= State.HoldUntil)
       this->beginReturn(I, 0, Now);
   }
   if (!this->Doubted)
--- a/lib/Health/Tuning.cpp
+++ b/lib/Health/Tuning.cpp
@@ -22,7 +22,7 @@
   HealthTuning Tuning;
   Tuning.MinSources = 3;
   Tuning.HallBound = 0.6;
-  Tuning.LongestHold = fromSeconds(120);
+  Tuning.LongestHold = fromSeconds(30);
   return Tuning;
 }
 
--- a/unittests/Health/FloorGuardTest.cpp
+++ b/unittests/Health/FloorGuardTest.cpp
@@ -27,6 +27,8 @@
     Wish.Score = *rc::gen::inRange(0, 30);
     Wish.Slots = *rc::gen::inRange(1, 6);
     Wish.IsLeaving = *rc::gen::inRange(0, 4) == 0;
+    Wish.Scope = *rc::gen::element(EvidenceScope::Fleet, EvidenceScope::Hall,
+                                   EvidenceScope::Own);
     Wish.WasReduced = *rc::gen::arbitrary<bool>();
     Wishes.push_back(Wish);
   }
