--- /dev/null
+++ b/include/canvaswick/Operator/Commands.h
@@ -0,0 +1,76 @@
+//===- Commands.h - The commands of the operators' tool ---------*- C++ -*-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Commands that change the settings and queries that do not, apart. Each
+/// returns the text to print or an Error.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef CANVASWICK_OPERATOR_COMMANDS_H
+#define CANVASWICK_OPERATOR_COMMANDS_H
+
+#include "canvaswick/Config/ConfigPublisher.h"
+#include "canvaswick/Rpc/PeerCaller.h"
+
+#include <string>
+#include <vector>
+
+namespace canvaswick {
+
+/// What the command line gave.
+struct OperatorOptions {
+  std::string File;
+  std::string Platform;
+  std::string Daemon;
+  std::string KeyFile;
+  std::string Author;
+  std::string Note;
+  std::string ChangeId;
+  int64_t BaseVersion = -1;
+  int64_t FromVersion = -1;
+  int64_t ToVersion = -1;
+  bool IsCsv = false;
+  /// Words after the command.
+  std::vector<std::string> Words;
+};
+
+/// Queries that need neither the platform nor a daemon.
+Result<std::string> runCheck(const OperatorOptions &Options);
+Result<std::string> runEffective(const OperatorOptions &Options);
+Result<std::string> runReference(const OperatorOptions &Options);
+
+/// Queries of the platform.
+Result<std::string> runGet(const OperatorOptions &Options);
+Result<std::string> runHistory(const OperatorOptions &Options);
+Result<std::string> runDiff(const OperatorOptions &Options);
+Result<std::string> runLanded(const OperatorOptions &Options);
+
+/// Queries of the fleet.
+Result<std::string> runStatus(const OperatorOptions &Options);
+Result<std::string> runExplain(const OperatorOptions &Options);
+Result<std::string> runBurn(const OperatorOptions &Options);
+
+/// Changes of the settings.
+Result<std::string> runPut(const OperatorOptions &Options);
+Result<std::string> runDrain(const OperatorOptions &Options);
+Result<std::string> runUndrain(const OperatorOptions &Options);
+
+/// One command and what it does.
+struct OperatorCommand {
+  const char *Name;
+  Result<std::string> (*Run)(const OperatorOptions &Options);
+  const char *Usage;
+};
+
+/// Returns all commands.
+const std::vector<OperatorCommand> &getOperatorCommands();
+
+} // namespace canvaswick
+
+#endif // CANVASWICK_OPERATOR_COMMANDS_H
--- /dev/null
+++ b/lib/Operator/FleetCommands.cpp
@@ -0,0 +1,202 @@
+//===- FleetCommands.cpp - Commands about the fleet -----------------------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Asks one daemon for the members and then each of them.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Metrics/BurnReport.h"
+#include "canvaswick/Operator/Commands.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <memory>
+
+namespace canvaswick {
+
+static constexpr Duration CallTimeout = fromSeconds(2);
+
+namespace {
+
+/// What one member answered, if it did.
+struct MemberAnswer {
+  std::string Name;
+  std::string Control;
+  bool IsAnswered = false;
+  Json::Value Answer;
+};
+
+} // namespace
+
+static Result<std::unique_ptr<PeerCaller>>
+makeCaller(const OperatorOptions &Options) {
+  BOOST_OUTCOME_TRY(std::vector<CallKey> Keys, loadCallKeys(Options.KeyFile));
+  return std::make_unique<PeerCaller>(Keys[0], nullptr);
+}
+
+/// Asks every member that one daemon knows.
+static Result<std::vector<MemberAnswer>>
+askFleet(const OperatorOptions &Options, const std::string &Method,
+         const Json::Value &Params) {
+  Result<Endpoint> First = parseEndpoint(Options.Daemon);
+  if (!First)
+    return makeError(ErrorKind::InvalidArgument,
+                     "--daemon: " + First.error().Message);
+  BOOST_OUTCOME_TRY(std::unique_ptr<PeerCaller> Caller, makeCaller(Options));
+  BOOST_OUTCOME_TRY(Json::Value Status,
+                    Caller->call(First.value(), "operator.status",
+                                 Json::Value(Json::objectValue), CallTimeout));
+  std::vector<MemberAnswer> Answers;
+  for (const Json::Value &Member : Status["members"]) {
+    MemberAnswer Each;
+    Each.Name = Member[0].asString();
+    Each.Control = Member[2].asString();
+    Result<Endpoint> Address = parseEndpoint(Each.Control);
+    if (Address) {
+      Result<Json::Value> Answer =
+          Caller->call(Address.value(), Method, Params, CallTimeout);
+      Each.IsAnswered = Answer.has_value();
+      if (Answer)
+        Each.Answer = Answer.value();
+    }
+    Answers.push_back(std::move(Each));
+  }
+  std::sort(Answers.begin(), Answers.end(),
+            [](const MemberAnswer &Left, const MemberAnswer &Right) {
+              return Left.Name < Right.Name;
+            });
+  return Answers;
+}
+
+Result<std::string> runStatus(const OperatorOptions &Options) {
+  BOOST_OUTCOME_TRY(
+      std::vector<MemberAnswer> Answers,
+      askFleet(Options, "operator.status", Json::Value(Json::objectValue)));
+  std::string Text;
+  for (const MemberAnswer &Each : Answers) {
+    if (!Each.IsAnswered) {
+      Text += fmt::format("daemon {} does not answer\n", Each.Name);
+      continue;
+    }
+    Text += fmt::format("daemon {} hall {} version {} members {}\n", Each.Name,
+                        Each.Answer["hall"].asString(),
+                        Each.Answer["version"].asUInt64(),
+                        Each.Answer["members"].size());
+    for (const Json::Value &Service : Each.Answer["services"])
+      for (const Json::Value &Server : Service["servers"]) {
+        if (Server["reason"].asString() == "healthy")
+          continue;
+        Text +=
+            fmt::format("  {}/{} share {:.2f} {}\n", Service["name"].asString(),
+                        Server["name"].asString(), Server["share"].asDouble(),
+                        Server["reason"].asString());
+      }
+  }
+  return Text;
+}
+
+static std::string explainOne(const MemberAnswer &Each) {
+  const Json::Value &Why = Each.Answer;
+  std::string Text =
+      fmt::format("daemon {} hall {}: share {:.2f}, reason {}\n", Each.Name,
+                  Why["hall"].asString(), Why["share"].asDouble(),
+                  Why["reason"].asString());
+  Text +=
+      fmt::format("  evidence wanted share {:.2f}; floor {} %\n",
+                  Why["wanted-share"].asDouble(), Why["floor-percent"].asInt());
+  Text += fmt::format("  own score {:.1f}; pool score {:.1f} from {} sources\n",
+                      Why["own-score"].asDouble(), Why["pool-score"].asDouble(),
+                      Why["pool-sources"].asInt());
+  Text += fmt::format("  own requests: {} good, {} slow, {} failed\n",
+                      Why["good"].asUInt(), Why["slow"].asUInt(),
+                      Why["failed"].asUInt());
+  if (Why["since-s"].asDouble() >= 0)
+    Text += fmt::format("  changed {:.1f} s ago\n", Why["since-s"].asDouble());
+  return Text;
+}
+
+Result<std::string> runExplain(const OperatorOptions &Options) {
+  const std::string Name = Options.Words.empty() ? "" : Options.Words[0];
+  const size_t Slash = Name.find('/');
+  if (Slash == std::string::npos)
+    return makeError(ErrorKind::InvalidArgument, "expected SERVICE/SERVER");
+  Json::Value Params;
+  Params["service"] = Name.substr(0, Slash);
+  Params["server"] = Name.substr(Slash + 1);
+  BOOST_OUTCOME_TRY(std::vector<MemberAnswer> Answers,
+                    askFleet(Options, "operator.explain", Params));
+  std::string Text;
+  for (const MemberAnswer &Each : Answers)
+    Text += Each.IsAnswered
+                ? explainOne(Each)
+                : fmt::format("daemon {} does not answer or does not use it\n",
+                              Each.Name);
+  return Text;
+}
+
+static bool readSample(const Json::Value &Value, BurnSample &Sample) {
+  if (!Value.isObject() || Value["totals"].size() != BurnWindows.size())
+    return false;
+  Sample.Service = Value["service"].asString();
+  Sample.Hall = Value["hall"].asString();
+  Sample.ObjectivePercent = Value["objective"].asInt64();
+  for (Json::ArrayIndex I = 0; I < Value["totals"].size(); ++I)
+    Sample.Totals[I] = {Value["totals"][I][0].asUInt64(),
+                        Value["totals"][I][1].asUInt64()};
+  return true;
+}
+
+Result<std::string> runBurn(const OperatorOptions &Options) {
+  BOOST_OUTCOME_TRY(
+      std::vector<MemberAnswer> Answers,
+      askFleet(Options, "operator.burn", Json::Value(Json::objectValue)));
+  std::vector<BurnSample> Samples;
+  std::vector<std::string> Silent;
+  for (const MemberAnswer &Each : Answers) {
+    if (!Each.IsAnswered)
+      Silent.push_back(Each.Name);
+    for (const Json::Value &Value : Each.Answer["samples"]) {
+      BurnSample Sample;
+      if (readSample(Value, Sample))
+        Samples.push_back(std::move(Sample));
+    }
+  }
+  const BurnReport Report = mergeBurnSamples(Samples, std::move(Silent));
+  return Options.IsCsv ? formatBurnCsv(Report) : formatBurnText(Report);
+}
+
+const std::vector<OperatorCommand> &getOperatorCommands() {
+  static const std::vector<OperatorCommand> Commands = {
+      {"check", runCheck, "--file F: check a settings tree"},
+      {"effective", runEffective,
+       "SERVICE/SERVER (--file F | --platform A): values in force and the "
+       "level each came from"},
+      {"reference", runReference, "print the settings reference"},
+      {"get", runGet, "--platform A [--to N]: print a version's tree"},
+      {"history", runHistory, "--platform A: list the changes"},
+      {"diff", runDiff,
+       "--platform A [--from N] (--to M | --file F): compare two trees"},
+      {"landed", runLanded,
+       "--platform A --change ID: find out whether a change landed"},
+      {"put", runPut,
+       "--platform A --file F --base N [--author W] [--note T] [--change ID]: "
+       "publish a tree"},
+      {"drain", runDrain, "SERVICE/SERVER --platform A: give no new work"},
+      {"undrain", runUndrain, "SERVICE/SERVER --platform A: give work again"},
+      {"status", runStatus, "--daemon A --key-file K: the fleet's state"},
+      {"explain", runExplain,
+       "SERVICE/SERVER --daemon A --key-file K: why it has its share"},
+      {"burn", runBurn,
+       "--daemon A --key-file K [--csv]: the report on service-level burn"},
+  };
+  return Commands;
+}
+
+} // namespace canvaswick
--- /dev/null
+++ b/lib/Operator/TreeText.cpp
@@ -0,0 +1,90 @@
+//===- TreeText.cpp - Edits and compares settings trees as text -----------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Works on lines, so that whatever people wrote around a value stays.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Operator/TreeText.h"
+
+#include <map>
+#include <sstream>
+
+namespace canvaswick {
+
+static std::string trim(const std::string &Text) {
+  const size_t First = Text.find_first_not_of(" \t\r");
+  if (First == std::string::npos)
+    return "";
+  return Text.substr(First, Text.find_last_not_of(" \t\r") - First + 1);
+}
+
+static bool setsKey(const std::string &Line, const std::string &Key) {
+  const size_t Equals = Line.find('=');
+  return Equals != std::string::npos && trim(Line.substr(0, Equals)) == Key;
+}
+
+Result<std::string> setInTree(const std::string &Text,
+                              const std::string &Section,
+                              const std::string &Key,
+                              const std::string &Value) {
+  std::istringstream Stream(Text);
+  std::string Line;
+  std::string Out;
+  bool IsInside = false;
+  bool IsFound = false;
+  while (std::getline(Stream, Line)) {
+    const bool IsHeader = !Line.empty() && Line[0] == '[';
+    if (IsHeader)
+      IsInside = trim(Line) == "[" + Section + "]";
+    if (IsInside && !IsHeader && setsKey(Line, Key))
+      continue;
+    Out += Line + "\n";
+    if (!IsHeader || !IsInside || IsFound)
+      continue;
+    Out += Key + " = " + Value + "\n";
+    IsFound = true;
+  }
+  if (!IsFound)
+    return makeError(ErrorKind::NotFound, "no section [" + Section + "]");
+  return Out;
+}
+
+using KeyedValues = std::map<std::string, std::string>;
+
+/// Returns every value by "[section] key", and each section itself.
+static KeyedValues listValues(const IniDocument &Document) {
+  KeyedValues Values;
+  for (const IniSection &Section : Document.Sections) {
+    Values["[" + Section.Name + "]"] = "";
+    for (const IniEntry &Entry : Section.Entries)
+      Values["[" + Section.Name + "] " + Entry.Key + " = "] = Entry.Value;
+  }
+  return Values;
+}
+
+std::vector<std::string> diffTrees(const IniDocument &Old,
+                                   const IniDocument &New) {
+  const KeyedValues Before = listValues(Old);
+  const KeyedValues After = listValues(New);
+  std::vector<std::string> Lines;
+  for (const auto &[Key, Value] : Before) {
+    const auto Found = After.find(Key);
+    if (Found == After.end() || Found->second != Value)
+      Lines.push_back("- " + Key + Value);
+  }
+  for (const auto &[Key, Value] : After) {
+    const auto Found = Before.find(Key);
+    if (Found == Before.end() || Found->second != Value)
+      Lines.push_back("+ " + Key + Value);
+  }
+  return Lines;
+}
+
+} // namespace canvaswick
--- /dev/null
+++ b/lib/StandIn/RelayStandIn.cpp
@@ -0,0 +1,127 @@
+//===- RelayStandIn.cpp - A small TCP relay that can be cut or slowed, each way
+// by itself -===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Two threads a connection. A cut direction reads nothing: bytes wait as they
+/// would behind a firewall that drops packets.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/StandIn/RelayStandIn.h"
+#include "canvaswick/Http/SocketStream.h"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace canvaswick {
+
+static constexpr int PollMillis = 20;
+static constexpr int Backlog = 64;
+
+RelayStandIn::RelayStandIn(Endpoint Target) : Target(std::move(Target)) {}
+
+RelayStandIn::~RelayStandIn() { this->stop(); }
+
+Result<void> RelayStandIn::start(const Endpoint &Address) {
+  this->Listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in Name{};
+  Name.sin_family = AF_INET;
+  Name.sin_port = htons(Address.Port);
+  ::inet_pton(AF_INET, Address.Host.c_str(), &Name.sin_addr);
+  const int On = 1;
+  ::setsockopt(this->Listener, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+  if (::bind(this->Listener, reinterpret_cast<sockaddr *>(&Name),
+             sizeof(Name)) != 0 ||
+      ::listen(this->Listener, Backlog) != 0)
+    return makeError(ErrorKind::Io, "cannot bind to " + Address.format());
+  socklen_t Length = sizeof(Name);
+  ::getsockname(this->Listener, reinterpret_cast<sockaddr *>(&Name), &Length);
+  this->Port = ntohs(Name.sin_port);
+  this->Acceptor = std::thread([this] { this->acceptLoop(); });
+  return outcome::success();
+}
+
+void RelayStandIn::acceptLoop() {
+  while (!this->Stopping) {
+    pollfd Poll{this->Listener, POLLIN, 0};
+    if (::poll(&Poll, 1, PollMillis) <= 0)
+      continue;
+    const int Near = ::accept(this->Listener, nullptr, nullptr);
+    if (Near < 0)
+      continue;
+    const int Far = connectTcp(this->Target.Host, this->Target.Port,
+                               readSteadyClock() + fromSeconds(2));
+    if (Far < 0) {
+      ::close(Near);
+      continue;
+    }
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    Connection &Added = this->Connections.emplace_back();
+    Added.Near = Near;
+    Added.Far = Far;
+    Added.Forward = std::thread(
+        [this, Near, Far] { this->pump(Near, Far, this->Faults.CutForward); });
+    Added.Backward = std::thread(
+        [this, Near, Far] { this->pump(Far, Near, this->Faults.CutBackward); });
+  }
+}
+
+/// Moves bytes one way until either side ends.
+void RelayStandIn::pump(int From, int To, const std::atomic<bool> &Cut) {
+  char Data[16384];
+  while (!this->Stopping) {
+    if (Cut) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(PollMillis));
+      continue;
+    }
+    pollfd Poll{From, POLLIN, 0};
+    if (::poll(&Poll, 1, PollMillis) <= 0)
+      continue;
+    const ssize_t Count = ::recv(From, Data, sizeof(Data), MSG_DONTWAIT);
+    if (Count == 0)
+      break;
+    if (Count < 0)
+      continue;
+    const int64_t DelayMs = this->Faults.DelayMs;
+    if (DelayMs > 0)
+      std::this_thread::sleep_for(std::chrono::milliseconds(DelayMs));
+    ssize_t Sent = 0;
+    while (Sent < Count && !this->Stopping) {
+      const ssize_t Now =
+          ::send(To, Data + Sent, static_cast<size_t>(Count - Sent),
+                 MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (Now > 0)
+        Sent += Now;
+      else
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+  }
+  ::shutdown(To, SHUT_WR);
+}
+
+void RelayStandIn::stop() {
+  if (this->Stopping.exchange(true))
+    return;
+  if (this->Acceptor.joinable())
+    this->Acceptor.join();
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  for (Connection &Each : this->Connections) {
+    Each.Forward.join();
+    Each.Backward.join();
+    ::close(Each.Near);
+    ::close(Each.Far);
+  }
+  this->Connections.clear();
+  if (this->Listener >= 0)
+    ::close(this->Listener);
+}
+
+} // namespace canvaswick
--- a/tools/standin-backend/standin-backend.cpp
+++ b/tools/standin-backend/standin-backend.cpp
@@ -48,7 +48,7 @@
     printError("standin-backend", Started.error());
     return toInt(ExitCode::Failure);
   }
-  logInfo("backend-started", "name={} address={}", FLAGS_name, FLAGS_address);
+  logInfo("backend-started", "name={} port={}", FLAGS_name, Backend.getPort());
   waitForStopSignal();
   Backend.stop();
   return toInt(ExitCode::Success);
--- a/tools/standin-platform/standin-platform.cpp
+++ b/tools/standin-platform/standin-platform.cpp
@@ -36,7 +36,7 @@
     printError("standin-platform", Started.error());
     return toInt(ExitCode::Failure);
   }
-  logInfo("platform-started", "address={}", FLAGS_address);
+  logInfo("platform-started", "port={}", Platform.getPort());
   waitForStopSignal();
   Platform.stop();
   return toInt(ExitCode::Success);
--- a/utils/install-packages.sh
+++ b/utils/install-packages.sh
@@ -7,7 +7,7 @@
   clang-format-14 clang-tidy-14
   libjsonrpccpp-dev libjsoncpp-dev libcpp-httplib-dev libssl-dev zlib1g-dev
   libbrotli-dev libboost1.81-dev libgflags-dev libfmt-dev doctest-dev
-  librapidcheck-dev libinih-dev libxxhash-dev libcurl4-openssl-dev
+  librapidcheck-dev libinih-dev libxxhash-dev libcurl4-openssl-dev curl
 )
 
 Missing=()
