--- a/include/canvaswick/Claims/ClaimLog.h
+++ b/include/canvaswick/Claims/ClaimLog.h
@@ -73,6 +73,7 @@
   Result<bool> tryWrite(const std::vector<PendingEntry *> &Batch,
                         int64_t NowMillis);
   bool willBeFree(const std::string &Key) const;
+  bool hasRunning(const std::vector<PendingEntry *> &Batch) const;
   std::vector<ClaimEntry>
   chooseEntries(const std::vector<PendingEntry *> &Batch,
                 int64_t NowMillis) const;
--- a/lib/Claims/ClaimLog.cpp
+++ b/lib/Claims/ClaimLog.cpp
@@ -125,13 +125,26 @@
   return Chosen;
 }
 
+/// Returns whether a request of the batch finds its key running.
+bool ClaimLog::hasRunning(const std::vector<PendingEntry *> &Batch) const {
+  return std::any_of(
+      Batch.begin(), Batch.end(), [this](const PendingEntry *Pending) {
+        return !this->Index.getRunningHolder(Pending->Entry.Key).empty();
+      });
+}
+
 /// Writes once. Returns whether it took effect; false means that the log has
 /// moved on and was read again.
 Result<bool> ClaimLog::tryWrite(const std::vector<PendingEntry *> &Batch,
                                 int64_t NowMillis) {
   const std::vector<ClaimEntry> Chosen = this->chooseEntries(Batch, NowMillis);
-  if (Chosen.empty())
+  if (Chosen.empty()) {
+    // What runs here may have ended in the log meanwhile.
+    if (this->hasRunning(Batch)) {
+      BOOST_OUTCOME_TRY(this->readNewest());
+    }
     return true;
+  }
   ClaimChunk Next = this->Chunk;
   Next.Entries.insert(Next.Entries.end(), Chosen.begin(), Chosen.end());
   std::string Text = encodeChunk(Next);
--- a/lib/StandIn/RelayStandIn.cpp
+++ b/lib/StandIn/RelayStandIn.cpp
@@ -83,7 +83,7 @@
       continue;
     }
     pollfd Poll{From, POLLIN, 0};
-    if (::poll(&Poll, 1, PollMillis) <= 0)
+    if (::poll(&Poll, 1, PollMillis) <= 0 || Cut)
       continue;
     const ssize_t Count = ::recv(From, Data, sizeof(Data), MSG_DONTWAIT);
     if (Count == 0)
--- /dev/null
+++ b/unittests/Http/HttpServerTest.cpp
@@ -0,0 +1,170 @@
+//===- HttpServerTest.cpp - Tests of the server and the connection pool ---===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Bounds, refusals at once, planned stops, and the settings of the library
+/// that must stay as they are.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Http/HttpServer.h"
+#include "canvaswick/Http/HttpClient.h"
+#include "canvaswick/StandIn/RelayStandIn.h"
+
+#include <doctest/doctest.h>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <thread>
+
+using namespace canvaswick;
+
+namespace {
+
+/// A server whose handler waits until it is let go.
+class Gate {
+public:
+  explicit Gate(HttpServerLimits Limits)
+      : Server(Limits, [this](HttpExchange &Exchange) {
+          ++this->Entered;
+          Exchange.Stream.setDeadline(TimePoint::max());
+          while (!this->IsOpen)
+            std::this_thread::yield();
+          Exchange.Response.set_content("through", "text/plain");
+        }) {
+    REQUIRE(this->Server.start({"127.0.0.1", 0}));
+  }
+  ~Gate() { this->IsOpen = true; }
+
+  Endpoint getAddress() const { return {"127.0.0.1", this->Server.getPort()}; }
+
+  std::atomic<bool> IsOpen{false};
+  std::atomic<int> Entered{0};
+  HttpServer Server;
+};
+
+} // namespace
+
+static ExchangeResult get(ConnectionPool &Pool, const Endpoint &Address) {
+  return Pool.exchange(Address, OutgoingRequest(),
+                       readSteadyClock() + fromSeconds(20), -1, nullptr);
+}
+
+TEST_CASE(
+    "a kept connection serves many requests without delay on small ones") {
+  Gate Open{HttpServerLimits()};
+  Open.IsOpen = true;
+  ConnectionPool Pool(1);
+  for (int I = 0; I < 50; ++I)
+    CHECK(get(Pool, Open.getAddress()).Status == 200);
+  CHECK(Pool.countOpen(Open.getAddress()) == 1);
+  CHECK(Open.Server.countConnections() == 1);
+  SocketStream Stream(connectTcp("127.0.0.1", Open.Server.getPort(),
+                                 readSteadyClock() + fromSeconds(5)));
+  int NoDelay = 0;
+  socklen_t Length = sizeof(NoDelay);
+  ::getsockopt(Stream.socket(), IPPROTO_TCP, TCP_NODELAY, &NoDelay, &Length);
+  CHECK(NoDelay != 0);
+}
+
+TEST_CASE("what does not fit is refused at once and told when to come back") {
+  HttpServerLimits Limits;
+  Limits.Workers = 1;
+  Limits.QueueLimit = 0;
+  Gate Shut(Limits);
+  ConnectionPool Pool(0);
+  std::thread First([&] { CHECK(get(Pool, Shut.getAddress()).Status == 200); });
+  while (Shut.Entered == 0)
+    std::this_thread::yield();
+  const ExchangeResult Refused = get(Pool, Shut.getAddress());
+  CHECK(Refused.Status == 503);
+  CHECK(Refused.Headers.find("Retry-After") != Refused.Headers.end());
+  CHECK(Refused.Headers.find("Canvaswick-Outcome")->second == "not-run");
+  Shut.IsOpen = true;
+  First.join();
+  CHECK(Shut.Server.getCounters().RefusedBusy == 1);
+}
+
+TEST_CASE("idle connections hold no thread and a bound holds for them") {
+  HttpServerLimits Limits;
+  Limits.Workers = 1;
+  Limits.MaxConnections = 20;
+  Gate Open(Limits);
+  Open.IsOpen = true;
+  std::vector<std::unique_ptr<SocketStream>> Idle;
+  for (int I = 0; I < 19; ++I)
+    Idle.push_back(std::make_unique<SocketStream>(
+        connectTcp("127.0.0.1", Open.Server.getPort(),
+                   readSteadyClock() + fromSeconds(5))));
+  ConnectionPool Pool(0);
+  CHECK(get(Pool, Open.getAddress()).Status == 200);
+  // One more than the bound: refused at once, not left waiting.
+  ConnectionPool Other(0);
+  CHECK(get(Other, Open.getAddress()).Status == 503);
+}
+
+TEST_CASE("a planned stop answers what is in flight") {
+  Gate Shut{HttpServerLimits()};
+  ConnectionPool Pool(0);
+  ExchangeResult Result;
+  std::thread Caller([&] { Result = get(Pool, Shut.getAddress()); });
+  while (Shut.Entered == 0)
+    std::this_thread::yield();
+  std::thread Opener([&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    Shut.IsOpen = true;
+  });
+  CHECK(Shut.Server.stopGracefully(readSteadyClock() + fromSeconds(20)));
+  Caller.join();
+  Opener.join();
+  CHECK(Result.Status == 200);
+  CHECK(Result.Body == "through");
+}
+
+TEST_CASE("a stop is bounded when a request never ends") {
+  Gate Shut{HttpServerLimits()};
+  ConnectionPool Pool(0);
+  std::thread Caller([&] { get(Pool, Shut.getAddress()); });
+  while (Shut.Entered == 0)
+    std::this_thread::yield();
+  CHECK(!Shut.Server.stopGracefully(readSteadyClock() + fromMillis(50)));
+  Shut.IsOpen = true;
+  Caller.join();
+}
+
+TEST_CASE("connections to one address are bounded") {
+  Gate Shut{HttpServerLimits()};
+  ConnectionPool Pool(1);
+  std::thread First([&] { get(Pool, Shut.getAddress()); });
+  while (Shut.Entered == 0)
+    std::this_thread::yield();
+  CHECK(get(Pool, Shut.getAddress()).End == ExchangeEnd::NoConnection);
+  Shut.IsOpen = true;
+  First.join();
+}
+
+TEST_CASE("a refused connection is not sent, a one-way cut is a timeout") {
+  ConnectionPool Pool(0);
+  CHECK(get(Pool, {"127.0.0.1", 1}).End == ExchangeEnd::NotSent);
+  Gate Open{HttpServerLimits()};
+  Open.IsOpen = true;
+  RelayStandIn Relay(Open.getAddress());
+  REQUIRE(Relay.start({"127.0.0.1", 0}));
+  const Endpoint Through{"127.0.0.1", Relay.getPort()};
+  CHECK(get(Pool, Through).Status == 200);
+  // Requests arrive, answers do not: it may have been run.
+  Relay.getFaults().CutBackward = true;
+  const ExchangeResult Cut =
+      Pool.exchange(Through, OutgoingRequest(),
+                    readSteadyClock() + fromMillis(300), -1, nullptr);
+  CHECK(Cut.End == ExchangeEnd::Timeout);
+  Relay.getFaults().CutBackward = false;
+  // The late answer on the old connection is never taken for a new one.
+  CHECK(get(Pool, Through).Body == "through");
+}
