Doubt removals only when three in four servers look sick

The usual share was taken from the best 40 %, two servers of four, one of them sick.

Change: usual share from the best quarter, doubt above three quarters, and a source is believed up to three quarters. A unit test brings it about without sockets; it fails on the old numbers.

--- a/lib/Health/EvidencePool.cpp
+++ b/lib/Health/EvidencePool.cpp
@@ -37,7 +37,7 @@
 static constexpr Duration CredibilityWindow = fromSeconds(30);
 
 /// A source that sees more than this part of its servers fail is doubted.
-static constexpr double MaxFailingPart = 0.6;
+static constexpr double MaxFailingPart = 0.75;
 
 /// A source that is silent for this long is forgotten.
 static constexpr Duration SourceLife = fromSeconds(120);
--- a/lib/Health/ScopeTracker.cpp
+++ b/lib/Health/ScopeTracker.cpp
@@ -52,11 +52,11 @@
 static constexpr double MaxWeight = 4.0;
 
 /// The part of the servers that look best, from which the usual share is taken.
-static constexpr double HealthyPart = 0.4;
+static constexpr double HealthyPart = 0.25;
 
 /// When more than this part looks sick at once, the cause is a common one and
 /// removing servers does not help.
-static constexpr double MaxSuspectPart = 0.6;
+static constexpr double MaxSuspectPart = 0.75;
 
 /// What a suspect score is, as a part of the threshold, for that comparison.
 static constexpr double SuspectPart = 0.33;
--- a/unittests/Health/PooledPolicyTest.cpp
+++ b/unittests/Health/PooledPolicyTest.cpp
@@ -215,6 +215,32 @@
   CHECK(getShareOf(Pool, 4, "b") == 1);
 }
 
+TEST_CASE("with three of four sick, two go and the floor keeps the third") {
+  std::vector<PooledServer> Servers;
+  for (int I = 0; I < 4; ++I)
+    Servers.push_back({getServerId("s", fmt::format("{}", I)), 3});
+  EvidencePool Pool("s", "o", getTuning(Weighing::Detection), Servers, 50, 0);
+  TimePoint Now = TimePoint{} + fromSeconds(10);
+  for (uint64_t Round = 1; Round <= 20; ++Round) {
+    Now += fromMillis(500);
+    for (int I = 0; I < 6; ++I) {
+      EvidenceReport Report = makeReport(fmt::format("d{}", I), "a", Round,
+                                         {{Servers[0].Id, {0, 0, 2}},
+                                          {Servers[1].Id, {0, 0, 2}},
+                                          {Servers[2].Id, {0, 0, 2}},
+                                          {Servers[3].Id, {2, 0, 0}}});
+      Report.UsedServers = 4;
+      Pool.takeReport(Report, Now);
+    }
+    Pool.advance(Now);
+  }
+  int Removed = 0;
+  for (int S = 0; S < 4; ++S)
+    Removed += getShareOf(Pool, S, "a") < 0.05;
+  CHECK(Removed == 2);
+  CHECK(getShareOf(Pool, 3, "a") == 1);
+}
+
 TEST_CASE("a report that arrives twice counts once") {
   EvidencePool Pool = makePool(50);
   const TimePoint Now = TimePoint{} + fromSeconds(10);
