Claims: one write takes along all that wait

Cause: the capacity bench showed 617 claims/s at 298 writes/s with 64 askers, two claims a write: the shard's lock went back to whoever had just finished, before the waiting ones woke, so batches stayed small.

Ruled out: a timer that collects claims (it adds its length to every claim).

Change: ClaimWriter, shared by the daemon and the bench: a leader writes for all that wait, the others sleep until theirs is settled.

--- a/include/canvaswick/Claims/ClaimLog.h
+++ b/include/canvaswick/Claims/ClaimLog.h
@@ -32,6 +32,8 @@
   /// Set by append.
   ClaimVerdict Verdict;
   bool IsLanded = false;
+  /// Set by ClaimWriter when the verdict is there.
+  bool IsSettled = false;
 };
 
 /// One shard's log as one writer sees it. Not thread-safe.
--- a/include/canvaswick/Daemon/ClaimAgent.h
+++ b/include/canvaswick/Daemon/ClaimAgent.h
@@ -17,7 +17,7 @@
 #define CANVASWICK_DAEMON_CLAIMAGENT_H
 
 #include "canvaswick/Claims/ClaimGate.h"
-#include "canvaswick/Claims/ClaimLog.h"
+#include "canvaswick/Claims/ClaimWriter.h"
 #include "canvaswick/Daemon/MembershipAgent.h"
 
 #include <atomic>
@@ -46,23 +46,10 @@
   void runRound();
 
 private:
-  struct Shard {
-    std::mutex QueueMutex;
-    std::vector<PendingEntry *> Queue;
-    std::vector<ClaimEntry> Ends;
-    std::vector<std::pair<std::string, uint64_t>> GivenUp;
-    /// Held while a batch is written. Taken before QueueMutex.
-    std::mutex WriteMutex;
-    std::unique_ptr<ClaimLog> Log;
-  };
-
-  Shard &getShard(const std::string &Key);
+  ClaimWriter &getShard(const std::string &Key);
   std::optional<MemberRecord> findWriter(const std::string &Key);
   ClaimVerdict beginLocally(ClaimEntry Entry);
-  void finishLocally(ClaimEntry Entry);
-  void writeQueue(Shard &Target, int64_t NowMillis);
-  ClaimVerdict resolveRunning(ClaimVerdict Verdict, Shard &Target,
-                              const std::string &Key);
+  ClaimVerdict resolveRunning(ClaimVerdict Verdict, const std::string &Key);
   bool isHolderRunning(const std::string &Holder) const;
   ClaimEntry makeBegin(const std::string &Key, const std::string &Fingerprint);
   uint64_t makeClaim();
@@ -72,7 +59,9 @@
   const ControlContext &Context;
   MembershipAgent &Members;
   const std::string Holder;
-  std::vector<std::unique_ptr<Shard>> Shards;
+  std::vector<std::unique_ptr<ClaimWriter>> Shards;
+  /// Used by runRound only.
+  uint64_t WritesCounted = 0;
   std::mutex RandomMutex;
   std::mt19937_64 Random;
 };
--- a/include/canvaswick/Load/LoadRun.h
+++ b/include/canvaswick/Load/LoadRun.h
@@ -57,6 +57,10 @@
   std::atomic<uint64_t> Served{0};
   std::atomic<uint64_t> Refused{0};
   std::atomic<uint64_t> Failed{0};
+  /// Of those that failed: how many had no answer in time, and how many
+  /// connections broke. The others were answered with an error.
+  std::atomic<uint64_t> Timeouts{0};
+  std::atomic<uint64_t> Broken{0};
   /// Starts that were later than planned by more than a millisecond.
   std::atomic<uint64_t> LateStarts{0};
 };
--- a/lib/Bench/CapacityBench.cpp
+++ b/lib/Bench/CapacityBench.cpp
@@ -14,7 +14,7 @@
 
 #include "canvaswick/Bench/CapacityBench.h"
 #include "canvaswick/Bench/PolicyBench.h"
-#include "canvaswick/Claims/ClaimLog.h"
+#include "canvaswick/Claims/ClaimWriter.h"
 #include "canvaswick/Config/ConfigFollower.h"
 #include "canvaswick/Daemon/EvidenceAgent.h"
 #include "canvaswick/Daemon/MembershipAgent.h"
@@ -376,10 +376,7 @@
   Slow.SlowMs = 2;
   Stand.setFaults(Slow);
   PlatformClient Client({"127.0.0.1", Stand.getPort()}, nullptr);
-  ClaimLog Log(Client, 0, fromSeconds(3600));
-  std::mutex WriteMutex;
-  std::mutex QueueMutex;
-  std::vector<PendingEntry *> Queue;
+  ClaimWriter Writer(Client, 0, fromSeconds(3600));
   std::atomic<uint64_t> Claims{0};
   const TimePoint Start = readSteadyClock();
   const TimePoint End = Start + fromSeconds(2);
@@ -387,25 +384,13 @@
   for (size_t T = 0; T < Askers; ++T)
     Threads.emplace_back([&, T] {
       for (uint64_t I = 0; readSteadyClock() < End; ++I) {
-        PendingEntry Pending;
-        Pending.Entry.Key = fmt::format("{:016x}{:016x}", T, I);
-        Pending.Entry.Claim = ++Claims;
-        Pending.Entry.Fingerprint = Pending.Entry.Key;
-        Pending.Entry.Holder = "entry-0001#1700000000000";
-        Pending.Entry.TimeMillis = readCalendarMillis();
-        {
-          std::lock_guard<std::mutex> Lock(QueueMutex);
-          Queue.push_back(&Pending);
-        }
-        std::lock_guard<std::mutex> Write(WriteMutex);
-        std::vector<PendingEntry *> Batch;
-        {
-          std::lock_guard<std::mutex> Lock(QueueMutex);
-          if (std::find(Queue.begin(), Queue.end(), &Pending) != Queue.end())
-            Batch.swap(Queue);
-        }
-        if (!Batch.empty())
-          Log.append(Batch, readCalendarMillis());
+        ClaimEntry Entry;
+        Entry.Key = fmt::format("{:016x}{:016x}", T, I);
+        Entry.Claim = ++Claims;
+        Entry.Fingerprint = Entry.Key;
+        Entry.Holder = "entry-0001#1700000000000";
+        Entry.TimeMillis = readCalendarMillis();
+        Writer.begin(std::move(Entry));
       }
     });
   for (std::thread &Thread : Threads)
@@ -413,7 +398,7 @@
   const double Seconds = toSeconds(readSteadyClock() - Start);
   return fmt::format("{},{:.0f},{:.0f},{:.1f}\n", Askers,
                      static_cast<double>(Claims) / Seconds,
-                     static_cast<double>(Log.countWrites()) / Seconds,
+                     static_cast<double>(Writer.countWrites()) / Seconds,
                      static_cast<double>(Askers) * Seconds * 1000 /
                          static_cast<double>(Claims));
 }
--- /dev/null
+++ b/lib/Claims/ClaimWriter.cpp
@@ -0,0 +1,105 @@
+//===- ClaimWriter.cpp - Many claims, one write ---------------------------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// The mutex guards what waits; the flag guards the log, which is used without
+/// the mutex because its writer waits for the platform.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Claims/ClaimWriter.h"
+
+namespace canvaswick {
+
+ClaimWriter::ClaimWriter(PlatformClient &Platform, size_t Shard,
+                         Duration Memory)
+    : Log(Platform, Shard, Memory) {}
+
+/// Writes all that waits. The caller holds Lock and has seen no write under
+/// way; the lock is released meanwhile.
+void ClaimWriter::lead(std::unique_lock<std::mutex> &Lock) {
+  this->IsWriting = true;
+  Load Taken;
+  std::swap(Taken, this->Waiting);
+  std::vector<PendingEntry> Ends(Taken.Ends.size());
+  Lock.unlock();
+  this->write(Taken, Ends);
+  Lock.lock();
+  // An end that did not land is tried again with the next write.
+  for (const PendingEntry &End : Ends)
+    if (!End.IsLanded)
+      this->Waiting.Ends.push_back(End.Entry);
+  for (PendingEntry *Begin : Taken.Begins)
+    Begin->IsSettled = true;
+  this->IsWriting = false;
+  this->Written.notify_all();
+}
+
+void ClaimWriter::write(Load &Taken, std::vector<PendingEntry> &Ends) {
+  for (const auto &[Key, Claim] : Taken.GivenUp)
+    this->Log.abandonClaim(Key, Claim);
+  std::vector<PendingEntry *> Batch;
+  for (size_t I = 0; I < Ends.size(); ++I) {
+    Ends[I].Entry = std::move(Taken.Ends[I]);
+    Batch.push_back(&Ends[I]);
+  }
+  Batch.insert(Batch.end(), Taken.Begins.begin(), Taken.Begins.end());
+  this->Log.append(Batch, readCalendarMillis());
+}
+
+ClaimVerdict ClaimWriter::begin(ClaimEntry Entry) {
+  PendingEntry Pending;
+  Pending.Entry = std::move(Entry);
+  std::unique_lock<std::mutex> Lock(this->Mutex);
+  this->Waiting.Begins.push_back(&Pending);
+  while (!Pending.IsSettled) {
+    if (this->IsWriting)
+      this->Written.wait(Lock);
+    else
+      this->lead(Lock);
+  }
+  return Pending.Verdict;
+}
+
+void ClaimWriter::addEnd(ClaimEntry Entry) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->Waiting.Ends.push_back(std::move(Entry));
+}
+
+void ClaimWriter::giveUp(const std::string &Key, uint64_t Claim) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->Waiting.GivenUp.emplace_back(Key, Claim);
+}
+
+void ClaimWriter::runRound() {
+  std::unique_lock<std::mutex> Lock(this->Mutex);
+  this->Written.wait(Lock, [this] { return !this->IsWriting; });
+  if (!this->Waiting.Ends.empty() || !this->Waiting.GivenUp.empty())
+    this->lead(Lock);
+  this->Written.wait(Lock, [this] { return !this->IsWriting; });
+  this->IsWriting = true;
+  Lock.unlock();
+  this->Log.prune(readCalendarMillis());
+  Lock.lock();
+  this->IsWriting = false;
+  this->Written.notify_all();
+}
+
+std::string ClaimWriter::getRunningHolder(const std::string &Key) {
+  std::unique_lock<std::mutex> Lock(this->Mutex);
+  this->Written.wait(Lock, [this] { return !this->IsWriting; });
+  return this->Log.getRunningHolder(Key);
+}
+
+uint64_t ClaimWriter::countWrites() {
+  std::unique_lock<std::mutex> Lock(this->Mutex);
+  this->Written.wait(Lock, [this] { return !this->IsWriting; });
+  return this->Log.countWrites();
+}
+
+} // namespace canvaswick
--- a/lib/Daemon/ClaimAgent.cpp
+++ b/lib/Daemon/ClaimAgent.cpp
@@ -7,7 +7,7 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// The caller that gets a shard's write lock writes for all that wait.
+/// Decides where a claim is written; the writers do the rest.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -32,13 +32,10 @@
     : Context(Context), Members(Members),
       Holder(fmt::format("{}#{}", Context.Config.Name, Context.StartMillis)),
       Random(hashText(this->Holder, std::random_device()())) {
-  for (size_t I = 0; I < ClaimShards; ++I) {
-    auto Each = std::make_unique<Shard>();
-    Each->Log = std::make_unique<ClaimLog>(
+  for (size_t I = 0; I < ClaimShards; ++I)
+    this->Shards.push_back(std::make_unique<ClaimWriter>(
         Context.Platform, I,
-        fromSeconds(static_cast<double>(Context.Config.ClaimMemorySeconds)));
-    this->Shards.push_back(std::move(Each));
-  }
+        fromSeconds(static_cast<double>(Context.Config.ClaimMemorySeconds))));
 }
 
 void ClaimAgent::addMethods(JsonRpcDispatcher &Dispatcher) {
@@ -50,7 +47,7 @@
   });
 }
 
-ClaimAgent::Shard &ClaimAgent::getShard(const std::string &Key) {
+ClaimWriter &ClaimAgent::getShard(const std::string &Key) {
   return *this->Shards[hashText(Key) % ClaimShards];
 }
 
@@ -128,11 +125,7 @@
     }
     // Whatever became of that claim, it will not be run: it is released, and
     // a claim of another name is made here.
-    Shard &Target = this->getShard(Key);
-    {
-      std::lock_guard<std::mutex> Lock(Target.QueueMutex);
-      Target.GivenUp.emplace_back(Key, Entry.Claim);
-    }
+    this->getShard(Key).giveUp(Key, Entry.Claim);
     Entry = this->makeBegin(Key, Fingerprint);
   }
   if (readSteadyClock() >= Deadline)
@@ -141,56 +134,8 @@
 }
 
 ClaimVerdict ClaimAgent::beginLocally(ClaimEntry Entry) {
-  Shard &Target = this->getShard(Entry.Key);
   const std::string Key = Entry.Key;
-  PendingEntry Pending;
-  Pending.Entry = std::move(Entry);
-  {
-    std::lock_guard<std::mutex> Lock(Target.QueueMutex);
-    Target.Queue.push_back(&Pending);
-  }
-  std::lock_guard<std::mutex> Write(Target.WriteMutex);
-  bool IsWaiting = false;
-  {
-    std::lock_guard<std::mutex> Lock(Target.QueueMutex);
-    IsWaiting = std::find(Target.Queue.begin(), Target.Queue.end(), &Pending) !=
-                Target.Queue.end();
-  }
-  // Whoever held the lock before may have written for us.
-  if (IsWaiting)
-    this->writeQueue(Target, readCalendarMillis());
-  return this->resolveRunning(Pending.Verdict, Target, Key);
-}
-
-/// Writes all that waits. The caller holds the shard's write lock.
-void ClaimAgent::writeQueue(Shard &Target, int64_t NowMillis) {
-  std::vector<PendingEntry *> Batch;
-  std::vector<ClaimEntry> Ends;
-  std::vector<std::pair<std::string, uint64_t>> GivenUp;
-  {
-    std::lock_guard<std::mutex> Lock(Target.QueueMutex);
-    Batch.swap(Target.Queue);
-    Ends.swap(Target.Ends);
-    GivenUp.swap(Target.GivenUp);
-  }
-  for (const auto &[Key, Claim] : GivenUp)
-    Target.Log->abandonClaim(Key, Claim);
-  std::vector<PendingEntry> EndEntries(Ends.size());
-  std::vector<PendingEntry *> All;
-  for (size_t I = 0; I < Ends.size(); ++I) {
-    EndEntries[I].Entry = Ends[I];
-    All.push_back(&EndEntries[I]);
-  }
-  All.insert(All.end(), Batch.begin(), Batch.end());
-  const uint64_t Before = Target.Log->countWrites();
-  Target.Log->append(All, NowMillis);
-  this->Context.Counters.add(Counter::ClaimWrites,
-                             Target.Log->countWrites() - Before);
-  // An end that did not land is tried again at the next round.
-  std::lock_guard<std::mutex> Lock(Target.QueueMutex);
-  for (const PendingEntry &Each : EndEntries)
-    if (!Each.IsLanded)
-      Target.Ends.push_back(Each.Entry);
+  return this->resolveRunning(this->getShard(Key).begin(std::move(Entry)), Key);
 }
 
 bool ClaimAgent::isHolderRunning(const std::string &RunningHolder) const {
@@ -206,10 +151,10 @@
 }
 
 /// A claim whose holder is gone will never be heard of again.
-ClaimVerdict ClaimAgent::resolveRunning(ClaimVerdict Verdict, Shard &Target,
+ClaimVerdict ClaimAgent::resolveRunning(ClaimVerdict Verdict,
                                         const std::string &Key) {
   if (Verdict.Kind == ClaimKind::StillRunning &&
-      !this->isHolderRunning(Target.Log->getRunningHolder(Key)))
+      !this->isHolderRunning(this->getShard(Key).getRunningHolder(Key)))
     Verdict.Kind = ClaimKind::NotKnown;
   return Verdict;
 }
@@ -250,30 +195,21 @@
         Params["has-body"] = Entry.Answer.HasBody;
         if (!this->Context.Caller.call(Writer.Control, "claim.finish", Params,
                                        WriterTimeout))
-          this->finishLocally(Entry);
+          this->getShard(Entry.Key).addEnd(Entry);
       });
   if (!IsSent)
-    this->finishLocally(std::move(Entry));
-}
-
-void ClaimAgent::finishLocally(ClaimEntry Entry) {
-  Shard &Target = this->getShard(Entry.Key);
-  std::lock_guard<std::mutex> Lock(Target.QueueMutex);
-  Target.Ends.push_back(std::move(Entry));
+    this->getShard(Key).addEnd(std::move(Entry));
 }
 
 void ClaimAgent::runRound() {
-  for (const std::unique_ptr<Shard> &Each : this->Shards) {
-    bool HasWork = false;
-    {
-      std::lock_guard<std::mutex> Lock(Each->QueueMutex);
-      HasWork = !Each->Ends.empty() || !Each->GivenUp.empty();
-    }
-    std::lock_guard<std::mutex> Write(Each->WriteMutex);
-    if (HasWork)
-      this->writeQueue(*Each, readCalendarMillis());
-    Each->Log->prune(readCalendarMillis());
+  uint64_t Writes = 0;
+  for (const std::unique_ptr<ClaimWriter> &Each : this->Shards) {
+    Each->runRound();
+    Writes += Each->countWrites();
   }
+  this->Context.Counters.add(Counter::ClaimWrites,
+                             Writes - this->WritesCounted);
+  this->WritesCounted = Writes;
 }
 
 Json::Value ClaimAgent::answerBegin(const Json::Value &Params) {
@@ -299,7 +235,7 @@
   Entry.TimeMillis = Params["time"].asInt64();
   Entry.Answer = {Params["status"].asInt(), Params["type"].asString(),
                   Params["body"].asString(), Params["has-body"].asBool()};
-  this->finishLocally(std::move(Entry));
+  this->getShard(Params["key"].asString()).addEnd(std::move(Entry));
   return Json::Value(Json::objectValue);
 }
 
--- a/lib/Daemon/Daemon.cpp
+++ b/lib/Daemon/Daemon.cpp
@@ -8,7 +8,7 @@
 ///
 /// \file
 /// The lock order, outermost first: ConfigAgent's fetch lock and ClaimAgent's
-/// write locks; the agents' own mutexes; FleetRuntimeSlot; ServiceRuntime. No
+/// writers; the agents' own mutexes; FleetRuntimeSlot; ServiceRuntime. No
 /// call to a peer or the platform is made under an agent's own mutex.
 ///
 //===----------------------------------------------------------------------===//
--- a/lib/Load/LoadRun.cpp
+++ b/lib/Load/LoadRun.cpp
@@ -73,6 +73,10 @@
     ++Side.Refused;
   else
     ++Side.Failed;
+  if (Answer.End == ExchangeEnd::Timeout)
+    ++Side.Timeouts;
+  else if (Answer.End != ExchangeEnd::Complete)
+    ++Side.Broken;
   // Only good answers say how long an answer takes.
   if (Kind == AnswerKind::Good)
     Side.Latencies(toSeconds(Latency) * 1000, static_cast<int>(Kind));
@@ -120,12 +124,13 @@
 
 static std::string formatSide(const char *Name, const LoadSide &Side) {
   return fmt::format(
-      "{}: sent {} served {} refused {} failed {} late-starts {} "
+      "{}: sent {} served {} refused {} failed {} (timeouts {}, "
+      "broken {}) late-starts {} "
       "p50 {:.3f} ms p99 {:.3f} ms p99.9 {:.3f} ms\n",
       Name, Side.Sent.load(), Side.Served.load(), Side.Refused.load(),
-      Side.Failed.load(), Side.LateStarts.load(),
-      getQuantile(Side.Latencies, 0.5), getQuantile(Side.Latencies, 0.99),
-      getQuantile(Side.Latencies, 0.999));
+      Side.Failed.load(), Side.Timeouts.load(), Side.Broken.load(),
+      Side.LateStarts.load(), getQuantile(Side.Latencies, 0.5),
+      getQuantile(Side.Latencies, 0.99), getQuantile(Side.Latencies, 0.999));
 }
 
 std::string formatLoadResult(const LoadPlan &Plan, const LoadResult &Result) {
