Listen with room for 1,024 connections

Ruled out: slots and queue of the stand-in (nothing was shed), deadlines (no timeouts), idle closing (75 s).

Change: HttpServer widens the backlog after the library has bound. A test opens 100 connections at once; it failed before (not all served) and passes.

--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -53,6 +53,9 @@
 
 static constexpr const char *EveryPath = "/";
 
+/// Connections that may wait to be accepted.
+static constexpr int ListenBacklog = 1024;
+
 /// A request that was refused because everything is busy may come back soon.
 static constexpr int BusyRetrySeconds = 1;
 
@@ -106,6 +109,9 @@
       return makeError(ErrorKind::Io, "cannot bind to " + Address.format());
     this->Port = Address.Port;
   }
+  // cpp-httplib listens with room for five connections; more that come at once
+  // would be dropped and retried by their callers a second later.
+  ::listen(this->svr_sock_, ListenBacklog);
   this->Acceptor = std::thread([this] { this->listen_after_bind(); });
   while (!this->is_running())
     std::this_thread::yield();
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -73,6 +73,28 @@
   CHECK(NoDelay != 0);
 }
 
+TEST_CASE("many connections at once are all taken") {
+  // Nothing accepts yet: what comes must wait in the queue of the system.
+  HttpServerLimits Limits;
+  Limits.Workers = 4;
+  Limits.QueueLimit = 1000;
+  Gate Open(Limits);
+  Open.IsOpen = true;
+  for (int Round = 0; Round < 5; ++Round) {
+    ConnectionPool Pool(0);
+    std::atomic<int> Served{0};
+    std::vector<std::thread> Callers;
+    for (int I = 0; I < 100; ++I)
+      Callers.emplace_back([&] {
+        if (get(Pool, Open.getAddress()).Status == 200)
+          ++Served;
+      });
+    for (std::thread &Caller : Callers)
+      Caller.join();
+    CHECK(Served == 100);
+  }
+}
+
 TEST_CASE("what does not fit is refused at once and told when to come back") {
   HttpServerLimits Limits;
   Limits.Workers = 1;
