Probing costs the same however large the fleet is

Change: probing duties are worked out only when members or settings change, without a sort, and at most 8 servers are probed a round, in turn.

With few daemons and many servers a server's own word that it leaves can take several rounds; the other two signs are not affected.

--- a/include/canvaswick/Daemon/LeavingAgent.h
+++ b/include/canvaswick/Daemon/LeavingAgent.h
@@ -71,7 +71,14 @@
   void readVersions(const MemberRecord &Peer, const Json::Value &Message);
 
 private:
+  /// One server that this daemon probes.
+  struct ProbeDuty {
+    ServiceRuntimeRef Service;
+    size_t Server = 0;
+  };
+
   void readList();
+  void updateDuties(const FleetRuntimeRef &Fleet);
   void probeServers();
   void probeServer(const ServiceRuntimeRef &Service, size_t Server);
   void spread(const Json::Value &News, const std::string &Except);
@@ -83,7 +90,11 @@
   ConnectionPool Probes;
   mutable std::mutex Mutex;
   LeavingBoard Board;
-  uint64_t Rounds = 0;
+  /// Used by runRound only.
+  std::vector<ProbeDuty> Duties;
+  FleetRuntimeRef DutiesOf;
+  uint64_t DutiesAt = 0;
+  size_t NextDuty = 0;
 };
 
 } // namespace canvaswick
--- a/lib/Daemon/LeavingAgent.cpp
+++ b/lib/Daemon/LeavingAgent.cpp
@@ -28,6 +28,9 @@
 
 static constexpr size_t ListReaders = 3;
 static constexpr size_t ProbersPerServer = 2;
+/// A daemon with many servers to probe takes several rounds for them, so that
+/// probing costs the same however large the fleet is.
+static constexpr size_t ProbesPerRound = 8;
 static constexpr size_t NewsFanOut = 4;
 static constexpr Duration ProbeTimeout = fromMillis(500);
 static constexpr Duration NewsTimeout = fromSeconds(1);
@@ -72,20 +75,22 @@
   });
 }
 
+/// Returns whether fewer than Count daemons rank before Self for a key.
 static bool isAmongFirst(const std::string &Key, const std::string &Self,
                          const std::vector<std::string> &Working,
                          size_t Count) {
-  const std::vector<size_t> Order = rankByRendezvous(Key, Working);
-  for (size_t I = 0; I < std::min(Count, Order.size()); ++I)
-    if (Working[Order[I]] == Self)
-      return true;
-  return false;
+  const uint64_t KeyHash = hashText(Key);
+  const uint64_t Own = hashText(Self, KeyHash);
+  const auto Before = std::count_if(
+      Working.begin(), Working.end(), [&](const std::string &Other) {
+        const uint64_t Hash = hashText(Other, KeyHash);
+        return Hash > Own || (Hash == Own && Other < Self);
+      });
+  return static_cast<size_t>(Before) < Count;
 }
 
 void LeavingAgent::runRound() {
   const std::vector<std::string> Working = this->Members.getWorking();
-  ++this->Rounds;
-  // While alone, look for peers in the list too.
   if (isAmongFirst("vm-list", this->Context.Config.Name, Working, ListReaders))
     this->readList();
   this->probeServers();
@@ -115,20 +120,39 @@
     this->spread(this->makeListNews(), "");
 }
 
-void LeavingAgent::probeServers() {
-  const FleetRuntimeRef Fleet = this->Context.Fleet.get();
-  if (!Fleet)
+/// Lists the servers that this daemon probes. Ranking every server against
+/// every daemon is dear, so it is done only when either has changed.
+void LeavingAgent::updateDuties(const FleetRuntimeRef &Fleet) {
+  const uint64_t Members = this->Members.getWorkingVersion();
+  if (this->DutiesOf == Fleet && this->DutiesAt == Members)
     return;
+  this->DutiesOf = Fleet;
+  this->DutiesAt = Members;
+  this->Duties.clear();
+  this->NextDuty = 0;
   const std::vector<std::string> Working = this->Members.getWorking();
   for (const ServiceRuntimeRef &Service : Fleet->getServices())
     for (size_t I = 0; I < Service->countServers(); ++I) {
       const std::string Address = Service->getServer(I).Address.format();
       if (isAmongFirst(Address, this->Context.Config.Name, Working,
                        ProbersPerServer))
-        this->probeServer(Service, I);
+        this->Duties.push_back({Service, I});
     }
 }
 
+void LeavingAgent::probeServers() {
+  const FleetRuntimeRef Fleet = this->Context.Fleet.get();
+  if (!Fleet)
+    return;
+  this->updateDuties(Fleet);
+  const size_t Count = std::min(ProbesPerRound, this->Duties.size());
+  for (size_t I = 0; I < Count; ++I) {
+    const ProbeDuty &Duty = this->Duties[this->NextDuty];
+    this->probeServer(Duty.Service, Duty.Server);
+    this->NextDuty = (this->NextDuty + 1) % this->Duties.size();
+  }
+}
+
 /// Asks one server how it is. Health that is red, or not answered, proves
 /// nothing here: only a server that says it is leaving is believed.
 void LeavingAgent::probeServer(const ServiceRuntimeRef &Service,
