--- a/include/canvaswick/Daemon/MembershipAgent.h
+++ b/include/canvaswick/Daemon/MembershipAgent.h
@@ -70,7 +70,9 @@
   void takeMessage(const Json::Value &Message);
   bool ping(const MemberRecord &Target, Duration Timeout);
   bool askOthers(const MemberRecord &Target);
+  bool tryJoin(const Endpoint &Seed);
   void join();
+  void greetStranger();
   Json::Value answerPing(const Json::Value &Params);
   Json::Value answerPingFor(const Json::Value &Params);
 
@@ -81,6 +83,8 @@
   MemberTable Table;
   std::mt19937_64 Random;
   std::vector<Endpoint> Seeds;
+  /// Used by runRound only.
+  uint64_t Rounds = 0;
 };
 
 /// Writes a record into a message.
--- a/lib/Daemon/MembershipAgent.cpp
+++ b/lib/Daemon/MembershipAgent.cpp
@@ -15,12 +15,17 @@
 #include "canvaswick/Support/Hash.h"
 #include "canvaswick/Support/Log.h"
 
+#include <algorithm>
+
 namespace canvaswick {
 
 static constexpr Duration PingTimeout = fromMillis(400);
 static constexpr Duration AskTimeout = fromMillis(900);
 static constexpr size_t Helpers = 3;
 
+/// Every so many rounds an address that is no member is asked.
+static constexpr uint64_t StrangerRounds = 10;
+
 Json::Value encodeMember(const MemberRecord &Record) {
   Json::Value Value(Json::arrayValue);
   Value.append(Record.Name);
@@ -151,6 +156,17 @@
   return false;
 }
 
+/// Asks one address for all members. Returns whether it answered.
+bool MembershipAgent::tryJoin(const Endpoint &Seed) {
+  Json::Value Message = this->makeMessage("", false);
+  Message["all"] = true;
+  Result<Json::Value> Answer =
+      this->Context.Caller.call(Seed, "member.ping", Message, PingTimeout);
+  if (Answer)
+    this->takeMessage(Answer.value());
+  return Answer.has_value();
+}
+
 void MembershipAgent::join() {
   std::vector<Endpoint> Known;
   {
@@ -158,21 +174,36 @@
     Known = this->Seeds;
     std::shuffle(Known.begin(), Known.end(), this->Random);
   }
-  for (const Endpoint &Seed : Known) {
-    if (Seed == this->Context.Config.Control)
-      continue;
-    Json::Value Message = this->makeMessage("", false);
-    Message["all"] = true;
-    Result<Json::Value> Answer =
-        this->Context.Caller.call(Seed, "member.ping", Message, PingTimeout);
-    if (!Answer)
-      continue;
-    this->takeMessage(Answer.value());
-    return;
+  for (const Endpoint &Seed : Known)
+    if (!(Seed == this->Context.Config.Control) && this->tryJoin(Seed))
+      return;
+}
+
+/// Asks one address that should be a daemon but is no member here. Two parts of
+/// the fleet that were cut off for so long that they forgot each other find
+/// each other again this way.
+void MembershipAgent::greetStranger() {
+  std::vector<Endpoint> Strangers;
+  {
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    const std::vector<MemberRecord> Known = this->Table.getAll();
+    for (const Endpoint &Seed : this->Seeds) {
+      const bool IsKnown = std::any_of(Known.begin(), Known.end(),
+                                       [&Seed](const MemberRecord &Record) {
+                                         return Record.Control == Seed;
+                                       });
+      if (!IsKnown)
+        Strangers.push_back(Seed);
+    }
+    std::shuffle(Strangers.begin(), Strangers.end(), this->Random);
   }
+  if (!Strangers.empty())
+    this->tryJoin(Strangers.front());
 }
 
 void MembershipAgent::runRound() {
+  if (++this->Rounds % StrangerRounds == 0)
+    this->greetStranger();
   std::optional<MemberRecord> Target;
   {
     std::lock_guard<std::mutex> Lock(this->Mutex);
