--- a/lib/Bench/CapacityBench.cpp
+++ b/lib/Bench/CapacityBench.cpp
@@ -13,56 +13,24 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Bench/CapacityBench.h"
+#include "CapacityTables.h"
 #include "canvaswick/Bench/PolicyBench.h"
-#include "canvaswick/Claims/ClaimWriter.h"
 #include "canvaswick/Config/ConfigFollower.h"
-#include "canvaswick/Daemon/EvidenceAgent.h"
-#include "canvaswick/Daemon/MembershipAgent.h"
-#include "canvaswick/Health/EvidencePool.h"
 #include "canvaswick/Proxy/FleetRuntime.h"
-#include "canvaswick/Rpc/PeerCaller.h"
-#include "canvaswick/StandIn/PlatformStandIn.h"
 
 #include <fmt/format.h>
 
-#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <fstream>
-#include <memory>
-#include <thread>
 
 namespace canvaswick {
 
 static constexpr int TargetServices = 210;
 static constexpr int TargetServers = 12000;
 
-namespace {
-
-/// Processor time of this process between two points.
-class CpuTimer {
-public:
-  CpuTimer() : Start(read()) {}
-  double getSeconds() const { return read() - this->Start; }
-
-private:
-  static double read() {
-    rusage Usage{};
-    ::getrusage(RUSAGE_SELF, &Usage);
-    return static_cast<double>(Usage.ru_utime.tv_sec + Usage.ru_stime.tv_sec) +
-           static_cast<double>(Usage.ru_utime.tv_usec +
-                               Usage.ru_stime.tv_usec) /
-               1e6;
-  }
-
-  double Start;
-};
-
-} // namespace
-
-/// Returns the resident memory of this process in megabytes.
-static double readResidentMegabytes() {
+double readResidentMegabytes() {
   std::ifstream File("/proc/self/statm");
   uint64_t All = 0;
   uint64_t Resident = 0;
@@ -71,6 +39,14 @@
          static_cast<double>(::sysconf(_SC_PAGESIZE)) / 1e6;
 }
 
+std::vector<std::string> makeNames(size_t Count) {
+  std::vector<std::string> Names;
+  Names.reserve(Count);
+  for (size_t I = 0; I < Count; ++I)
+    Names.push_back(fmt::format("entry-{:04}", I));
+  return Names;
+}
+
 static std::string makeTree(int Services, int Servers, int Routes,
                             int Organisations) {
   std::string Text = "[region r]\nslots = 4\n";
@@ -90,13 +66,6 @@
   return Text;
 }
 
-static std::vector<std::string> makeNames(size_t Count) {
-  std::vector<std::string> Names;
-  for (size_t I = 0; I < Count; ++I)
-    Names.push_back(fmt::format("entry-{:04}", I));
-  return Names;
-}
-
 static std::string measureSettings() {
   std::string Csv = "servers,routes,organisations,text_mb,parts,accept_ms,"
                     "small_change_ms,resident_mb\n";
@@ -254,164 +223,6 @@
   return Csv;
 }
 
-/// Makes calls over loopback and returns a line of bytes and times a call.
-static std::string measureCall(const char *Name, const Json::Value &Params,
-                               const Json::Value &Answer) {
-  const CallKey Key{"bench", "a-key-for-this-bench-only"};
-  CallVerifier Verifier({Key});
-  std::mutex VerifierMutex;
-  CounterTable Counters;
-  JsonRpcDispatcher Dispatcher;
-  Dispatcher.add("bench.call",
-                 [&Answer](const Json::Value &) { return Answer; });
-  HttpServerLimits Limits;
-  Limits.Workers = 2;
-  HttpServer Server(Limits, [&](HttpExchange &Exchange) {
-    Exchange.Stream.setDeadline(readSteadyClock() + fromSeconds(5));
-    serveCall(Exchange, Verifier, VerifierMutex, Dispatcher, Counters);
-  });
-  if (!Server.start({"127.0.0.1", 0}))
-    return "";
-  PeerCaller Caller(Key, &Counters);
-  static constexpr int Calls = 2000;
-  const CpuTimer Timer;
-  for (int I = 0; I < Calls; ++I)
-    (void)Caller.call({"127.0.0.1", Server.getPort()}, "bench.call", Params,
-                      fromSeconds(5));
-  return fmt::format("{},{},{},{:.0f}\n", Name,
-                     Counters.get(Counter::ControlBytesSent) / Calls,
-                     Counters.get(Counter::ControlBytesReceived) / Calls,
-                     Timer.getSeconds() * 1e6 / Calls);
-}
-
-static Json::Value makePing(size_t Changes) {
-  Json::Value Message;
-  for (size_t I = 0; I < Changes; ++I)
-    Message["changes"].append(encodeMember({fmt::format("entry-{:04}", I),
-                                            "hall-number-3",
-                                            {"10.20.3.200", 7400},
-                                            1700000000000,
-                                            MemberState::Alive}));
-  Message["from"] = Message["changes"][0];
-  Message["config"] = 4711;
-  Message["confirmed"] = 1200;
-  Message["vms"] = 42;
-  return Message;
-}
-
-static Json::Value makeReports(size_t Services, size_t Servers) {
-  Json::Value Params;
-  for (size_t S = 0; S < Services; ++S) {
-    EvidenceReport Report;
-    Report.Service = fmt::format("service-{:03}", S);
-    Report.Source = "entry-0001";
-    Report.Hall = "hall-number-3";
-    Report.Sequence = 1700000000123;
-    Report.OtherGood = 120;
-    Report.UsedServers = 6;
-    for (size_t I = 0; I < Servers; ++I)
-      Report.Servers.push_back(
-          {4000000000u + static_cast<ServerId>(I), {3, 0, 1}});
-    Params["reports"].append(encodeReport(Report));
-  }
-  return Params;
-}
-
-static std::string measureCalls() {
-  const Json::Value Empty(Json::objectValue);
-  std::string Csv = "call,bytes_sent,bytes_received,us_both_sides\n";
-  Csv += measureCall("empty", Empty, Empty);
-  Csv += measureCall("ping, 1 change", makePing(1), makePing(1));
-  Csv += measureCall("ping, 12 changes", makePing(12), makePing(12));
-  Csv += measureCall("report, 1 service 1 server", makeReports(1, 1), Empty);
-  Csv += measureCall("report, 3 services 3 servers", makeReports(3, 3), Empty);
-  Csv += measureCall("report, 20 services 1 server", makeReports(20, 1), Empty);
-  return Csv;
-}
-
-static std::string measurePool() {
-  std::string Csv = "daemons,servers,us_a_report,us_an_advance,state_kb\n";
-  for (const int Daemons : {40, 100, 400, 1000}) {
-    std::vector<PooledServer> Servers;
-    for (int I = 0; I < 57; ++I)
-      Servers.push_back({getServerId("s", fmt::format("v{}", I)), 4});
-    const double Before = readResidentMegabytes();
-    EvidencePool Pool("s", "o", getTuning(Weighing::Balanced), Servers, 50, 0);
-    TimePoint Now = readSteadyClock();
-    const CpuTimer Timer;
-    static constexpr uint64_t Rounds = 20;
-    for (uint64_t Round = 1; Round <= Rounds; ++Round) {
-      Now += fromSeconds(1);
-      for (int D = 0; D < Daemons; ++D) {
-        EvidenceReport Report;
-        Report.Service = "s";
-        Report.Source = fmt::format("entry-{:04}", D);
-        Report.Hall = fmt::format("h{}", D % 7);
-        Report.Sequence = Round;
-        Report.OtherGood = 10;
-        Report.UsedServers = 6;
-        Report.Servers.push_back(
-            {Servers[static_cast<size_t>(D) % 57].Id, {2, 0, 1}});
-        Pool.takeReport(Report, Now);
-      }
-    }
-    const double Report =
-        Timer.getSeconds() * 1e6 / (static_cast<double>(Rounds) * Daemons);
-    const CpuTimer Advance;
-    for (int I = 0; I < 100; ++I)
-      Pool.advance(Now);
-    Csv += fmt::format("{},57,{:.1f},{:.0f},{:.0f}\n", Daemons, Report,
-                       Advance.getSeconds() * 1e6 / 100,
-                       (readResidentMegabytes() - Before) * 1000);
-  }
-  return Csv;
-}
-
-/// Lets Askers threads claim keys of one shard for some seconds.
-static std::string measureClaimsWith(size_t Askers, Duration Gap) {
-  PlatformStandIn Stand;
-  if (!Stand.start({"127.0.0.1", 0}))
-    return "";
-  PlatformFaults Slow;
-  Slow.SlowMs = 2;
-  Stand.setFaults(Slow);
-  PlatformClient Client({"127.0.0.1", Stand.getPort()}, nullptr);
-  ClaimWriter Writer(Client, 0, fromSeconds(3600), Gap);
-  std::atomic<uint64_t> Claims{0};
-  const TimePoint Start = readSteadyClock();
-  const TimePoint End = Start + fromSeconds(2);
-  std::vector<std::thread> Threads;
-  for (size_t T = 0; T < Askers; ++T)
-    Threads.emplace_back([&, T] {
-      for (uint64_t I = 0; readSteadyClock() < End; ++I) {
-        ClaimEntry Entry;
-        Entry.Key = fmt::format("{:016x}{:016x}", T, I);
-        Entry.Claim = ++Claims;
-        Entry.Fingerprint = Entry.Key;
-        Entry.Holder = "entry-0001#1700000000000";
-        Entry.TimeMillis = readCalendarMillis();
-        Writer.begin(std::move(Entry));
-      }
-    });
-  for (std::thread &Thread : Threads)
-    Thread.join();
-  const double Seconds = toSeconds(readSteadyClock() - Start);
-  return fmt::format("{},{},{:.0f},{:.0f},{:.1f}\n", Askers, toMillis(Gap),
-                     static_cast<double>(Claims) / Seconds,
-                     static_cast<double>(Writer.countWrites()) / Seconds,
-                     static_cast<double>(Askers) * Seconds * 1000 /
-                         static_cast<double>(Claims));
-}
-
-static std::string measureClaims() {
-  std::string Csv = "askers,gap_ms,claims_a_second,platform_writes_a_second,"
-                    "ms_a_claim\n";
-  for (const size_t Askers : {1u, 4u, 16u, 64u})
-    for (const Duration Gap : {Duration::zero(), fromMillis(50)})
-      Csv += measureClaimsWith(Askers, Gap);
-  return Csv;
-}
-
 static std::string measureDetection() {
   std::string Csv = "requests_a_second_a_daemon_and_server,"
                     "detection_p50_s,baseline_p50_s,control_bytes_per_s\n";
@@ -441,75 +252,6 @@
   return Csv;
 }
 
-/// More than a table passes on any one change.
-static constexpr int FirstAnnouncements = 40;
-
-/// Lets a whole fleet of tables talk for a while and counts bytes and time.
-static std::string measureMembers() {
-  std::string Csv = "members,changes_a_second,bytes_a_ping,us_a_ping_to_handle,"
-                    "rounds_until_all_know,table_kb\n";
-  for (const size_t Count : {40u, 200u, 500u, 1000u}) {
-    TimePoint Now{};
-    const double Before = readResidentMegabytes();
-    MembershipTuning Tuning;
-    Tuning.ChangesPerMessage = Count;
-    std::vector<MemberTable> Tables;
-    const std::vector<std::string> Names = makeNames(Count);
-    std::vector<MemberRecord> All;
-    for (const std::string &Name : Names)
-      All.push_back({Name,
-                     "hall-number-3",
-                     {"10.20.3.200", 7400},
-                     1,
-                     MemberState::Alive});
-    for (const MemberRecord &Self : All) {
-      Tables.emplace_back(Self, Tuning, Now);
-      for (const MemberRecord &Other : All)
-        Tables.back().take(Other, Now);
-    }
-    const double TableKb =
-        (readResidentMegabytes() - Before) * 1000 / static_cast<double>(Count);
-    // Spend the first announcements, then let one member change.
-    std::mt19937_64 Random(1);
-    const auto Talk = [&](size_t From, uint64_t &Bytes) {
-      const size_t To = Random() % Count;
-      Json::Value Message;
-      for (const MemberRecord &Record : Tables[From].takeChanges(Names[To])) {
-        Message["changes"].append(encodeMember(Record));
-        Tables[To].take(Record, Now);
-      }
-      for (const MemberRecord &Record : Tables[To].takeChanges(Names[From]))
-        Tables[From].take(Record, Now);
-      Json::StreamWriterBuilder Writer;
-      Writer["indentation"] = "";
-      Bytes += Json::writeString(Writer, Message).size();
-    };
-    for (MemberTable &Each : Tables)
-      for (int I = 0; I < FirstAnnouncements; ++I)
-        Each.takeChanges("nobody");
-    All[0].Incarnation = 2;
-    Tables[1].take(All[0], Now);
-    int Rounds = 0;
-    uint64_t Bytes = 0;
-    const CpuTimer Timer;
-    const auto Knows = [&](const MemberTable &Each) {
-      return Each.getSelf().Name == Names[0] ||
-             Each.find(Names[0])->Incarnation == 2;
-    };
-    while (!std::all_of(Tables.begin(), Tables.end(), Knows) && Rounds < 60) {
-      ++Rounds;
-      for (size_t From = 1; From < Count; ++From)
-        Talk(From, Bytes);
-    }
-    const double Pings =
-        static_cast<double>(Rounds) * static_cast<double>(Count);
-    Csv += fmt::format("{},1,{:.0f},{:.1f},{},{:.0f}\n", Count,
-                       static_cast<double>(Bytes) / Pings,
-                       Timer.getSeconds() * 1e6 / Pings, Rounds, TableKb);
-  }
-  return Csv;
-}
-
 const std::vector<CapacityTable> &getCapacityTables() {
   static const std::vector<CapacityTable> Tables = {
       {"settings", "time and memory to accept a tree", measureSettings},
--- /dev/null
+++ b/lib/Bench/CapacityTables.h
@@ -0,0 +1,62 @@
+//===- CapacityTables.h - What the files of the capacity bench share -*- C++
+//-*-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Timers, sizes and the tables that live in a file of their own. Private to
+/// this library.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef CANVASWICK_LIB_BENCH_CAPACITYTABLES_H
+#define CANVASWICK_LIB_BENCH_CAPACITYTABLES_H
+
+#include <fmt/format.h>
+
+#include <sys/resource.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace canvaswick {
+
+/// Processor time of this process between two points.
+class CpuTimer {
+public:
+  CpuTimer() : Start(read()) {}
+  double getSeconds() const { return read() - this->Start; }
+
+private:
+  static double read() {
+    rusage Usage{};
+    ::getrusage(RUSAGE_SELF, &Usage);
+    return static_cast<double>(Usage.ru_utime.tv_sec + Usage.ru_stime.tv_sec) +
+           static_cast<double>(Usage.ru_utime.tv_usec +
+                               Usage.ru_stime.tv_usec) /
+               1e6;
+  }
+
+  double Start;
+};
+
+/// Returns the resident memory of this process in megabytes.
+double readResidentMegabytes();
+
+/// Returns the names of Count daemons.
+std::vector<std::string> makeNames(size_t Count);
+
+/// The tables about what daemons send each other and the platform.
+std::string measureCalls();
+std::string measurePool();
+std::string measureClaims();
+std::string measureMembers();
+
+} // namespace canvaswick
+
+#endif // CANVASWICK_LIB_BENCH_CAPACITYTABLES_H
--- a/lib/Bench/PolicyBench.cpp
+++ b/lib/Bench/PolicyBench.cpp
@@ -16,6 +16,7 @@
 #include "canvaswick/Admission/Limits.h"
 #include "canvaswick/Daemon/EvidenceAgent.h"
 #include "canvaswick/Health/EvidencePool.h"
+#include "canvaswick/Json/JsonText.h"
 
 #include <fmt/format.h>
 #include <json/json.h>
@@ -229,6 +230,7 @@
 void BenchRun::tryRequest(std::shared_ptr<BenchRequest> Request) {
   BenchDaemon &Daemon = this->Daemons[Request->Daemon];
   std::vector<double> Shares;
+  Shares.reserve(static_cast<size_t>(this->Under.Servers));
   for (int I = 0; I < this->Under.Servers; ++I)
     Shares.push_back(getShare(Daemon.Policy, static_cast<size_t>(I)));
   const int Picked = Daemon.Selector.pick(Shares, {}, this->Now, this->Choices);
@@ -306,10 +308,7 @@
 
 /// Sends a message, which may be lost on its way.
 void BenchRun::send(const Json::Value &Message, std::function<void()> Deliver) {
-  Json::StreamWriterBuilder Writer;
-  Writer["indentation"] = "";
-  this->ControlBytes +=
-      CallOverheadBytes + Json::writeString(Writer, Message).size();
+  this->ControlBytes += CallOverheadBytes + writeJson(Message).size();
   std::uniform_real_distribution<double> Draw(0, 1);
   if (Draw(this->Network) < this->Under.ExchangeLoss)
     return;
@@ -541,6 +540,7 @@
 static T getMedian(const std::vector<BenchResult> &Results,
                    T BenchResult::*Column) {
   std::vector<T> Values;
+  Values.reserve(Results.size());
   for (const BenchResult &Each : Results)
     Values.push_back(Each.*Column);
   std::sort(Values.begin(), Values.end());
--- a/lib/Claims/ClaimIndex.cpp
+++ b/lib/Claims/ClaimIndex.cpp
@@ -12,6 +12,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Claims/ClaimIndex.h"
+#include "canvaswick/Json/JsonText.h"
 #include "canvaswick/Support/EnumNames.h"
 
 #include <json/json.h>
@@ -125,9 +126,7 @@
   Root["entries"] = Json::arrayValue;
   for (const ClaimEntry &Entry : Chunk.Entries)
     Root["entries"].append(encodeEntry(Entry));
-  Json::StreamWriterBuilder Writer;
-  Writer["indentation"] = "";
-  return Json::writeString(Writer, Root);
+  return writeJson(Root);
 }
 
 static bool decodeEntry(const Json::Value &Value, ClaimEntry &Entry) {
@@ -152,12 +151,8 @@
 
 Result<ClaimChunk> decodeChunk(const std::string &Text) {
   Json::Value Root;
-  std::istringstream Stream(Text);
-  std::string Problem;
   ClaimChunk Chunk;
-  if (!Json::parseFromStream(Json::CharReaderBuilder(), Stream, &Root,
-                             &Problem) ||
-      !Root.isObject() || !Root["entries"].isArray())
+  if (!parseJson(Text, Root) || !Root.isObject() || !Root["entries"].isArray())
     return makeError(ErrorKind::InvalidArgument, "a claim chunk is malformed");
   Chunk.IsSealed = Root.get("sealed", false).asBool();
   for (const Json::Value &Value : Root["entries"]) {
--- a/lib/Config/ConfigManifest.cpp
+++ b/lib/Config/ConfigManifest.cpp
@@ -13,6 +13,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Config/ConfigManifest.h"
+#include "canvaswick/Json/JsonText.h"
 #include "canvaswick/Support/Hash.h"
 
 #include <fmt/format.h>
@@ -50,9 +51,7 @@
     Entry["time"] = static_cast<Json::Int64>(Change.TimeMillis);
     Root["changes"].append(Entry);
   }
-  Json::StreamWriterBuilder Writer;
-  Writer["indentation"] = "";
-  return Json::writeString(Writer, Root);
+  return writeJson(Root);
 }
 
 static Result<ConfigManifest> readManifestFields(const Json::Value &Root) {
@@ -85,10 +84,7 @@
 
 Result<ConfigManifest> decodeManifest(const std::string &Text) {
   Json::Value Root;
-  std::istringstream Stream(Text);
-  std::string Problem;
-  if (!Json::parseFromStream(Json::CharReaderBuilder(), Stream, &Root,
-                             &Problem))
+  if (!parseJson(Text, Root))
     return makeError(ErrorKind::InvalidArgument, "the manifest is not JSON");
   return readManifestFields(Root);
 }
--- a/lib/Daemon/LeavingAgent.cpp
+++ b/lib/Daemon/LeavingAgent.cpp
@@ -13,6 +13,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Daemon/LeavingAgent.h"
+#include "canvaswick/Json/JsonText.h"
 #include "canvaswick/Support/Hash.h"
 #include "canvaswick/Support/Log.h"
 
@@ -165,11 +166,7 @@
   if (Answer.End != ExchangeEnd::Complete)
     return;
   Json::Value State;
-  std::istringstream Stream(Answer.Body);
-  std::string Problem;
-  if (!Json::parseFromStream(Json::CharReaderBuilder(), Stream, &State,
-                             &Problem) ||
-      !State.isObject())
+  if (!parseJson(Answer.Body, State) || !State.isObject())
     return;
   if (State["load"].isNumeric())
     Service->noteLoad(Server, State["load"].asDouble(), readSteadyClock());
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -15,6 +15,7 @@
 
 #include "canvaswick/Http/HttpClient.h"
 #include "canvaswick/Support/EnumNames.h"
+#include "canvaswick/Support/Text.h"
 
 #include <algorithm>
 #include <cctype>
@@ -79,8 +80,8 @@
   if (Lengths + Encodings != 1)
     return false;
   if (Encodings == 1)
-    return ::strcasecmp(Response.get_header_value("Transfer-Encoding").c_str(),
-                        "chunked") == 0;
+    return equalsIgnoringCase(Response.get_header_value("Transfer-Encoding"),
+                              "chunked");
   const std::string Length = Response.get_header_value("Content-Length");
   return !Length.empty() &&
          std::all_of(Length.begin(), Length.end(), [](char Byte) {
@@ -224,8 +225,8 @@
 }
 
 static bool allowsReuse(const httplib::Response &Response) {
-  return ::strcasecmp(Response.get_header_value("Connection").c_str(),
-                      "close") != 0 &&
+  return !equalsIgnoringCase(Response.get_header_value("Connection"),
+                             "close") &&
          Response.version == "HTTP/1.1";
 }
 
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -15,6 +15,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Http/HttpServer.h"
+#include "canvaswick/Support/Text.h"
 
 #include <fmt/format.h>
 
@@ -310,10 +311,6 @@
   });
 }
 
-static bool equalsIgnoringCase(const std::string &Left, const char *Right) {
-  return ::strcasecmp(Left.c_str(), Right) == 0;
-}
-
 static bool mayHaveBody(const std::string &Method) {
   return Method == "POST" || Method == "PUT" || Method == "PATCH" ||
          Method == "DELETE";
--- a/lib/Operator/TreeText.cpp
+++ b/lib/Operator/TreeText.cpp
@@ -12,22 +12,16 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Operator/TreeText.h"
+#include "canvaswick/Support/Text.h"
 
 #include <map>
 #include <sstream>
 
 namespace canvaswick {
 
-static std::string trim(const std::string &Text) {
-  const size_t First = Text.find_first_not_of(" \t\r");
-  if (First == std::string::npos)
-    return "";
-  return Text.substr(First, Text.find_last_not_of(" \t\r") - First + 1);
-}
-
 static bool setsKey(const std::string &Line, const std::string &Key) {
   const size_t Equals = Line.find('=');
-  return Equals != std::string::npos && trim(Line.substr(0, Equals)) == Key;
+  return Equals != std::string::npos && trimText(Line.substr(0, Equals)) == Key;
 }
 
 Result<std::string> setInTree(const std::string &Text,
@@ -42,7 +36,7 @@
   while (std::getline(Stream, Line)) {
     const bool IsHeader = !Line.empty() && Line[0] == '[';
     if (IsHeader)
-      IsInside = trim(Line) == "[" + Section + "]";
+      IsInside = trimText(Line) == "[" + Section + "]";
     if (IsInside && !IsHeader && setsKey(Line, Key))
       continue;
     Out += Line + "\n";
--- a/lib/Platform/PlatformClient.cpp
+++ b/lib/Platform/PlatformClient.cpp
@@ -13,6 +13,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Platform/PlatformClient.h"
+#include "canvaswick/Json/JsonText.h"
 
 #include <fmt/format.h>
 #include <json/json.h>
@@ -132,11 +133,7 @@
   if (!isOk(Answer))
     return outcome::failure(describeFailure(Answer, "list of VMs"));
   Json::Value List;
-  std::istringstream Stream(Answer.Body);
-  std::string Problem;
-  if (!Json::parseFromStream(Json::CharReaderBuilder(), Stream, &List,
-                             &Problem) ||
-      !List.isArray())
+  if (!parseJson(Answer.Body, List) || !List.isArray())
     return makeError(ErrorKind::OutcomeUnknown, "list of VMs: not understood");
   VmList Vms;
   Vms.Revision = readRevision(Answer);
--- a/lib/Proxy/AnswerRelay.cpp
+++ b/lib/Proxy/AnswerRelay.cpp
@@ -14,6 +14,7 @@
 
 #include "canvaswick/Proxy/AnswerRelay.h"
 #include "canvaswick/Proxy/RequestProxy.h"
+#include "canvaswick/Support/Text.h"
 
 #include <fmt/format.h>
 
@@ -23,10 +24,6 @@
 
 namespace canvaswick {
 
-static bool equalsIgnoringCase(const std::string &Left, const char *Right) {
-  return ::strcasecmp(Left.c_str(), Right) == 0;
-}
-
 static const char *const ConnectionHeaders[] = {
     "Connection", "Keep-Alive",        "Proxy-Connection", "TE",
     "Trailer",    "Transfer-Encoding", "Upgrade",          "Content-Length"};
@@ -43,7 +40,7 @@
     while (std::getline(Stream, Listed, ',')) {
       Listed.erase(std::remove(Listed.begin(), Listed.end(), ' '),
                    Listed.end());
-      if (equalsIgnoringCase(Name, Listed.c_str()))
+      if (equalsIgnoringCase(Name, Listed))
         return true;
     }
   }
--- /dev/null
+++ b/lib/Proxy/RequestFlow.h
@@ -0,0 +1,59 @@
+//===- RequestFlow.h - One request on its way through the proxy -*- C++ -*-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// What the steps of a request hand on to each other. Private to this library.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef CANVASWICK_LIB_PROXY_REQUESTFLOW_H
+#define CANVASWICK_LIB_PROXY_REQUESTFLOW_H
+
+#include "canvaswick/Proxy/RequestProxy.h"
+
+#include <cstdlib>
+
+namespace canvaswick {
+
+/// One request on its way.
+struct RequestProxy::Flow {
+  explicit Flow(HttpExchange &Exchange) : Exchange(Exchange) {}
+
+  HttpExchange &Exchange;
+  TimePoint Began{};
+  TimePoint Deadline{};
+  bool HasOwnDeadline = false;
+  FleetRuntimeRef Fleet;
+  const RouteConfig *Route = nullptr;
+  ServiceRuntimeRef Service;
+  std::string Organisation;
+  std::string Key;
+  std::string ClaimKey;
+  uint64_t Claim = 0;
+  bool HasClaim = false;
+  std::string Body;
+  bool IsBodyWhole = true;
+  bool IsBodyBroken = false;
+  bool WasBodySent = false;
+  RunOutcome Outcome = RunOutcome::NotRun;
+  bool WasFailed = false;
+  bool WasTimeout = false;
+  bool WasCanceled = false;
+  bool HasNoServer = false;
+  bool IsAnswered = false;
+};
+
+/// Returns the length that a request states for its body, 0 for none.
+inline uint64_t getBodyLength(const httplib::Request &Request) {
+  return std::strtoull(Request.get_header_value("Content-Length").c_str(),
+                       nullptr, 10);
+}
+
+} // namespace canvaswick
+
+#endif // CANVASWICK_LIB_PROXY_REQUESTFLOW_H
--- a/lib/Routing/RouteTable.cpp
+++ b/lib/Routing/RouteTable.cpp
@@ -13,23 +13,17 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Routing/RouteTable.h"
+#include "canvaswick/Support/Text.h"
 
 #include <algorithm>
 #include <cctype>
 
 namespace canvaswick {
 
-static std::string toLower(std::string Text) {
-  std::transform(Text.begin(), Text.end(), Text.begin(), [](char Byte) {
-    return static_cast<char>(std::tolower(static_cast<unsigned char>(Byte)));
-  });
-  return Text;
-}
-
 static std::string makeKey(const std::string &Host, std::string Prefix) {
   while (Prefix.size() > 1 && Prefix.back() == '/')
     Prefix.pop_back();
-  return toLower(Host) + '\n' + Prefix;
+  return toLowerCase(Host) + '\n' + Prefix;
 }
 
 RouteTable::RouteTable(const std::vector<RouteConfig> &Routes) {
@@ -74,7 +68,7 @@
 static std::string decodeSeparators(const std::string &Path) {
   std::string Plain;
   for (size_t I = 0; I < Path.size(); ++I) {
-    const std::string Code = toLower(Path.substr(I, 3));
+    const std::string Code = toLowerCase(Path.substr(I, 3));
     if (Code == "%2e")
       Plain += '.';
     else if (Code == "%2f")
--- a/lib/StandIn/BackendStandIn.cpp
+++ b/lib/StandIn/BackendStandIn.cpp
@@ -13,6 +13,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/StandIn/BackendStandIn.h"
+#include "canvaswick/Json/JsonText.h"
 
 #include <fmt/format.h>
 
@@ -310,10 +311,7 @@
   std::string Body;
   readBody(Exchange, Body);
   Json::Value Wanted;
-  std::istringstream Stream(Body);
-  std::string Problem;
-  if (!Body.empty() && !Json::parseFromStream(Json::CharReaderBuilder(), Stream,
-                                              &Wanted, &Problem)) {
+  if (!Body.empty() && !parseJson(Body, Wanted)) {
     Exchange.Response.status = 400;
     return;
   }
@@ -341,9 +339,7 @@
   Answer["canceled"] = static_cast<Json::UInt64>(this->countCanceled());
   for (const auto &[Key, Count] : this->getLedger())
     Answer["ledger"][Key] = Count;
-  Exchange.Response.set_content(
-      Json::writeString(Json::StreamWriterBuilder(), Answer),
-      "application/json");
+  Exchange.Response.set_content(writeJson(Answer), "application/json");
 }
 
 } // namespace canvaswick
--- a/lib/StandIn/PlatformStandIn.cpp
+++ b/lib/StandIn/PlatformStandIn.cpp
@@ -12,6 +12,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/StandIn/PlatformStandIn.h"
+#include "canvaswick/Json/JsonText.h"
 
 #include <fmt/format.h>
 
@@ -105,13 +106,6 @@
   return Target.substr(Prefix.size(), Target.find('?') - Prefix.size());
 }
 
-static bool parseJson(const std::string &Text, Json::Value &Value) {
-  std::istringstream Stream(Text);
-  std::string Problem;
-  return Json::parseFromStream(Json::CharReaderBuilder(), Stream, &Value,
-                               &Problem);
-}
-
 static bool readBody(HttpExchange &Exchange, std::string &Body) {
   if (!Exchange.Body || (!Exchange.Request.has_header("Content-Length") &&
                          !Exchange.Request.has_header("Transfer-Encoding")))
@@ -336,8 +330,7 @@
     List = Version.List;
     ++Revision;
   }
-  answerValue(Exchange, Json::writeString(Json::StreamWriterBuilder(), List),
-              Revision);
+  answerValue(Exchange, writeJson(List), Revision);
 }
 
 void PlatformStandIn::handleControl(HttpExchange &Exchange) {
@@ -367,9 +360,7 @@
   Answer["writes"] = static_cast<Json::UInt64>(Counts.Writes);
   Answer["watches"] = static_cast<Json::UInt64>(Counts.Watches);
   Answer["refused"] = static_cast<Json::UInt64>(Counts.Refused);
-  Exchange.Response.set_content(
-      Json::writeString(Json::StreamWriterBuilder(), Answer),
-      "application/json");
+  Exchange.Response.set_content(writeJson(Answer), "application/json");
 }
 
 } // namespace canvaswick
--- a/lib/Support/CallSignature.cpp
+++ b/lib/Support/CallSignature.cpp
@@ -13,6 +13,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Support/CallSignature.h"
+#include "canvaswick/Support/Text.h"
 
 #include <fmt/format.h>
 #include <openssl/crypto.h>
@@ -52,13 +53,6 @@
   return Prefix + ":" + computeHmac(Key, Prefix + "\n" + Body);
 }
 
-static std::string trim(const std::string &Text) {
-  const size_t First = Text.find_first_not_of(" \t\r");
-  if (First == std::string::npos)
-    return "";
-  return Text.substr(First, Text.find_last_not_of(" \t\r") - First + 1);
-}
-
 Result<std::vector<CallKey>> loadCallKeys(const std::string &Path) {
   struct stat Status;
   if (::stat(Path.c_str(), &Status) != 0)
@@ -71,14 +65,15 @@
   std::ifstream File(Path);
   std::string Line;
   while (std::getline(File, Line)) {
-    Line = trim(Line);
+    Line = trimText(Line);
     if (Line.empty() || Line[0] == '#')
       continue;
     const size_t Equals = Line.find('=');
     if (Equals == std::string::npos)
       return makeError(ErrorKind::InvalidArgument,
                        fmt::format("{}: expected 'name = secret'", Path));
-    CallKey Key{trim(Line.substr(0, Equals)), trim(Line.substr(Equals + 1))};
+    CallKey Key{trimText(Line.substr(0, Equals)),
+                trimText(Line.substr(Equals + 1))};
     if (Key.Name.empty() || Key.Secret.size() < MinSecretBytes)
       return makeError(
           ErrorKind::InvalidArgument,
--- a/unittests/Claims/ClaimLogTest.cpp
+++ b/unittests/Claims/ClaimLogTest.cpp
@@ -216,6 +216,7 @@
   std::vector<std::map<std::string, int>> Granted(Writers);
   std::atomic<uint64_t> NextClaim{1};
   std::vector<std::thread> Threads;
+  Threads.reserve(Writers);
   for (int W = 0; W < Writers; ++W)
     Threads.emplace_back([&, W] {
       ClaimLog Log = Under.makeWriter();
--- a/unittests/Config/ConfigFollowerTest.cpp
+++ b/unittests/Config/ConfigFollowerTest.cpp
@@ -169,6 +169,7 @@
   static constexpr int Operators = 6;
   std::atomic<int> Landed{0};
   std::vector<std::thread> Threads;
+  Threads.reserve(Operators);
   for (int I = 0; I < Operators; ++I)
     Threads.emplace_back([&, I] {
       ConfigPublisher Publisher(*Under.Client);
--- a/unittests/Health/PooledPolicyTest.cpp
+++ b/unittests/Health/PooledPolicyTest.cpp
@@ -149,6 +149,7 @@
 
 static EvidencePool makePool(int Floor) {
   std::vector<PooledServer> Servers;
+  Servers.reserve(10);
   for (int I = 0; I < 10; ++I)
     Servers.push_back({getServerId("s", fmt::format("{}", I)), 3});
   return EvidencePool("s", "o", getTuning(Weighing::Detection), Servers, Floor,
@@ -217,6 +218,7 @@
 
 TEST_CASE("with three of four sick, two go and the floor keeps the third") {
   std::vector<PooledServer> Servers;
+  Servers.reserve(4);
   for (int I = 0; I < 4; ++I)
     Servers.push_back({getServerId("s", fmt::format("{}", I)), 3});
   EvidencePool Pool("s", "o", getTuning(Weighing::Detection), Servers, 50, 0);
@@ -262,6 +264,7 @@
   const TimePoint Now = TimePoint{} + fromSeconds(10);
   for (int I = 0; I < 5; ++I) {
     std::vector<ServerEvidence> All;
+    All.reserve(10);
     for (int S = 0; S < 10; ++S)
       All.push_back({getServerId("s", fmt::format("{}", S)), {0, 0, 2}});
     Pool.takeReport(makeReport(fmt::format("d{}", I), "a", 1, All), Now);
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -84,6 +84,7 @@
     ConnectionPool Pool(0);
     std::atomic<int> Served{0};
     std::vector<std::thread> Callers;
+    Callers.reserve(100);
     for (int I = 0; I < 100; ++I)
       Callers.emplace_back([&] {
         if (get(Pool, Open.getAddress()).Status == 200)
@@ -120,6 +121,7 @@
   Gate Open(Limits);
   Open.IsOpen = true;
   std::vector<std::unique_ptr<SocketStream>> Idle;
+  Idle.reserve(19);
   for (int I = 0; I < 19; ++I)
     Idle.push_back(std::make_unique<SocketStream>(
         connectTcp("127.0.0.1", Open.Server.getPort(),
--- a/unittests/Membership/MemberTableTest.cpp
+++ b/unittests/Membership/MemberTableTest.cpp
@@ -112,6 +112,7 @@
     Table.take(makeRecord(fmt::format("m{}", I)), Now);
   std::mt19937_64 Random(1);
   std::vector<std::string> Round;
+  Round.reserve(10);
   for (int I = 0; I < 10; ++I)
     Round.push_back(Table.nextToPing(Random)->Name);
   std::sort(Round.begin(), Round.end());
--- a/unittests/Routing/RouteTableTest.cpp
+++ b/unittests/Routing/RouteTableTest.cpp
@@ -77,6 +77,7 @@
     const ServiceConfig Service =
         makeService(*rc::gen::inRange(1, 12), Connections);
     std::vector<std::string> Names;
+    Names.reserve(static_cast<size_t>(Daemons));
     for (int I = 0; I < Daemons; ++I)
       Names.push_back(fmt::format("d{}", I));
     std::vector<int> Used(Service.Servers.size(), 0);
@@ -98,6 +99,7 @@
 
 TEST_CASE("with today's sizes each daemon gets its share of connections") {
   std::vector<std::string> Names;
+  Names.reserve(40);
   for (int I = 0; I < 40; ++I)
     Names.push_back(fmt::format("d{}", I));
   const ServerSubset Subset =
