--- a/include/canvaswick/Daemon/ClaimAgent.h
+++ b/include/canvaswick/Daemon/ClaimAgent.h
@@ -20,7 +20,7 @@
 #include "canvaswick/Claims/ClaimWriter.h"
 #include "canvaswick/Daemon/MembershipAgent.h"
 
-#include <atomic>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <vector>
@@ -47,7 +47,11 @@
 
 private:
   ClaimWriter &getShard(const std::string &Key);
-  std::optional<MemberRecord> findWriter(const std::string &Key);
+  std::vector<std::string> listWriters(const std::string &Key) const;
+  ClaimVerdict askWriter(const std::string &Writer, const ClaimEntry &Entry,
+                         TimePoint Deadline);
+  void noteWriter(uint64_t Claim, const std::string &Writer);
+  std::string takeWriter(uint64_t Claim);
   ClaimVerdict beginLocally(ClaimEntry Entry);
   ClaimVerdict resolveRunning(ClaimVerdict Verdict, const std::string &Key);
   bool isHolderRunning(const std::string &Holder) const;
@@ -62,6 +66,9 @@
   std::vector<std::unique_ptr<ClaimWriter>> Shards;
   /// Used by runRound only.
   uint64_t WritesCounted = 0;
+  /// Who wrote each claim that this daemon was granted, until its end.
+  std::mutex WritersMutex;
+  std::map<uint64_t, std::string> Writers;
   std::mutex RandomMutex;
   std::mt19937_64 Random;
 };
--- a/lib/Daemon/ClaimAgent.cpp
+++ b/lib/Daemon/ClaimAgent.cpp
@@ -25,6 +25,9 @@
 /// that finds its log idle does not wait.
 static constexpr Duration WriteGap = fromMillis(50);
 
+/// Daemons that are asked to write a claim at most, this one aside.
+static constexpr size_t WritersTried = 3;
+
 /// How long the writer of a shard is waited for.
 static constexpr Duration WriterTimeout = fromSeconds(2);
 
@@ -56,18 +59,6 @@
   return *this->Shards[hashText(Key) % ClaimShards];
 }
 
-std::optional<MemberRecord> ClaimAgent::findWriter(const std::string &Key) {
-  const std::vector<std::string> Working = this->Members.getWorking();
-  if (Working.empty())
-    return std::nullopt;
-  const std::string Shard =
-      fmt::format("claims/{}", hashText(Key) % ClaimShards);
-  const std::string &Writer = Working[rankByRendezvous(Shard, Working)[0]];
-  if (Writer == this->Context.Config.Name)
-    return std::nullopt;
-  return this->Members.find(Writer);
-}
-
 uint64_t ClaimAgent::makeClaim() {
   std::lock_guard<std::mutex> Lock(this->RandomMutex);
   return std::max<uint64_t>(1, this->Random());
@@ -108,34 +99,83 @@
   return Verdict;
 }
 
+/// Lists who may write a key's claim, in the order in which they are tried: who
+/// writes the log for all, this daemon, and others that may reach the platform
+/// when neither does.
+std::vector<std::string> ClaimAgent::listWriters(const std::string &Key) const {
+  const std::vector<std::string> Working = this->Members.getWorking();
+  const std::string Shard =
+      fmt::format("claims/{}", hashText(Key) % ClaimShards);
+  const std::vector<size_t> Order = rankByRendezvous(Shard, Working);
+  const std::string &Self = this->Context.Config.Name;
+  std::vector<std::string> Writers;
+  for (size_t I = 0; I < std::min(Order.size(), WritersTried); ++I) {
+    if (I == 1 && Writers.front() != Self)
+      Writers.push_back(Self);
+    if (I == 0 || Working[Order[I]] != Self)
+      Writers.push_back(Working[Order[I]]);
+  }
+  if (std::find(Writers.begin(), Writers.end(), Self) == Writers.end())
+    Writers.push_back(Self);
+  return Writers;
+}
+
 ClaimVerdict ClaimAgent::begin(const std::string &Key,
                                const std::string &Fingerprint,
                                TimePoint Deadline) {
-  ClaimEntry Entry = this->makeBegin(Key, Fingerprint);
-  if (const std::optional<MemberRecord> Writer = this->findWriter(Key)) {
-    Json::Value Params;
-    Params["key"] = Key;
-    Params["fingerprint"] = Fingerprint;
-    Params["claim"] = static_cast<Json::UInt64>(Entry.Claim);
-    Params["holder"] = this->Holder;
-    Params["time"] = static_cast<Json::Int64>(Entry.TimeMillis);
-    const Duration Left = Deadline - readSteadyClock();
-    Result<Json::Value> Answer =
-        this->Context.Caller.call(Writer->Control, "claim.begin", Params,
-                                  std::min(WriterTimeout, Left / 2));
-    if (Answer) {
-      const ClaimVerdict Verdict = decodeVerdict(Answer.value());
-      if (Verdict.Kind != ClaimKind::Unavailable)
-        return Verdict;
-    }
+  for (const std::string &Writer : this->listWriters(Key)) {
+    if (readSteadyClock() >= Deadline)
+      break;
+    ClaimEntry Entry = this->makeBegin(Key, Fingerprint);
+    const uint64_t Claim = Entry.Claim;
+    const bool IsSelf = Writer == this->Context.Config.Name;
+    const ClaimVerdict Verdict = IsSelf
+                                     ? this->beginLocally(std::move(Entry))
+                                     : this->askWriter(Writer, Entry, Deadline);
+    if (Verdict.Kind == ClaimKind::Granted)
+      this->noteWriter(Claim, Writer);
+    if (Verdict.Kind != ClaimKind::Unavailable)
+      return Verdict;
     // Whatever became of that claim, it will not be run: it is released, and
-    // a claim of another name is made here.
-    this->getShard(Key).giveUp(Key, Entry.Claim);
-    Entry = this->makeBegin(Key, Fingerprint);
+    // the next try has a claim of another name.
+    if (!IsSelf)
+      this->getShard(Key).giveUp(Key, Claim);
   }
-  if (readSteadyClock() >= Deadline)
+  return ClaimVerdict();
+}
+
+void ClaimAgent::noteWriter(uint64_t Claim, const std::string &Writer) {
+  std::lock_guard<std::mutex> Lock(this->WritersMutex);
+  this->Writers[Claim] = Writer;
+}
+
+std::string ClaimAgent::takeWriter(uint64_t Claim) {
+  std::lock_guard<std::mutex> Lock(this->WritersMutex);
+  const auto Found = this->Writers.find(Claim);
+  if (Found == this->Writers.end())
+    return this->Context.Config.Name;
+  const std::string Writer = Found->second;
+  this->Writers.erase(Found);
+  return Writer;
+}
+
+/// Asks another daemon to write a claim.
+ClaimVerdict ClaimAgent::askWriter(const std::string &Writer,
+                                   const ClaimEntry &Entry,
+                                   TimePoint Deadline) {
+  const std::optional<MemberRecord> Peer = this->Members.find(Writer);
+  if (!Peer)
     return ClaimVerdict();
-  return this->beginLocally(std::move(Entry));
+  Json::Value Params;
+  Params["key"] = Entry.Key;
+  Params["fingerprint"] = Entry.Fingerprint;
+  Params["claim"] = static_cast<Json::UInt64>(Entry.Claim);
+  Params["holder"] = Entry.Holder;
+  Params["time"] = static_cast<Json::Int64>(Entry.TimeMillis);
+  const Duration Left = Deadline - readSteadyClock();
+  Result<Json::Value> Answer = this->Context.Caller.call(
+      Peer->Control, "claim.begin", Params, std::min(WriterTimeout, Left / 2));
+  return Answer ? decodeVerdict(Answer.value()) : ClaimVerdict();
 }
 
 ClaimVerdict ClaimAgent::beginLocally(ClaimEntry Entry) {
@@ -186,7 +226,11 @@
   Entry.Answer = Answer;
   if (!Answer.HasBody)
     Entry.Answer.Body.clear();
-  const std::optional<MemberRecord> Writer = this->findWriter(Key);
+  // Whoever wrote the claim reached the platform just now.
+  const std::string Name = this->takeWriter(Claim);
+  std::optional<MemberRecord> Writer;
+  if (Name != this->Context.Config.Name)
+    Writer = this->Members.find(Name);
   const bool IsSent =
       Writer && this->Context.Calls.trySubmit([this, Writer = *Writer, Entry] {
         Json::Value Params;
