--- a/include/canvaswick/Http/WorkerPool.h
+++ b/include/canvaswick/Http/WorkerPool.h
@@ -46,6 +46,7 @@
 
 private:
   void runThread();
+  void runJob(const std::function<void()> &Job);
 
   const size_t QueueLimit;
   mutable std::mutex Mutex;
--- a/include/canvaswick/Metrics/Counters.h
+++ b/include/canvaswick/Metrics/Counters.h
@@ -31,7 +31,6 @@
   RefusedOrganisationRate,
   RefusedDeadline,
   RefusedNoServer,
-  RefusedClaim,
   Repeats,
   ResumedAnswers,
   CallerHangUps,
--- a/lib/Daemon/Daemon.cpp
+++ b/lib/Daemon/Daemon.cpp
@@ -41,6 +41,16 @@
 static constexpr Duration ClaimInterval = fromMillis(100);
 static constexpr Duration HousekeepingInterval = fromSeconds(1);
 
+/// Runs a round. A library may throw over a peer's answer of a wrong shape; the
+/// next round goes on.
+static void runGuarded(const std::function<void()> &Round) {
+  try {
+    Round();
+  } catch (const std::exception &Failure) {
+    logError("round-failed", "what={:?}", Failure.what());
+  }
+}
+
 namespace {
 
 /// A thread that runs a round again and again until it is stopped.
@@ -52,7 +62,7 @@
       while (!this->Stopping) {
         Lock.unlock();
         const TimePoint Next = readSteadyClock() + Interval;
-        Round();
+        runGuarded(Round);
         Lock.lock();
         this->Changed.wait_until(Lock, Next, [this] { return this->Stopping; });
       }
--- a/lib/Http/WorkerPool.cpp
+++ b/lib/Http/WorkerPool.cpp
@@ -12,6 +12,9 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Http/WorkerPool.h"
+#include "canvaswick/Support/Log.h"
+
+#include <exception>
 
 namespace canvaswick {
 
@@ -52,6 +55,16 @@
   return this->Running + this->Queue.size();
 }
 
+/// Runs a job. Ours return their errors; a library below one may still throw,
+/// such as over a message of a wrong shape, and that must not end the process.
+void WorkerPool::runJob(const std::function<void()> &Job) {
+  try {
+    Job();
+  } catch (const std::exception &Failure) {
+    logError("job-failed", "what={:?}", Failure.what());
+  }
+}
+
 void WorkerPool::runThread() {
   std::unique_lock<std::mutex> Lock(this->Mutex);
   while (true) {
@@ -63,7 +76,7 @@
     this->Queue.pop_front();
     ++this->Running;
     Lock.unlock();
-    Job();
+    this->runJob(Job);
     Job = nullptr;
     Lock.lock();
     --this->Running;
--- a/lib/Metrics/Counters.cpp
+++ b/lib/Metrics/Counters.cpp
@@ -26,7 +26,6 @@
     {Counter::RefusedOrganisationRate, "refused_organisation_rate"},
     {Counter::RefusedDeadline, "refused_deadline"},
     {Counter::RefusedNoServer, "refused_no_server"},
-    {Counter::RefusedClaim, "refused_claim"},
     {Counter::Repeats, "repeats"},
     {Counter::ResumedAnswers, "resumed_answers"},
     {Counter::CallerHangUps, "caller_hang_ups"},
--- a/lib/Rpc/PeerCaller.cpp
+++ b/lib/Rpc/PeerCaller.cpp
@@ -86,6 +86,9 @@
                                : ErrorKind::OutcomeUnknown,
                      Method + " to " + Peer.format() + ": " + Failure);
   }
+  if (!Answer.isObject())
+    return makeError(ErrorKind::OutcomeUnknown,
+                     Method + " to " + Peer.format() + ": not an object");
   if (Answer.isMember("error"))
     return makeError(findErrorKind(Answer["error"].asString()),
                      Answer["message"].asString());
