A second failing server's own answer reaches the caller

Cause: reading: for repeatable routes every 5xx was set aside, the last too, so a service's own 500 or 501 always became our 502 with no body. Seen failing first: 'when every server fails ...' got 502. Change: only the first try's failure is set aside.

--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -104,7 +104,10 @@
       fmt::format("{}-{}", this->DaemonName, this->NextRequest++);
   const bool IsRepeatable = Request.Route->Class == RouteClass::Repeatable;
   RelayRules Rules;
-  Rules.MaySetAsideFailure = IsRepeatable && Request.IsBodyWhole;
+  // The second server's own words are worth more than a general failure.
+  Rules.MaySetAsideFailure =
+      IsRepeatable && Request.IsBodyWhole && Request.Tries == 0;
+  ++Request.Tries;
   Rules.KeepBytes = Request.HasClaim ? KeptAnswerBytes : 0;
   Relay.setRules(Rules);
   Relay.beginAttempt(RequestId);
--- a/lib/Proxy/RequestFlow.h
+++ b/lib/Proxy/RequestFlow.h
@@ -40,6 +40,7 @@
   bool IsBodyWhole = true;
   bool IsBodyBroken = false;
   bool WasBodySent = false;
+  size_t Tries = 0;
   RunOutcome Outcome = RunOutcome::NotRun;
   bool WasFailed = false;
   bool WasTimeout = false;
--- a/unittests/Proxy/RequestProxyTest.cpp
+++ b/unittests/Proxy/RequestProxyTest.cpp
@@ -208,6 +208,17 @@
   CHECK(Under.countRuns() == Before + 1);
 }
 
+TEST_CASE("when every server fails the caller gets a server's own answer") {
+  Bench Under("retry-percent = 100");
+  BackendFaults Fail;
+  Fail.Fail = true;
+  Under.setFaults(Fail);
+  const ExchangeResult Result = Under.send("GET", "/read/1");
+  CHECK(Result.Status == 500);
+  CHECK(Result.Body == "failed\n");
+  CHECK(Under.countRuns() == 2);
+}
+
 TEST_CASE("a request without a known outcome is never sent again") {
   Bench Under;
   BackendFaults Lose;
