--- a/lib/Bench/PolicyBench.cpp
+++ b/lib/Bench/PolicyBench.cpp
@@ -12,7 +12,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Bench/PolicyBench.h"
-#include "BenchServers.h"
+#include "BenchObserver.h"
 #include "canvaswick/Admission/Limits.h"
 #include "canvaswick/Daemon/EvidenceAgent.h"
 #include "canvaswick/Health/EvidencePool.h"
@@ -30,7 +30,6 @@
 
 static constexpr Duration TickInterval = fromMillis(100);
 static constexpr Duration ReportRound = fromMillis(100);
-static constexpr double RemovedShare = 0.05;
 static constexpr size_t Owners = 2;
 static constexpr int64_t RetryPercent = 10;
 static constexpr int MaxTries = 2;
@@ -84,12 +83,7 @@
   std::unique_ptr<EvidencePool> Pool;
 };
 
-/// What is followed of one server.
-struct ServerWatch {
-  std::vector<bool> WasRemoved;
-  bool IsInFalseEpisode = false;
-};
-
+/// One run of one policy.
 class BenchRun {
 public:
   BenchRun(const Scenario &Under, PolicyKind Kind, uint64_t Seed);
@@ -112,10 +106,7 @@
   void deliverDigest(BenchDaemon &Reader, const EvidenceDigest &Digest);
   void advancePool(BenchDaemon &Owner);
   void observe();
-  void observeServer(size_t Server);
-  void observeFloor();
-  void observeDetection();
-  double getMeanShare(size_t Server, const std::vector<bool> &Daemons) const;
+  std::vector<double> getShares(const BenchDaemon &Daemon) const;
   BenchResult summarize() const;
 
   const Scenario &Under;
@@ -130,9 +121,7 @@
   std::priority_queue<Event, std::vector<Event>, IsLater> Events;
   uint64_t NextOrder = 0;
   TimePoint Now{};
-  std::vector<ServerWatch> Watches;
-  /// For each fault and server: seconds until detection, or negative.
-  std::vector<std::vector<double>> Detection;
+  BenchObserver Observer;
   BenchResult Result;
   uint64_t Failed = 0;
   uint64_t Late = 0;
@@ -150,14 +139,9 @@
 BenchRun::BenchRun(const Scenario &Under, PolicyKind Kind, uint64_t Seed)
     : Under(Under), Kind(Kind), Seed(Seed), Arrivals(Seed * 4),
       Service(Seed * 4 + 1), Choices(Seed * 4 + 2), Network(Seed * 4 + 5),
-      Servers(Under, drawFaultsOf(Under, Seed), this->Service) {
+      Servers(Under, drawFaultsOf(Under, Seed), this->Service),
+      Observer(Under, this->Servers) {
   this->makeDaemons(Kind);
-  const auto Count = static_cast<size_t>(Under.Servers);
-  this->Watches.resize(Count);
-  for (ServerWatch &Watch : this->Watches)
-    Watch.WasRemoved.assign(static_cast<size_t>(Under.Daemons), false);
-  this->Detection.assign(this->Servers.getFaults().size(),
-                         std::vector<double>(Count, -1));
 }
 
 void BenchRun::schedule(TimePoint At, std::function<void()> Run) {
@@ -229,11 +213,8 @@
 
 void BenchRun::tryRequest(std::shared_ptr<BenchRequest> Request) {
   BenchDaemon &Daemon = this->Daemons[Request->Daemon];
-  std::vector<double> Shares;
-  Shares.reserve(static_cast<size_t>(this->Under.Servers));
-  for (int I = 0; I < this->Under.Servers; ++I)
-    Shares.push_back(getShare(Daemon.Policy, static_cast<size_t>(I)));
-  const int Picked = Daemon.Selector.pick(Shares, {}, this->Now, this->Choices);
+  const int Picked = Daemon.Selector.pick(this->getShares(Daemon), {},
+                                          this->Now, this->Choices);
   if (Picked < 0) {
     ++this->Failed;
     return;
@@ -388,99 +369,20 @@
   this->observe();
 }
 
-double BenchRun::getMeanShare(size_t Server,
-                              const std::vector<bool> &Seen) const {
-  double Sum = 0;
-  double Count = 0;
-  for (size_t D = 0; D < this->Daemons.size(); ++D) {
-    if (!Seen[D])
-      continue;
-    Sum += getShare(this->Daemons[D].Policy, Server);
-    ++Count;
-  }
-  return Count > 0 ? Sum / Count : 1;
-}
-
-void BenchRun::observeServer(size_t Server) {
-  if (this->Servers.isLeaving(Server, this->Now))
-    return;
-  ServerWatch &Watch = this->Watches[Server];
-  const bool IsSick = this->Servers.isSick(Server, this->Now);
-  bool IsRemovedAnywhere = false;
-  for (size_t D = 0; D < this->Daemons.size(); ++D) {
-    const bool IsRemoved =
-        getShare(this->Daemons[D].Policy, Server) < RemovedShare;
-    IsRemovedAnywhere = IsRemovedAnywhere || IsRemoved;
-    if (IsRemoved && !Watch.WasRemoved[D] && !IsSick &&
-        !Watch.IsInFalseEpisode) {
-      Watch.IsInFalseEpisode = true;
-      ++this->Result.FalseEjections;
-    }
-    Watch.WasRemoved[D] = IsRemoved;
-  }
-  if (!IsRemovedAnywhere)
-    Watch.IsInFalseEpisode = false;
-  if (IsSick)
-    return;
-  const std::vector<bool> Everyone(this->Daemons.size(), true);
-  this->Result.HealthySecondsLost +=
-      (1 - this->getMeanShare(Server, Everyone)) * toSeconds(TickInterval);
-}
-
-void BenchRun::observeFloor() {
-  const double All = this->Under.Servers * this->Under.Slots;
-  double NotLeaving = 0;
-  for (int I = 0; I < this->Under.Servers; ++I)
-    if (!this->Servers.isLeaving(static_cast<size_t>(I), this->Now))
-      NotLeaving += this->Under.Slots;
-  const double Floor =
-      std::min(NotLeaving, All * this->Under.FloorPercent / 100);
-  for (const BenchDaemon &Daemon : this->Daemons) {
-    double Usable = 0;
-    for (int I = 0; I < this->Under.Servers; ++I)
-      Usable +=
-          this->Under.Slots * getShare(Daemon.Policy, static_cast<size_t>(I));
-    if (Usable < Floor - 1e-6)
-      ++this->Result.FloorViolations;
-  }
-}
-
-void BenchRun::observeDetection() {
-  const std::vector<ActiveFault> &Faults = this->Servers.getFaults();
-  for (size_t F = 0; F < Faults.size(); ++F) {
-    if (!Faults[F].isSickness() || !Faults[F].isActive(this->Now))
-      continue;
-    for (size_t S = 0; S < this->Watches.size(); ++S) {
-      if (!Faults[F].Servers[S] || this->Detection[F][S] >= 0)
-        continue;
-      if (this->getMeanShare(S, Faults[F].Daemons) < RemovedShare)
-        this->Detection[F][S] = toSeconds(this->Now.time_since_epoch() -
-                                          Faults[F].Description.Start);
-    }
-  }
-}
-
 void BenchRun::observe() {
-  for (size_t S = 0; S < this->Watches.size(); ++S)
-    this->observeServer(S);
-  this->observeFloor();
-  this->observeDetection();
-}
-
-/// Returns whether a fault hits so few servers that removing them helps.
-static bool isRemovable(const ActiveFault &Each) {
-  const auto Hit = std::count(Each.Servers.begin(), Each.Servers.end(), true);
-  return Each.isSickness() &&
-         static_cast<size_t>(Hit) * 2 < Each.Servers.size();
+  ShareTable Shares;
+  Shares.reserve(this->Daemons.size());
+  for (const BenchDaemon &Daemon : this->Daemons)
+    Shares.push_back(this->getShares(Daemon));
+  this->Observer.observe(Shares, this->Now, TickInterval);
 }
 
-static double pickQuantile(std::vector<double> Values, double Part) {
-  if (Values.empty())
-    return 0;
-  std::sort(Values.begin(), Values.end());
-  const auto At =
-      static_cast<size_t>(std::ceil(Part * static_cast<double>(Values.size())));
-  return Values[std::max<size_t>(At, 1) - 1];
+std::vector<double> BenchRun::getShares(const BenchDaemon &Daemon) const {
+  std::vector<double> Shares;
+  Shares.reserve(static_cast<size_t>(this->Under.Servers));
+  for (int I = 0; I < this->Under.Servers; ++I)
+    Shares.push_back(getShare(Daemon.Policy, static_cast<size_t>(I)));
+  return Shares;
 }
 
 BenchResult BenchRun::summarize() const {
@@ -488,24 +390,7 @@
   Out.Scenario = this->Under.Name;
   Out.Policy = getName(this->Kind);
   Out.Seed = this->Seed;
-  std::vector<double> Times;
-  const std::vector<ActiveFault> &Faults = this->Servers.getFaults();
-  for (size_t F = 0; F < Faults.size(); ++F) {
-    if (!isRemovable(Faults[F]))
-      continue;
-    for (size_t S = 0; S < this->Watches.size(); ++S) {
-      if (!Faults[F].Servers[S])
-        continue;
-      ++Out.Faults;
-      const bool IsDetected = this->Detection[F][S] >= 0;
-      Out.Detected += IsDetected;
-      Times.push_back(IsDetected ? this->Detection[F][S]
-                                 : toSeconds(Faults[F].Description.End -
-                                             Faults[F].Description.Start));
-    }
-  }
-  Out.DetectionP50 = pickQuantile(Times, 0.5);
-  Out.DetectionP99 = pickQuantile(Times, 0.99);
+  this->Observer.summarize(Out);
   const auto Requests =
       static_cast<double>(std::max<uint64_t>(1, Out.Requests));
   Out.FailedShare = static_cast<double>(this->Failed) / Requests;
