A claimed request goes on when its caller has left

Cause: reading the outcomes: a caller whose connection broke cancelled its keyed request at the server, which was then not known for ever, though the repeat with the same key is just what the key is for. Seen failing first: session claims, 'the caller leaves before the answer': the repeat never got the first answer (30 s). Ruled out: no longer cancelling at all (repeatable work would burn slots). Change: a claimed request is not cancelled and its answer is read to the end.

--- a/include/canvaswick/Proxy/AnswerRelay.h
+++ b/include/canvaswick/Proxy/AnswerRelay.h
@@ -46,6 +46,9 @@
   bool MaySetAsideFailure = false;
   /// Keep a copy of the answer of at most this many bytes.
   size_t KeepBytes = 0;
+  /// Read the answer to its end although the caller has left: a repeat of a
+  /// keyed request will ask for it.
+  bool GoesOnWithoutCaller = false;
 };
 
 /// A copy of an answer, for the repeat of a keyed request.
@@ -103,7 +106,7 @@
   AnswerVerdict judgeHead(const httplib::Response &Response) const;
   bool continuesAnswer(const httplib::Response &Response) const;
   bool writeHead(const httplib::Response &Response);
-  bool writeToCaller(const std::string &Text);
+  bool writeToCaller(const char *Data, size_t Size);
 
   HttpExchange &Exchange;
   RelayRules Rules;
--- a/lib/Proxy/AnswerRelay.cpp
+++ b/lib/Proxy/AnswerRelay.cpp
@@ -20,6 +20,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <cstring>
 #include <sstream>
 
 namespace canvaswick {
@@ -47,6 +48,8 @@
   return false;
 }
 
+static constexpr const char *LastChunk = "0\r\n\r\n";
+
 AnswerRelay::AnswerRelay(HttpExchange &Exchange, RelayRules Rules)
     : Exchange(Exchange), Rules(Rules) {}
 
@@ -129,14 +132,14 @@
   this->HeadWritten = true;
   this->Kept.Status = Response.status;
   this->Kept.ContentType = Response.get_header_value("Content-Type");
-  return this->writeToCaller(Head);
+  return this->writeToCaller(Head.data(), Head.size());
 }
 
-bool AnswerRelay::writeToCaller(const std::string &Text) {
-  if (this->Exchange.Stream.write(Text.data(), Text.size()) >= 0)
+bool AnswerRelay::writeToCaller(const char *Data, size_t Size) {
+  if (!this->CallerLeft && this->Exchange.Stream.write(Data, Size) >= 0)
     return true;
   this->CallerLeft = true;
-  return false;
+  return this->Rules.GoesOnWithoutCaller;
 }
 
 bool AnswerRelay::takeBody(const char *Data, size_t Size) {
@@ -147,26 +150,22 @@
   else
     this->IsKeptTooLong = true;
   this->Passed += Size;
-  if (!this->IsChunked) {
-    if (this->Exchange.Stream.write(Data, Size) >= 0)
-      return true;
-    this->CallerLeft = true;
-    return false;
-  }
+  if (!this->IsChunked)
+    return this->writeToCaller(Data, Size);
   std::string Chunk = fmt::format("{:x}\r\n", Size);
   Chunk.append(Data, Size);
   Chunk += "\r\n";
-  return this->writeToCaller(Chunk);
+  return this->writeToCaller(Chunk.data(), Chunk.size());
 }
 
 void AnswerRelay::finish(bool IsWhole) {
   if (!this->HeadWritten)
     return;
   if (IsWhole && this->IsChunked)
-    IsWhole = this->writeToCaller("0\r\n\r\n");
+    IsWhole = this->writeToCaller(LastChunk, std::strlen(LastChunk));
   // cpp-httplib must add nothing to what was written.
   this->Exchange.Stream.muteWrites(true);
-  if (!IsWhole)
+  if (!IsWhole || this->CallerLeft)
     this->Exchange.MustClose = true;
 }
 
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -109,6 +109,7 @@
       IsRepeatable && Request.IsBodyWhole && Request.Tries == 0;
   ++Request.Tries;
   Rules.KeepBytes = Request.HasClaim ? KeptAnswerBytes : 0;
+  Rules.GoesOnWithoutCaller = Request.HasClaim;
   Relay.setRules(Rules);
   Relay.beginAttempt(RequestId);
   const AnswerSink Sink{[&Relay](const httplib::Response &Response) {
@@ -123,8 +124,10 @@
   const TimePoint Deadline = Relay.hasBegun()
                                  ? readSteadyClock() + Outgoing.StallLimit
                                  : Request.Deadline;
-  const int HangUp =
-      Request.IsBodyWhole ? Request.Exchange.Stream.socket() : -1;
+  // A claimed request is run once: its answer is wanted even if this caller
+  // has left.
+  const bool MayCancel = Request.IsBodyWhole && !Request.HasClaim;
+  const int HangUp = MayCancel ? Request.Exchange.Stream.socket() : -1;
   const ExchangeResult Result = this->Upstreams.exchange(
       Request.Service->getServer(Current.Server).Address, Outgoing, Deadline,
       HangUp, &Sink);
--- a/test/sessions/claims.sh
+++ b/test/sessions/claims.sh
@@ -56,6 +56,14 @@
 setBackend b1 '{}'
 say "runs of k4: $(runsOf b1 k4)"
 
+say "-- the caller leaves before the answer"
+setBackend b1 '{"slow-ms":1500}'
+curl -s -m 0.5 -o /dev/null -X POST -d order -H 'Idempotency-Key: k7' \
+  "http://$(callersOf d2)/pay/1"
+eventually "a repeat gets the first answer" repeatIs d2 k7 "200 ran first-answer"
+setBackend b1 '{}'
+say "runs of k7: $(runsOf b1 k7)"
+
 say "-- the platform is away"
 setPlatform '{"down":true}'
 say "keyed: $(pay d2 k5)"
