--- /dev/null
+++ b/include/canvaswick/Admission/FleetRepeatBudget.h
@@ -0,0 +1,67 @@
+//===- FleetRepeatBudget.h - Repeats that the whole fleet may send *- C++ -*-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Each daemon takes a part of the fleet's allowance that, added up over all
+/// daemons, stays below it: its share grows with its own requests, and the reserve
+/// is divided by the daemons there may be.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef CANVASWICK_ADMISSION_FLEETREPEATBUDGET_H
+#define CANVASWICK_ADMISSION_FLEETREPEATBUDGET_H
+
+#include "canvaswick/Settings/DaemonConfig.h"
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include <deque>
+
+namespace canvaswick {
+
+/// The repeats of one service that one daemon may send. Not thread-safe; its
+/// service's mutex guards it. It outlives changes of the settings, which must
+/// not fill it up again.
+class FleetRepeatBudget
+    : public boost::intrusive_ref_counter<FleetRepeatBudget> {
+public:
+  /// Started is the process's start: what an earlier process of this daemon
+  /// has sent is not known, so the reserve is held back for one window.
+  FleetRepeatBudget(RepeatAllowance Allowance, TimePoint Started);
+
+  /// Sets how many daemons there may be. The most that was ever set counts.
+  void setDaemons(size_t Count);
+
+  /// Notes the first try of a request.
+  void noteRequest(TimePoint Now);
+
+  /// Takes the right to one repeat.
+  bool tryTake(TimePoint Now);
+
+  /// Returns whether tryTake would succeed.
+  bool hasRoom(TimePoint Now);
+
+  /// Returns how many repeats may be in the window that ends at Now.
+  double getAllowed(TimePoint Now);
+
+private:
+  void forgetOld(TimePoint Now);
+
+  const RepeatAllowance Allowance;
+  const TimePoint Started;
+  size_t Daemons = 1;
+  std::deque<TimePoint> Requests;
+  std::deque<TimePoint> Repeats;
+};
+
+using FleetRepeatBudgetRef = boost::intrusive_ptr<FleetRepeatBudget>;
+
+} // namespace canvaswick
+
+#endif // CANVASWICK_ADMISSION_FLEETREPEATBUDGET_H
--- /dev/null
+++ b/include/canvaswick/Daemon/Gateway.h
@@ -0,0 +1,63 @@
+//===- Gateway.h - A daemon whose settings and servers are fed to it -*- C++ -*-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Serves callers by whatever fleet it was last given, shares what it sees of
+/// backend servers with its peers, answers the balancer's checks and stops without
+/// cutting a request. Where settings and servers come from is not its concern.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef CANVASWICK_DAEMON_GATEWAY_H
+#define CANVASWICK_DAEMON_GATEWAY_H
+
+#include "canvaswick/Directory/FleetRecords.h"
+#include "canvaswick/Metrics/Counters.h"
+#include "canvaswick/Proxy/ProxyOptions.h"
+#include "canvaswick/Settings/DaemonConfig.h"
+
+#include <memory>
+
+namespace canvaswick {
+
+/// A daemon without a source of settings.
+class Gateway {
+public:
+  Gateway(DaemonConfig Config, ProxyOptions Options);
+  ~Gateway();
+
+  /// Binds its addresses and starts to serve; not ready before setFleet. Fails
+  /// with Io if an address is taken.
+  Result<void> start();
+
+  /// Puts a version of settings and servers in force.
+  void setFleet(const FleetConfigRef &Config);
+
+  /// Takes the daemons of the fleet, this one included.
+  void setDaemons(const std::vector<DaemonRecord> &Daemons);
+
+  /// Turns readiness red; answers from now on close their connections.
+  void beginStop();
+
+  /// Waits for requests in flight and stops. Returns whether all ended before
+  /// Deadline.
+  bool finishStop(TimePoint Deadline);
+
+  /// Returns how peers know this daemon.
+  const DaemonRecord &getSelf() const;
+
+  CounterTable &getCounters();
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> Implementation;
+};
+
+} // namespace canvaswick
+
+#endif // CANVASWICK_DAEMON_GATEWAY_H
--- /dev/null
+++ b/include/canvaswick/Daemon/PeerLink.h
@@ -0,0 +1,105 @@
+//===- PeerLink.h - Observations between daemons, by datagrams --*- C++ -*-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Tells the other daemons what this one saw of backend servers, within some tens
+/// of milliseconds and without an answer. A datagram that is lost costs a little
+/// evidence, nothing else. Daemons of the own hall are told directly; in each other
+/// hall one is, and passes it on within its hall, so that the bytes between halls
+/// do not grow with the halls.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef CANVASWICK_DAEMON_PEERLINK_H
+#define CANVASWICK_DAEMON_PEERLINK_H
+
+#include "canvaswick/Directory/FleetRecords.h"
+#include "canvaswick/Health/SpellPolicy.h"
+#include "canvaswick/Metrics/Counters.h"
+
+#include <atomic>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <random>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace canvaswick {
+
+/// One datagram.
+struct PeerMessage {
+  std::string Source;
+  /// Hall of the daemon that sent this datagram.
+  std::string Hall;
+  /// Grows with each message of a source; starts at its calendar time.
+  uint64_t Sequence = 0;
+  std::vector<Observation> Seen;
+
+  bool operator==(const PeerMessage &) const = default;
+};
+
+/// Encodes a message as JSON.
+std::string encodePeerMessage(const PeerMessage &Message);
+
+/// Decodes a message. Fails with InvalidArgument.
+Result<PeerMessage> decodePeerMessage(const std::string &Text);
+
+/// Sends and receives. Thread-safe.
+class PeerLink {
+public:
+  using Handler = std::function<void(const std::vector<Observation> &)>;
+
+  /// Self is how peers know this daemon. Handle is called on the link's thread.
+  PeerLink(DaemonRecord Self, uint64_t FirstSequence, CounterTable &Counters,
+           Handler Handle);
+  ~PeerLink();
+  PeerLink(const PeerLink &) = delete;
+  PeerLink &operator=(const PeerLink &) = delete;
+
+  /// Binds the socket and starts to receive. Fails with Io.
+  Result<void> start();
+
+  /// Takes the daemons of the fleet, this one included or not.
+  void setPeers(std::vector<DaemonRecord> Peers);
+
+  /// Tells all peers.
+  void send(std::vector<Observation> Seen);
+
+  void stop();
+
+private:
+  void runThread();
+  void receive(const std::string &Text);
+  bool isNew(const PeerMessage &Message);
+  void sendTo(const Endpoint &Peer, const std::string &Text);
+  void sendWithinHall(const std::string &Text);
+  void sendToOtherHalls(const std::string &Text);
+
+  const DaemonRecord Self;
+  CounterTable &Counters;
+  const Handler Handle;
+  int Descriptor = -1;
+  std::atomic<uint64_t> NextSequence;
+  std::atomic<bool> Stopping{false};
+  std::mutex Mutex;
+  std::vector<DaemonRecord> Near;
+  /// Daemons of each other hall.
+  std::map<std::string, std::vector<DaemonRecord>> Far;
+  std::mt19937_64 Random;
+  /// Used by the link's thread only: what has come already, oldest first.
+  std::deque<std::pair<std::string, uint64_t>> RecentOrder;
+  std::set<std::pair<std::string, uint64_t>> Recent;
+  std::thread Thread;
+};
+
+} // namespace canvaswick
+
+#endif // CANVASWICK_DAEMON_PEERLINK_H
--- a/include/canvaswick/Health/Outcome.h
+++ b/include/canvaswick/Health/Outcome.h
@@ -26,7 +26,15 @@
 /// What one request showed. Shed and Canceled say nothing about health: an
 /// overloaded backend server is not a sick one, and a caller that left proves
 /// nothing.
-enum class RequestOutcome : uint8_t { Good, Slow, Failed, Shed, Canceled };
+enum class RequestOutcome : uint8_t {
+  Good,
+  Slow,
+  Failed,
+  Shed,
+  Canceled,
+  /// No connection came about.
+  Unreachable,
+};
 
 /// Returns the name of an outcome as reports print it.
 const char *getName(RequestOutcome Outcome);
@@ -47,7 +55,8 @@
       ++this->Good;
     if (Outcome == RequestOutcome::Slow)
       ++this->Slow;
-    if (Outcome == RequestOutcome::Failed)
+    if (Outcome == RequestOutcome::Failed ||
+        Outcome == RequestOutcome::Unreachable)
       ++this->Failed;
   }
 };
--- /dev/null
+++ b/include/canvaswick/Health/SpellPolicy.h
@@ -0,0 +1,106 @@
+//===- SpellPolicy.h - Sick spells of some seconds, judged by all daemons *- C++ -*-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Backend servers that fall sick for a few seconds at a time and get well again by
+/// themselves. Each daemon keeps, for each server, the probability that it is in
+/// such a spell: it drifts towards the usual share of sick servers as time passes
+/// and moves with every outcome, its own and those that other daemons tell it.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef CANVASWICK_HEALTH_SPELLPOLICY_H
+#define CANVASWICK_HEALTH_SPELLPOLICY_H
+
+#include "canvaswick/Health/Evidence.h"
+#include "canvaswick/Health/HealthPolicy.h"
+
+#include <map>
+#include <vector>
+
+namespace canvaswick {
+
+/// One outcome as daemons tell it to each other.
+struct Observation {
+  ServerId Server = 0;
+  RequestOutcome Outcome = RequestOutcome::Good;
+
+  bool operator==(const Observation &) const = default;
+};
+
+/// What a request has to lose at a sick server.
+enum class Caution : uint8_t {
+  /// It may be sent again, so it may test a server.
+  Ordinary,
+  /// A failure after it was sent is final.
+  Utmost,
+};
+
+/// Decides shares from outcomes and observations of peers. Not thread-safe.
+class SpellPolicy {
+public:
+  explicit SpellPolicy(PolicySetup Setup);
+
+  /// Takes an outcome that this daemon saw. What peers should know of it waits
+  /// in takeNews.
+  void recordOutcome(size_t Server, RequestOutcome Outcome, TimePoint Now);
+
+  /// Takes an outcome that a peer saw. Unknown servers are left out.
+  void takeObservation(const Observation &Seen, TimePoint Now);
+
+  void setLeaving(size_t Server, bool IsLeaving, TimePoint Now);
+
+  /// Recomputes nothing by itself: shares follow the time they are asked at.
+  void advance(TimePoint Now);
+
+  /// Returns the part of its fair share that a server gets from requests of
+  /// this caution.
+  double getShare(size_t Server, Caution Care, TimePoint Now) const;
+
+  /// Returns the shares of all servers at once, with the floor applied.
+  std::vector<double> getShares(Caution Care, TimePoint Now) const;
+
+  /// Returns the probability that a server is in a spell.
+  double getSickness(size_t Server, TimePoint Now) const;
+
+  /// Returns what peers should know and forgets it.
+  std::vector<Observation> takeNews();
+
+  /// Takes over what was known of the servers that are in both.
+  void adopt(const SpellPolicy &Other, TimePoint Now);
+
+  /// Returns why a server has its share.
+  ShareExplanation explain(size_t Server, TimePoint Now) const;
+
+private:
+  struct ServerState {
+    PolicyServer Config;
+    double Sickness = 0;
+    TimePoint At{};
+    bool IsLeaving = false;
+    /// This daemon does not reach the server until then.
+    TimePoint UnreachableUntil{};
+    int UnreachableInRow = 0;
+    OutcomeCounts Counts;
+  };
+
+  void update(ServerState &State, RequestOutcome Outcome, TimePoint Now);
+  void noteReach(ServerState &State, RequestOutcome Outcome, TimePoint Now);
+  std::vector<bool> findKeptByFloor(TimePoint Now) const;
+  double computeShare(size_t Server, Caution Care, bool IsKept,
+                      TimePoint Now) const;
+
+  PolicySetup Setup;
+  std::vector<ServerState> Servers;
+  std::map<ServerId, size_t> IndexOfServer;
+  std::vector<Observation> News;
+};
+
+} // namespace canvaswick
+
+#endif // CANVASWICK_HEALTH_SPELLPOLICY_H
--- a/include/canvaswick/Http/HttpClient.h
+++ b/include/canvaswick/Http/HttpClient.h
@@ -72,6 +72,12 @@
   /// and the instant by which the body must be whole.
   Duration StallLimit = Duration::zero();
   TimePoint BodyDeadline = TimePoint::max();
+  /// How long a new connection may take to come about.
+  Duration ConnectLimit = fromSeconds(1);
+  /// Takes no connection that was used before, and leaves none behind.
+  bool WantsFreshConnection = false;
+  /// Whether an answer without a length may end with its connection.
+  bool MayEndWithConnection = false;
 };
 
 /// What came of one exchange.
@@ -119,7 +125,9 @@
   };
 
   std::unique_ptr<SocketStream> acquire(const Endpoint &Endpoint,
+                                        const OutgoingRequest &Outgoing,
                                         TimePoint Deadline, ExchangeEnd &End);
+  std::unique_ptr<SocketStream> takeIdle(Address &Entry);
   void giveBack(const Endpoint &Endpoint, std::unique_ptr<SocketStream> Stream);
   void drop(const Endpoint &Endpoint, std::unique_ptr<SocketStream> Stream);
 
--- a/include/canvaswick/Http/HttpServer.h
+++ b/include/canvaswick/Http/HttpServer.h
@@ -76,6 +76,10 @@
   /// Binds and starts to accept. Fails with Io if the address is taken.
   Result<void> start(const Endpoint &Address);
 
+  /// Answers close their connections from now on. New connections are taken
+  /// until stopGracefully.
+  void beginClosing();
+
   /// Stops: no new connection is taken, requests in flight are answered with
   /// Connection: close, and a request that arrives on a kept connection in the
   /// meantime is still answered. Returns whether all ended before Deadline.
--- a/include/canvaswick/Http/SocketStream.h
+++ b/include/canvaswick/Http/SocketStream.h
@@ -79,6 +79,9 @@
   /// the peer has closed. An idle connection must have neither.
   bool hasUnexpectedInput() const;
 
+  /// Returns whether the peer has ended its side or reset the connection.
+  bool isPeerGone() const;
+
   /// Returns whether the buffer holds bytes already read.
   bool hasBufferedBytes() const;
 
--- a/include/canvaswick/Proxy/AnswerRelay.h
+++ b/include/canvaswick/Proxy/AnswerRelay.h
@@ -18,12 +18,16 @@
 
 #include "canvaswick/Http/HttpClient.h"
 #include "canvaswick/Http/HttpServer.h"
+#include "canvaswick/Proxy/ProxyOptions.h"
 
 #include <cstdint>
 #include <string>
 
 namespace canvaswick {
 
+/// The status of a server that says another one has its address now.
+inline constexpr int MisdirectedStatus = 421;
+
 /// What the relay did with an answer at its head.
 enum class AnswerVerdict : uint8_t {
   /// No head came.
@@ -44,6 +48,8 @@
 struct RelayRules {
   /// Set aside an answer of the server that a repeat could better.
   bool MaySetAsideFailure = false;
+  /// Hold an answer of at most this many bytes back until it is whole.
+  size_t HeldBytes = 0;
   /// Keep a copy of the answer of at most this many bytes.
   size_t KeepBytes = 0;
   /// Read the answer to its end although the caller has left: a repeat of a
@@ -61,8 +67,9 @@
 /// Relays the answers of the attempts of one request to one caller.
 class AnswerRelay {
 public:
-  /// Exchange is the caller's side; IsHead is true for HEAD requests.
-  AnswerRelay(HttpExchange &Exchange, RelayRules Rules);
+  /// Exchange is the caller's side. Names must outlive the relay.
+  AnswerRelay(HttpExchange &Exchange, const HeaderDialect &Names,
+              RelayRules Rules);
 
   /// Prepares for an attempt. RequestId is what a server may echo.
   void beginAttempt(const std::string &RequestId);
@@ -83,6 +90,11 @@
   AnswerVerdict getVerdict() const { return this->Verdict; }
   int getStatus() const { return this->Status; }
 
+  /// Returns whether the answer told the server's load, and the requests that
+  /// run or wait there.
+  bool hasLoad() const { return this->HasLoad; }
+  double getLoad() const { return this->Load; }
+
   /// Returns whether the caller has got any part of an answer.
   bool hasBegun() const { return this->HeadWritten; }
 
@@ -105,15 +117,29 @@
 private:
   AnswerVerdict judgeHead(const httplib::Response &Response) const;
   bool continuesAnswer(const httplib::Response &Response) const;
-  bool writeHead(const httplib::Response &Response);
+  bool isProved(const httplib::Response &Response) const;
+  void readLoad(const httplib::Response &Response);
+  void prepareHead(const httplib::Response &Response);
+  bool writeHead();
+  bool passBody(const char *Data, size_t Size);
+  bool releaseHeld();
   bool writeToCaller(const char *Data, size_t Size);
 
   HttpExchange &Exchange;
+  const HeaderDialect &Names;
   RelayRules Rules;
   std::string RequestId;
   AnswerVerdict Verdict = AnswerVerdict::None;
   int Status = 0;
   bool HeadWritten = false;
+  /// The head, without its length and end, and the body so far of an answer
+  /// that is held back.
+  std::string Head;
+  std::string HeldBody;
+  bool IsHolding = false;
+  bool IsBodyless = false;
+  bool HasLoad = false;
+  double Load = 0;
   bool IsChunked = false;
   bool CallerLeft = false;
   bool HasLength = false;
--- a/include/canvaswick/Proxy/FleetRuntime.h
+++ b/include/canvaswick/Proxy/FleetRuntime.h
@@ -16,6 +16,7 @@
 #ifndef CANVASWICK_PROXY_FLEETRUNTIME_H
 #define CANVASWICK_PROXY_FLEETRUNTIME_H
 
+#include "canvaswick/Http/HttpClient.h"
 #include "canvaswick/Proxy/ServiceRuntime.h"
 #include "canvaswick/Routing/RouteTable.h"
 
@@ -38,6 +39,9 @@
   /// Returns a service by name, or null.
   ServiceRuntimeRef findService(const std::string &Name) const;
 
+  /// Sets how many connections Pool may open to each server.
+  void boundConnections(ConnectionPool &Pool) const;
+
 private:
   const FleetConfigRef Config;
   const RouteTable Routes;
--- a/include/canvaswick/Proxy/RequestProxy.h
+++ b/include/canvaswick/Proxy/RequestProxy.h
@@ -21,6 +21,7 @@
 #include "canvaswick/Metrics/Counters.h"
 #include "canvaswick/Proxy/AnswerRelay.h"
 #include "canvaswick/Proxy/FleetRuntime.h"
+#include "canvaswick/Proxy/ProxyOptions.h"
 
 #include <atomic>
 #include <mutex>
@@ -28,16 +29,6 @@
 
 namespace canvaswick {
 
-/// Says on every failure answer what became of the request.
-inline constexpr const char *OutcomeHeader = "Canvaswick-Outcome";
-inline constexpr const char *ReasonHeader = "Canvaswick-Reason";
-
-/// Names an attempt; a server may echo it to prove whose answer it is.
-inline constexpr const char *RequestIdHeader = "Canvaswick-Request";
-
-/// Carries the time left, in milliseconds, from callers and to servers.
-inline constexpr const char *DeadlineHeader = "X-Deadline-Ms";
-
 /// Names the caller's organisation.
 inline constexpr const char *OrganisationHeader = "X-Organisation";
 
@@ -57,7 +48,7 @@
   /// of the class once takes a key.
   RequestProxy(std::string DaemonName, const FleetRuntimeSlot &Fleet,
                ConnectionPool &Upstreams, CounterTable &Counters,
-               ClaimGate *Claims);
+               ClaimGate *Claims, ProxyOptions Options = {});
 
   /// Handles one request, whatever becomes of it.
   void handle(HttpExchange &Exchange);
@@ -73,6 +64,18 @@
 
   void refuse(HttpExchange &Exchange, int Status, RunOutcome Outcome,
               const char *Reason, Duration Wait);
+  std::string formatRetryAfter(Duration Wait) const;
+  ServiceRuntimeRef chooseService(const FleetRuntime &Runtime,
+                                  const RouteConfig &Route);
+  bool readChunkedBody(Flow &Request, uint64_t Limit);
+  void refuseUnserved(Flow &Request);
+  void refuseBody(Flow &Request, int Status, const char *Reason);
+  void logEnd(const Flow &Request, const AnswerRelay &Relay, TimePoint Now);
+  TimePoint chooseAttemptDeadline(Flow &Request, const AnswerRelay &Relay,
+                                  TimePoint Now, bool &IsPatience) const;
+  void addServerHeaders(Flow &Request, const ServerConfig &Server,
+                        const std::string &RequestId,
+                        OutgoingRequest &Outgoing) const;
   bool admitOrganisation(Flow &Request);
   bool readBody(Flow &Request);
   bool claim(Flow &Request);
@@ -82,7 +85,10 @@
   RequestOutcome tryOnce(Flow &Request, AnswerRelay &Relay,
                          const Attempt &Current);
   OutgoingRequest buildOutgoing(Flow &Request, const AnswerRelay &Relay,
+                                const ServerConfig &Server,
                                 const std::string &RequestId) const;
+  void streamBody(Flow &Request, OutgoingRequest &Outgoing) const;
+  size_t getMaxAttempts(const Flow &Request) const;
   RequestOutcome judge(Flow &Request, const AnswerRelay &Relay,
                        const ExchangeResult &Result);
   bool mayTryAgain(Flow &Request, const AnswerRelay &Relay);
@@ -94,6 +100,9 @@
   ConnectionPool &Upstreams;
   CounterTable &Counters;
   ClaimGate *Claims;
+  const ProxyOptions Options;
+  /// Spreads the requests of split routes evenly over their parts.
+  std::atomic<uint32_t> NextSplit{0};
   std::mutex OrganisationMutex;
   OrganisationLimiter Organisations;
   std::atomic<uint64_t> NextRequest{1};
--- a/include/canvaswick/Proxy/ServiceRuntime.h
+++ b/include/canvaswick/Proxy/ServiceRuntime.h
@@ -16,8 +16,10 @@
 #ifndef CANVASWICK_PROXY_SERVICERUNTIME_H
 #define CANVASWICK_PROXY_SERVICERUNTIME_H
 
+#include "canvaswick/Admission/FleetRepeatBudget.h"
 #include "canvaswick/Admission/Limits.h"
 #include "canvaswick/Health/HealthPolicy.h"
+#include "canvaswick/Health/SpellPolicy.h"
 #include "canvaswick/Metrics/ServiceMetrics.h"
 #include "canvaswick/Routing/ServerSelector.h"
 #include "canvaswick/Routing/SubsetChooser.h"
@@ -30,6 +32,7 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace canvaswick {
@@ -42,6 +45,13 @@
   bool IsNotedLate = false;
 };
 
+/// What of a request decides which server it may go to.
+struct AttemptNeeds {
+  RouteClass Class = RouteClass::Repeatable;
+  /// Servers that were tried before.
+  std::vector<size_t> Tried;
+};
+
 /// What an operator may ask about one server.
 struct ServerStatus {
   std::string Name;
@@ -58,6 +68,11 @@
   int ExpectedDaemons = 1;
   /// Calendar time of the process's start, in milliseconds.
   uint64_t StartMillis = 0;
+  /// Which policy judges servers, and whose repeats are counted: a daemon on
+  /// the users' platform shares observations and one budget with the fleet.
+  SettingsSource Source = SettingsSource::Own;
+  RepeatAllowance Repeats;
+  TimePoint Started{};
 };
 
 class ServiceRuntime;
@@ -81,8 +96,7 @@
   void finish(AnswerKind Kind, Duration Latency, TimePoint Now);
 
   /// Chooses a server and links Next, or returns false if none can take it.
-  /// Tried holds the servers that were tried before.
-  bool begin(Attempt &Next, const std::vector<size_t> &Tried, TimePoint Now);
+  bool begin(Attempt &Next, const AttemptNeeds &Needs, TimePoint Now);
 
   /// Unlinks an attempt and takes its outcome as evidence.
   void end(Attempt &Ended, RequestOutcome Outcome, TimePoint Now);
@@ -90,6 +104,13 @@
   /// Takes the right to one repeat.
   bool tryRepeat(TimePoint Now);
 
+  /// Takes the right to send elsewhere what a server declined to run. Only the
+  /// fleet's budget counts such repeats.
+  bool tryRepeatUnrun(TimePoint Now);
+
+  /// Returns whether tryRepeat would succeed on the fleet's budget.
+  bool hasRepeat(TimePoint Now) const;
+
   /// Notes attempts that are already late and moves the policy on.
   void advance(TimePoint Now);
 
@@ -99,6 +120,16 @@
   /// Takes a digest of an owner.
   void takeDigest(const EvidenceDigest &Digest, TimePoint Now);
 
+  /// Returns the observations that peers should know, and forgets them.
+  std::vector<Observation> takeObservations();
+
+  /// Takes what a peer saw.
+  void takeObservation(const Observation &Seen, TimePoint Now);
+
+  /// Returns after how long without an answer a repeatable request is better
+  /// sent elsewhere. Objective is its route's.
+  Duration getPatience(Duration Objective) const;
+
   /// Marks servers as leaving, by what the platform or the server itself said.
   void setLeavingAddresses(const std::set<std::string> &Addresses,
                            TimePoint Now);
@@ -107,7 +138,10 @@
   void noteLoad(size_t Server, double Load, TimePoint Now);
 
   /// Returns what an operator may know.
-  std::vector<ServerStatus> describe() const;
+  std::vector<ServerStatus> describe(TimePoint Now) const;
+
+  /// Sets how many daemons share the fleet's budget of repeats.
+  void setDaemonCount(size_t Count);
 
   const ServiceConfig &getConfig() const { return this->Config; }
   const ServerSubset &getSubset() const { return this->Subset; }
@@ -121,21 +155,32 @@
   bool isFor(const ServiceConfig &Config, const DaemonIdentity &Identity) const;
 
 private:
+  using Policies = std::variant<PooledPolicy, SpellPolicy>;
   using AttemptList = boost::intrusive::list<Attempt>;
 
   std::vector<SelectableServer> makeSelectable(const DaemonIdentity &Identity,
                                                const ServiceRuntime *Previous,
                                                TimePoint Now) const;
   PolicySetup makeSetup(const DaemonIdentity &Identity) const;
+  Policies makePolicy(const DaemonIdentity &Identity) const;
+  FleetRepeatBudgetRef makeRepeats(const DaemonIdentity &Identity,
+                                   const ServiceRuntime *Previous) const;
+  std::vector<double> getShares(RouteClass Class, TimePoint Now) const;
   void applyLeaving(size_t Server, TimePoint Now);
+  std::vector<int> matchServers(const ServiceRuntime &Other) const;
+  double getFarShare(RouteClass Class) const;
+  void recordOutcome(size_t Server, RequestOutcome Outcome, TimePoint Now);
+  ShareExplanation explain(size_t Server, TimePoint Now) const;
 
   const ServiceConfig Config;
   const ServerSubset Subset;
   mutable std::mutex Mutex;
-  PooledPolicy Policy;
+  Policies Policy;
   ServerSelector Selector;
   LatencyTracker Latency;
   RetryBudget Retries;
+  /// Takes the place of Retries where the budget is the fleet's. Else null.
+  FleetRepeatBudgetRef FleetRepeats;
   InFlightLimit InFlight;
   RandomSource Random;
   AttemptList Attempts;
--- a/include/canvaswick/Routing/ServerSelector.h
+++ b/include/canvaswick/Routing/ServerSelector.h
@@ -48,9 +48,10 @@
   /// Picks a server, or -1 if none may take a request now. Shares holds the
   /// part of its fair share that each server gets; Excluded servers were tried
   /// before.
+  /// A server in another hall gets FarShare of what a near one would.
   int pick(const std::vector<double> &Shares,
            const std::vector<size_t> &Excluded, TimePoint Now,
-           RandomSource &Random) const;
+           RandomSource &Random, double FarShare = 1) const;
 
   /// Notes that a request was sent to a server.
   void begin(size_t Server);
@@ -58,6 +59,10 @@
   /// Notes that a request has ended.
   void end(size_t Server, RequestOutcome Outcome, TimePoint Now);
 
+  /// Takes over what is known of the servers that are in both. Matches holds
+  /// for each server its index in Other, or -1.
+  void adopt(const ServerSelector &Other, const std::vector<int> &Matches);
+
   /// Takes a load report: requests at the server from everyone, at most some
   /// seconds old. It lags or misleads, so it only breaks ties.
   void noteReportedLoad(size_t Server, double Load, TimePoint Now);
@@ -83,7 +88,7 @@
   };
 
   double getWeight(size_t Server, const std::vector<double> &Shares,
-                   TimePoint Now) const;
+                   TimePoint Now, double FarShare) const;
   double getCost(size_t Server, TimePoint Now) const;
   double getEase(const ServerState &State, TimePoint Now) const;
 
--- a/include/canvaswick/Settings/DaemonConfig.h
+++ b/include/canvaswick/Settings/DaemonConfig.h
@@ -16,12 +16,24 @@
 #define CANVASWICK_SETTINGS_DAEMONCONFIG_H
 
 #include "canvaswick/Settings/FleetConfig.h"
+#include "canvaswick/Support/Time.h"
 
 #include <string>
 #include <vector>
 
 namespace canvaswick {
 
+/// Where a daemon's settings and list of servers come from.
+enum class SettingsSource : uint8_t { Own, Platform };
+
+/// How many repeats the whole fleet may send to one service within any span of
+/// Window: Share of the service's requests, and Reserve besides.
+struct RepeatAllowance {
+  double Share = 0;
+  Duration Window{};
+  int64_t Reserve = 0;
+};
+
 /// The checked content of a daemon's INI file, section [daemon].
 struct DaemonConfig {
   std::string Name;
@@ -40,6 +52,15 @@
   int ExpectedDaemons = 0;
   std::vector<Endpoint> Seeds;
   int64_t ClaimMemorySeconds = 0;
+  SettingsSource Source = SettingsSource::Own;
+  /// The rest is used with SettingsSource::Platform only.
+  Endpoint Ready;
+  uint16_t PeerPort = 0;
+  Duration Grace{};
+  int FloorPercent = 0;
+  RepeatAllowance Repeats;
+  Duration Lease{};
+  Duration Drain{};
 };
 
 /// Loads and checks a daemon's INI file.
--- a/include/canvaswick/Settings/FleetConfig.h
+++ b/include/canvaswick/Settings/FleetConfig.h
@@ -17,6 +17,7 @@
 #define CANVASWICK_SETTINGS_FLEETCONFIG_H
 
 #include "canvaswick/Settings/SettingsTree.h"
+#include "canvaswick/Support/Time.h"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -31,7 +32,7 @@
 enum class Weighing : uint8_t { Detection, Balanced, FalseEjections };
 
 /// Whether a request of a route may be run more than once.
-enum class RouteClass : uint8_t { Repeatable, Once };
+enum class RouteClass : uint8_t { Repeatable, Once, Download };
 
 /// What the operators want of a backend server.
 enum class ServerState : uint8_t { Active, Draining };
@@ -57,6 +58,12 @@
   int Slots = 1;
   int Connections = 1;
   ServerState State = ServerState::Active;
+  /// Identity of one start of the server; a request that names it is declined
+  /// by every other. Empty: not known.
+  std::string Instance;
+  /// Until when the server is expected to be slow from its start. The epoch:
+  /// not known.
+  TimePoint WarmAt{};
 
   bool operator==(const ServerConfig &) const = default;
 };
@@ -82,6 +89,14 @@
   bool operator==(const ServiceConfig &) const = default;
 };
 
+/// One part of a split route.
+struct WeightedService {
+  /// Index among the services of the same FleetConfig.
+  uint32_t Service = 0;
+  /// Its part of the route's requests is Weight over the sum of all weights.
+  int64_t Weight = 0;
+};
+
 /// One route: requests of a host below a path prefix go to a service.
 struct RouteConfig {
   std::string Name;
@@ -89,6 +104,26 @@
   std::string Prefix;
   uint32_t Service = 0;
   RouteClass Class = RouteClass::Repeatable;
+  /// Where the requests go if not all to Service. Empty: all.
+  std::vector<WeightedService> Split;
+  /// Longest time a request is held, in milliseconds. 0: its service's.
+  int64_t TimeoutMs = 0;
+  /// Time within which an answer is worth most. 0: its service's.
+  int64_t ObjectiveMs = 0;
+  /// Servers that one request may be sent to. 0: the product's own bound.
+  int64_t MaxAttempts = 0;
+  /// Rank when capacity is short; 0 is the highest.
+  int64_t Priority = 0;
+};
+
+/// What a caller may send and how long it may take. 0: the daemon's own bound.
+struct CallerLimits {
+  int64_t MaxHeadBytes = 0;
+  int64_t MaxBodyBytes = 0;
+  int64_t HeadMs = 0;
+  int64_t IdleMs = 0;
+
+  bool operator==(const CallerLimits &) const = default;
 };
 
 /// The limits of one organisation.
@@ -105,6 +140,7 @@
   std::vector<RouteConfig> Routes;
   /// Ordered by name. The one called "default" holds for every other.
   std::vector<OrganisationConfig> Organisations;
+  CallerLimits Limits;
 
   /// Returns the index of a service, or -1.
   int findService(const std::string &Name) const;
--- a/include/canvaswick/Settings/SettingTable.h
+++ b/include/canvaswick/Settings/SettingTable.h
@@ -48,7 +48,8 @@
 }
 
 /// What kind of value a setting takes.
-enum class SettingType : uint8_t { Integer, Choice, Text, Address };
+/// A decimal has up to three places and is kept in thousandths.
+enum class SettingType : uint8_t { Integer, Choice, Text, Address, Decimal };
 
 /// Every setting. The order is that of the table.
 enum class SettingKey : uint8_t {
@@ -91,8 +92,21 @@
   ExpectedDaemons,
   Seeds,
   ClaimMemorySeconds,
+  Source,
+  ReadyAddress,
+  PeerPort,
+  GraceSeconds,
+  FloorShare,
+  RepeatShare,
+  RepeatWindowSeconds,
+  RepeatReserve,
+  LeaseSeconds,
+  DrainSeconds,
 };
 
+/// A decimal setting is kept as a whole number of these parts of one.
+inline constexpr int64_t DecimalParts = 1000;
+
 /// A checked value: a whole number (also the index of a choice) or a text.
 using SettingValue = std::variant<int64_t, std::string>;
 
--- /dev/null
+++ b/lib/Admission/FleetRepeatBudget.cpp
@@ -0,0 +1,72 @@
+//===- FleetRepeatBudget.cpp - Repeats that the whole fleet may send ------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Two queues of instants, one for first tries and one for repeats.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Admission/FleetRepeatBudget.h"
+
+#include <algorithm>
+
+namespace canvaswick {
+
+/// Part of the fleet's allowance that is used. The rest covers requests that
+/// were counted here and never reached a server, and repeats that straddle two
+/// windows of different rates.
+static constexpr double UsedPart = 0.8;
+
+FleetRepeatBudget::FleetRepeatBudget(RepeatAllowance Allowance,
+                                     TimePoint Started)
+    : Allowance(Allowance), Started(Started) {}
+
+void FleetRepeatBudget::setDaemons(size_t Count) {
+  this->Daemons = std::max(this->Daemons, Count);
+}
+
+static void dropBefore(std::deque<TimePoint> &Instants, TimePoint Limit) {
+  while (!Instants.empty() && Instants.front() <= Limit)
+    Instants.pop_front();
+}
+
+void FleetRepeatBudget::forgetOld(TimePoint Now) {
+  const TimePoint Limit = Now - this->Allowance.Window;
+  dropBefore(this->Requests, Limit);
+  dropBefore(this->Repeats, Limit);
+}
+
+void FleetRepeatBudget::noteRequest(TimePoint Now) {
+  this->forgetOld(Now);
+  this->Requests.push_back(Now);
+}
+
+double FleetRepeatBudget::getAllowed(TimePoint Now) {
+  this->forgetOld(Now);
+  const double ByRate =
+      this->Allowance.Share * static_cast<double>(this->Requests.size());
+  if (Now - this->Started < this->Allowance.Window)
+    return ByRate * UsedPart;
+  const double ByReserve = static_cast<double>(this->Allowance.Reserve) /
+                           static_cast<double>(this->Daemons);
+  return (ByRate + ByReserve) * UsedPart;
+}
+
+bool FleetRepeatBudget::hasRoom(TimePoint Now) {
+  const double Allowed = this->getAllowed(Now);
+  return static_cast<double>(this->Repeats.size() + 1) <= Allowed;
+}
+
+bool FleetRepeatBudget::tryTake(TimePoint Now) {
+  if (!this->hasRoom(Now))
+    return false;
+  this->Repeats.push_back(Now);
+  return true;
+}
+
+} // namespace canvaswick
--- a/lib/Daemon/Daemon.cpp
+++ b/lib/Daemon/Daemon.cpp
@@ -21,10 +21,7 @@
 #include "canvaswick/Daemon/OperatorApi.h"
 #include "canvaswick/Proxy/RequestProxy.h"
 #include "canvaswick/Support/Log.h"
-
-#include <condition_variable>
-#include <functional>
-#include <thread>
+#include "canvaswick/Support/RoundThread.h"
 
 namespace canvaswick {
 
@@ -41,53 +38,6 @@
 static constexpr Duration ClaimInterval = fromMillis(100);
 static constexpr Duration HousekeepingInterval = fromSeconds(1);
 
-/// Runs a round. A library may throw over a peer's answer of a wrong shape; the
-/// next round goes on.
-static void runGuarded(const std::function<void()> &Round) {
-  try {
-    Round();
-  } catch (const std::exception &Failure) {
-    logError("round-failed", "what={:?}", Failure.what());
-  }
-}
-
-namespace {
-
-/// A thread that runs a round again and again until it is stopped.
-class RoundThread {
-public:
-  void start(Duration Interval, std::function<void()> Round) {
-    this->Thread = std::thread([this, Interval, Round = std::move(Round)] {
-      std::unique_lock<std::mutex> Lock(this->Mutex);
-      while (!this->Stopping) {
-        Lock.unlock();
-        const TimePoint Next = readSteadyClock() + Interval;
-        runGuarded(Round);
-        Lock.lock();
-        this->Changed.wait_until(Lock, Next, [this] { return this->Stopping; });
-      }
-    });
-  }
-
-  void stop() {
-    {
-      std::lock_guard<std::mutex> Lock(this->Mutex);
-      this->Stopping = true;
-    }
-    this->Changed.notify_all();
-    if (this->Thread.joinable())
-      this->Thread.join();
-  }
-
-private:
-  std::mutex Mutex;
-  std::condition_variable Changed;
-  bool Stopping = false;
-  std::thread Thread;
-};
-
-} // namespace
-
 class Daemon::Impl {
 public:
   explicit Impl(DaemonConfig Given);
@@ -241,11 +191,7 @@
   const FleetRuntimeRef Previous = this->Fleet.get();
   const FleetRuntimeRef Next(
       new FleetRuntime(Compiled, Identity, Previous.get(), readSteadyClock()));
-  for (const ServiceRuntimeRef &Service : Next->getServices())
-    for (size_t I = 0; I < Service->countServers(); ++I)
-      this->Upstreams.setBound(
-          Service->getServer(I).Address,
-          static_cast<size_t>(Service->getSubset().Connections[I]));
+  Next->boundConnections(this->Upstreams);
   this->Proxy->configure(*Compiled);
   this->Fleet.set(Next);
   this->Leaving->apply();
--- /dev/null
+++ b/lib/Daemon/Gateway.cpp
@@ -0,0 +1,291 @@
+//===- Gateway.cpp - A daemon whose settings and servers are fed to it ----===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// The lock order, outermost first: BuildMutex; FleetRuntimeSlot; ServiceRuntime.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Daemon/Gateway.h"
+#include "canvaswick/Daemon/PeerLink.h"
+#include "canvaswick/Proxy/RequestProxy.h"
+#include "canvaswick/Support/Log.h"
+#include "canvaswick/Support/RoundThread.h"
+
+#include <fmt/format.h>
+
+#include <cmath>
+
+namespace canvaswick {
+
+/// Threads for the balancer's checks and for who reads metrics.
+static constexpr size_t ReadyWorkers = 2;
+
+/// Callers' requests that may wait for a worker.
+static constexpr size_t CallerQueue = 256;
+
+/// Idle connections to backend servers are closed after this time: they close
+/// theirs after ten seconds, and one that a cut has broken hangs its request.
+static constexpr Duration UpstreamIdleLimit = fromSeconds(3);
+
+/// How often late requests are looked for and observations are sent: peers
+/// should know within a tenth of a second.
+static constexpr Duration HealthInterval = fromMillis(50);
+static constexpr Duration HousekeepingInterval = fromSeconds(1);
+
+class Gateway::Impl {
+public:
+  Impl(DaemonConfig Given, ProxyOptions Options);
+
+  Result<void> start();
+  void setFleet(const FleetConfigRef &Config);
+  void setDaemons(const std::vector<DaemonRecord> &Daemons);
+  void beginStop();
+  bool finishStop(TimePoint Deadline);
+
+  const DaemonConfig Config;
+  DaemonRecord Self;
+  CounterTable Counters;
+
+private:
+  void build(const FleetConfigRef &Next);
+  void runHealthRound();
+  void housekeep();
+  void takeObservations(const std::vector<Observation> &Seen);
+  void handleReady(HttpExchange &Exchange);
+  std::string formatMetrics() const;
+
+  const TimePoint Started = readSteadyClock();
+  FleetRuntimeSlot Fleet;
+  ConnectionPool Upstreams{0};
+  RequestProxy Proxy;
+  std::unique_ptr<PeerLink> Peers;
+  std::unique_ptr<HttpServer> Callers;
+  std::unique_ptr<HttpServer> Ready;
+  /// Guards the building of a new FleetRuntime and the names.
+  std::mutex BuildMutex;
+  std::vector<std::string> DaemonNames;
+  std::atomic<bool> IsStopping{false};
+  RoundThread HealthRounds;
+  RoundThread HousekeepingRounds;
+};
+
+static DaemonRecord makeSelf(const DaemonConfig &Config) {
+  DaemonRecord Self;
+  Self.Name = Config.Name;
+  Self.Hall = Config.Hall;
+  Self.Control = Config.Control;
+  Self.Peer = {Config.Callers.Host, Config.PeerPort};
+  return Self;
+}
+
+Gateway::Impl::Impl(DaemonConfig Given, ProxyOptions Options)
+    : Config(std::move(Given)), Self(makeSelf(this->Config)),
+      Proxy(this->Config.Name, this->Fleet, this->Upstreams, this->Counters,
+            nullptr, std::move(Options)) {}
+
+Result<void> Gateway::Impl::start() {
+  HttpServerLimits ReadyLimits;
+  ReadyLimits.Workers = ReadyWorkers;
+  this->Ready = std::make_unique<HttpServer>(
+      ReadyLimits,
+      [this](HttpExchange &Exchange) { this->handleReady(Exchange); });
+  BOOST_OUTCOME_TRY(this->Ready->start(this->Config.Ready));
+  if (this->Config.PeerPort != 0) {
+    this->Peers = std::make_unique<PeerLink>(
+        this->Self, static_cast<uint64_t>(readCalendarMillis()), this->Counters,
+        [this](const std::vector<Observation> &Seen) {
+          this->takeObservations(Seen);
+        });
+    BOOST_OUTCOME_TRY(this->Peers->start());
+  }
+  HttpServerLimits Limits;
+  Limits.Workers = static_cast<size_t>(this->Config.Workers);
+  Limits.QueueLimit = CallerQueue;
+  Limits.MaxConnections = static_cast<size_t>(this->Config.MaxConnections);
+  Limits.IdleLimit = fromSeconds(static_cast<double>(this->Config.IdleSeconds));
+  this->Callers = std::make_unique<HttpServer>(
+      Limits, [this](HttpExchange &Exchange) { this->Proxy.handle(Exchange); });
+  BOOST_OUTCOME_TRY(this->Callers->start(this->Config.Callers));
+  this->HealthRounds.start(HealthInterval, [this] { this->runHealthRound(); });
+  this->HousekeepingRounds.start(HousekeepingInterval,
+                                 [this] { this->housekeep(); });
+  logInfo("daemon-started", "name={} hall={} callers={} ready={} peers={}",
+          this->Config.Name, this->Config.Hall, this->Config.Callers.format(),
+          this->Config.Ready.format(), this->Self.Peer.format());
+  return outcome::success();
+}
+
+/// Builds what serves Next. The caller holds BuildMutex.
+void Gateway::Impl::build(const FleetConfigRef &Next) {
+  DaemonIdentity Identity;
+  Identity.Name = this->Config.Name;
+  Identity.Hall = this->Config.Hall;
+  Identity.Daemons = this->DaemonNames;
+  Identity.ExpectedDaemons = this->Config.ExpectedDaemons;
+  Identity.Source = SettingsSource::Platform;
+  Identity.Repeats = this->Config.Repeats;
+  Identity.Started = this->Started;
+  const FleetRuntimeRef Previous = this->Fleet.get();
+  const FleetRuntimeRef Runtime(
+      new FleetRuntime(Next, Identity, Previous.get(), readSteadyClock()));
+  const size_t Count =
+      std::max(this->DaemonNames.size(),
+               static_cast<size_t>(this->Config.ExpectedDaemons));
+  for (const ServiceRuntimeRef &Service : Runtime->getServices())
+    Service->setDaemonCount(Count);
+  Runtime->boundConnections(this->Upstreams);
+  this->Fleet.set(Runtime);
+  this->Counters.add(Counter::FleetBuilds);
+}
+
+void Gateway::Impl::setFleet(const FleetConfigRef &Next) {
+  std::lock_guard<std::mutex> Lock(this->BuildMutex);
+  this->build(Next);
+}
+
+void Gateway::Impl::setDaemons(const std::vector<DaemonRecord> &Daemons) {
+  if (this->Peers)
+    this->Peers->setPeers(Daemons);
+  std::vector<std::string> Names;
+  for (const DaemonRecord &Daemon : Daemons)
+    Names.push_back(Daemon.Name);
+  std::lock_guard<std::mutex> Lock(this->BuildMutex);
+  if (Names == this->DaemonNames)
+    return;
+  this->DaemonNames = std::move(Names);
+  if (const FleetRuntimeRef Current = this->Fleet.get())
+    this->build(FleetConfigRef(&Current->getConfig()));
+}
+
+void Gateway::Impl::runHealthRound() {
+  const FleetRuntimeRef Current = this->Fleet.get();
+  if (!Current)
+    return;
+  const TimePoint Now = readSteadyClock();
+  std::vector<Observation> Seen;
+  for (const ServiceRuntimeRef &Service : Current->getServices()) {
+    Service->advance(Now);
+    const std::vector<Observation> More = Service->takeObservations();
+    Seen.insert(Seen.end(), More.begin(), More.end());
+  }
+  if (this->Peers && !Seen.empty())
+    this->Peers->send(std::move(Seen));
+}
+
+void Gateway::Impl::takeObservations(const std::vector<Observation> &Seen) {
+  const FleetRuntimeRef Current = this->Fleet.get();
+  if (!Current)
+    return;
+  const TimePoint Now = readSteadyClock();
+  for (const ServiceRuntimeRef &Service : Current->getServices())
+    for (const Observation &Each : Seen)
+      Service->takeObservation(Each, Now);
+}
+
+void Gateway::Impl::housekeep() {
+  const TimePoint Now = readSteadyClock();
+  this->Upstreams.closeIdleSince(Now - UpstreamIdleLimit);
+  this->Proxy.forgetIdle(Now);
+}
+
+void Gateway::Impl::handleReady(HttpExchange &Exchange) {
+  const std::string &Target = Exchange.Request.target;
+  Exchange.Stream.setDeadline(readSteadyClock() + fromSeconds(10));
+  if (Target == "/ready") {
+    const bool IsReady = !this->IsStopping && this->Fleet.get() != nullptr;
+    Exchange.Response.status = IsReady ? 200 : 503;
+    Exchange.Response.set_content(IsReady ? "ready\n" : "not ready\n",
+                                  "text/plain");
+    return;
+  }
+  if (Target == "/live") {
+    Exchange.Response.set_content("live\n", "text/plain");
+    return;
+  }
+  if (Target == "/metrics") {
+    Exchange.Response.set_content(this->formatMetrics(), "text/plain");
+    return;
+  }
+  Exchange.Response.status = 404;
+}
+
+static std::string formatServiceMetrics(ServiceRuntime &Service,
+                                        TimePoint Now) {
+  const std::string &Name = Service.getConfig().Name;
+  const LatencyHistogram &Histogram = Service.getMetrics().getHistogram();
+  std::string Text;
+  for (const double Part : {0.5, 0.9, 0.99})
+    Text += fmt::format(
+        "canvaswick_latency_ms{{service=\"{}\",quantile=\"{}\"}} {:.3f}\n",
+        Name, Part, getQuantile(Histogram, Part));
+  for (const ServerStatus &Status : Service.describe(Now))
+    Text += fmt::format(
+        "canvaswick_share{{service=\"{}\",server=\"{}\"}} {:.3f}\n", Name,
+        Status.Name, Status.Explanation.Share);
+  return Text;
+}
+
+std::string Gateway::Impl::formatMetrics() const {
+  std::string Text = this->Counters.format();
+  const FleetRuntimeRef Current = this->Fleet.get();
+  if (!Current)
+    return Text;
+  Text += fmt::format("canvaswick_config_version {}\n",
+                      Current->getConfig().Version);
+  for (const ServiceRuntimeRef &Service : Current->getServices())
+    Text += formatServiceMetrics(*Service, readSteadyClock());
+  return Text;
+}
+
+void Gateway::Impl::beginStop() {
+  this->IsStopping = true;
+  this->Callers->beginClosing();
+  logInfo("daemon-stopping", "in-flight={}", this->Callers->countInFlight());
+}
+
+bool Gateway::Impl::finishStop(TimePoint Deadline) {
+  const bool AllEnded = this->Callers->stopGracefully(Deadline);
+  this->HealthRounds.stop();
+  this->HousekeepingRounds.stop();
+  if (this->Peers)
+    this->Peers->stop();
+  this->Ready->stopGracefully(readSteadyClock());
+  logInfo("daemon-stopped", "all-ended={}", AllEnded);
+  return AllEnded;
+}
+
+Gateway::Gateway(DaemonConfig Config, ProxyOptions Options)
+    : Implementation(
+          std::make_unique<Impl>(std::move(Config), std::move(Options))) {}
+
+Gateway::~Gateway() = default;
+
+Result<void> Gateway::start() { return this->Implementation->start(); }
+
+void Gateway::setFleet(const FleetConfigRef &Config) {
+  this->Implementation->setFleet(Config);
+}
+
+void Gateway::setDaemons(const std::vector<DaemonRecord> &Daemons) {
+  this->Implementation->setDaemons(Daemons);
+}
+
+void Gateway::beginStop() { this->Implementation->beginStop(); }
+
+bool Gateway::finishStop(TimePoint Deadline) {
+  return this->Implementation->finishStop(Deadline);
+}
+
+const DaemonRecord &Gateway::getSelf() const {
+  return this->Implementation->Self;
+}
+
+CounterTable &Gateway::getCounters() { return this->Implementation->Counters; }
+
+} // namespace canvaswick
--- a/lib/Daemon/OperatorApi.cpp
+++ b/lib/Daemon/OperatorApi.cpp
@@ -75,7 +75,7 @@
     Entry["name"] = Service->getConfig().Name;
     Entry["floor-percent"] = Service->getConfig().FloorPercent;
     Entry["servers"] = Json::arrayValue;
-    for (const ServerStatus &Status : Service->describe())
+    for (const ServerStatus &Status : Service->describe(Now))
       Entry["servers"].append(describeServer(Status, Now));
     Answer["services"].append(Entry);
   }
@@ -89,7 +89,7 @@
   const ServiceRuntimeRef Found = Fleet ? Fleet->findService(Service) : nullptr;
   if (!Found)
     return makeCallError({ErrorKind::NotFound, "no service " + Service});
-  for (const ServerStatus &Status : Found->describe()) {
+  for (const ServerStatus &Status : Found->describe(readSteadyClock())) {
     if (Status.Name != Server)
       continue;
     Json::Value Answer = describeServer(Status, readSteadyClock());
@@ -146,7 +146,7 @@
       Text += fmt::format(
           "canvaswick_latency_ms{{service=\"{}\",quantile=\"{}\"}} {:.3f}\n",
           Service->getConfig().Name, Part, getQuantile(Histogram, Part));
-    for (const ServerStatus &Status : Service->describe())
+    for (const ServerStatus &Status : Service->describe(readSteadyClock()))
       Text += fmt::format(
           "canvaswick_share{{service=\"{}\",server=\"{}\"}} {:.2f}\n",
           Service->getConfig().Name, Status.Name, Status.Explanation.Share);
--- /dev/null
+++ b/lib/Daemon/PeerLink.cpp
@@ -0,0 +1,232 @@
+//===- PeerLink.cpp - Observations between daemons, by datagrams ----------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// One UDP socket; a thread receives, anyone sends.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Daemon/PeerLink.h"
+#include "canvaswick/Json/JsonText.h"
+#include "canvaswick/Support/Log.h"
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <charconv>
+
+namespace canvaswick {
+
+/// Longest datagram: one that crosses any link in one piece.
+static constexpr size_t MaxDatagramBytes = 1400;
+
+/// Observations in one datagram; at under 25 bytes each they fit.
+static constexpr size_t MaxSeen = 48;
+
+/// Messages that are remembered, to leave out what comes twice.
+static constexpr size_t RecentKept = 512;
+
+/// How often the receiving thread looks whether it should end.
+static constexpr int ReceiveMillis = 500;
+
+std::string encodePeerMessage(const PeerMessage &Message) {
+  Json::Value Value;
+  Value["from"] = Message.Source;
+  Value["hall"] = Message.Hall;
+  Value["seq"] = static_cast<Json::UInt64>(Message.Sequence);
+  Value["seen"] = Json::arrayValue;
+  for (const Observation &Each : Message.Seen) {
+    Json::Value Pair(Json::arrayValue);
+    // A number of 64 bits does not survive every JSON reader.
+    Pair.append(fmt::format("{:x}", Each.Server));
+    Pair.append(static_cast<int>(Each.Outcome));
+    Value["seen"].append(Pair);
+  }
+  return writeJson(Value);
+}
+
+static bool decodeObservation(const Json::Value &Pair, Observation &Seen) {
+  if (!Pair.isArray() || Pair.size() != 2 || !Pair[0].isString() ||
+      !Pair[1].isInt())
+    return false;
+  const std::string Id = Pair[0].asString();
+  const char *End = Id.data() + Id.size();
+  const auto [Rest, Code] = std::from_chars(Id.data(), End, Seen.Server, 16);
+  const int Outcome = Pair[1].asInt();
+  if (Code != std::errc() || Rest != End || Outcome < 0 ||
+      Outcome > static_cast<int>(RequestOutcome::Unreachable))
+    return false;
+  Seen.Outcome = static_cast<RequestOutcome>(Outcome);
+  return true;
+}
+
+Result<PeerMessage> decodePeerMessage(const std::string &Text) {
+  Json::Value Value;
+  if (!parseJson(Text, Value) || !Value.isObject() ||
+      !Value["from"].isString() || !Value["hall"].isString() ||
+      !Value["seq"].isUInt64() || !Value["seen"].isArray())
+    return makeError(ErrorKind::InvalidArgument, "not a message of a peer");
+  PeerMessage Message;
+  Message.Source = Value["from"].asString();
+  Message.Hall = Value["hall"].asString();
+  Message.Sequence = Value["seq"].asUInt64();
+  for (const Json::Value &Pair : Value["seen"]) {
+    Observation Seen;
+    if (!decodeObservation(Pair, Seen))
+      return makeError(ErrorKind::InvalidArgument, "not an observation");
+    Message.Seen.push_back(Seen);
+  }
+  return Message;
+}
+
+PeerLink::PeerLink(DaemonRecord Self, uint64_t FirstSequence,
+                   CounterTable &Counters, Handler Handle)
+    : Self(std::move(Self)), Counters(Counters), Handle(std::move(Handle)),
+      NextSequence(FirstSequence), Random(std::random_device()()) {}
+
+PeerLink::~PeerLink() { this->stop(); }
+
+static bool makeSocketAddress(const Endpoint &Address, sockaddr_in &Result) {
+  Result = {};
+  Result.sin_family = AF_INET;
+  Result.sin_port = htons(Address.Port);
+  return ::inet_pton(AF_INET, Address.Host.c_str(), &Result.sin_addr) == 1;
+}
+
+Result<void> PeerLink::start() {
+  sockaddr_in Address;
+  if (!makeSocketAddress(this->Self.Peer, Address))
+    return makeError(ErrorKind::InvalidArgument,
+                     "not an address: " + this->Self.Peer.format());
+  this->Descriptor =
+      ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (this->Descriptor < 0 ||
+      ::bind(this->Descriptor, reinterpret_cast<const sockaddr *>(&Address),
+             sizeof(Address)) != 0)
+    return makeError(ErrorKind::Io,
+                     "cannot bind to udp " + this->Self.Peer.format());
+  this->Thread = std::thread([this] { this->runThread(); });
+  return outcome::success();
+}
+
+void PeerLink::stop() {
+  this->Stopping = true;
+  if (this->Thread.joinable())
+    this->Thread.join();
+  if (this->Descriptor >= 0)
+    ::close(this->Descriptor);
+  this->Descriptor = -1;
+}
+
+void PeerLink::setPeers(std::vector<DaemonRecord> Peers) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->Near.clear();
+  this->Far.clear();
+  for (DaemonRecord &Peer : Peers) {
+    if (Peer.Name == this->Self.Name)
+      continue;
+    if (Peer.Hall == this->Self.Hall)
+      this->Near.push_back(std::move(Peer));
+    else
+      this->Far[Peer.Hall].push_back(std::move(Peer));
+  }
+}
+
+void PeerLink::sendTo(const Endpoint &Peer, const std::string &Text) {
+  sockaddr_in Address;
+  if (!makeSocketAddress(Peer, Address))
+    return;
+  // A datagram that cannot be sent now is worth nothing later.
+  const ssize_t Sent =
+      ::sendto(this->Descriptor, Text.data(), Text.size(), 0,
+               reinterpret_cast<const sockaddr *>(&Address), sizeof(Address));
+  this->Counters.add(Sent < 0 ? Counter::PeerSendFailures
+                              : Counter::PeerDatagramsSent);
+  if (Sent > 0)
+    this->Counters.add(Counter::ControlBytesSent, static_cast<uint64_t>(Sent));
+}
+
+void PeerLink::sendWithinHall(const std::string &Text) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  for (const DaemonRecord &Peer : this->Near)
+    this->sendTo(Peer.Peer, Text);
+}
+
+void PeerLink::sendToOtherHalls(const std::string &Text) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  for (const auto &[Hall, Peers] : this->Far)
+    this->sendTo(Peers[this->Random() % Peers.size()].Peer, Text);
+}
+
+void PeerLink::send(std::vector<Observation> Seen) {
+  while (!Seen.empty()) {
+    PeerMessage Message;
+    Message.Source = this->Self.Name;
+    Message.Hall = this->Self.Hall;
+    Message.Sequence = this->NextSequence++;
+    const size_t Count = std::min(Seen.size(), MaxSeen);
+    Message.Seen.assign(Seen.end() - static_cast<ptrdiff_t>(Count), Seen.end());
+    Seen.resize(Seen.size() - Count);
+    const std::string Text = encodePeerMessage(Message);
+    this->sendWithinHall(Text);
+    this->sendToOtherHalls(Text);
+  }
+}
+
+bool PeerLink::isNew(const PeerMessage &Message) {
+  const std::pair<std::string, uint64_t> Mark(Message.Source, Message.Sequence);
+  if (!this->Recent.insert(Mark).second)
+    return false;
+  this->RecentOrder.push_back(Mark);
+  if (this->RecentOrder.size() > RecentKept) {
+    this->Recent.erase(this->RecentOrder.front());
+    this->RecentOrder.pop_front();
+  }
+  return true;
+}
+
+void PeerLink::receive(const std::string &Text) {
+  Result<PeerMessage> Message = decodePeerMessage(Text);
+  if (!Message) {
+    this->Counters.add(Counter::PeerDatagramsRefused);
+    logWarning("peer-message-refused", "what={:?} bytes={}",
+               Message.error().Message, Text.size());
+    return;
+  }
+  PeerMessage &Taken = Message.value();
+  if (Taken.Source == this->Self.Name || !this->isNew(Taken))
+    return;
+  this->Counters.add(Counter::PeerDatagramsTaken);
+  if (Taken.Hall != this->Self.Hall) {
+    Taken.Hall = this->Self.Hall;
+    this->sendWithinHall(encodePeerMessage(Taken));
+  }
+  this->Handle(Taken.Seen);
+}
+
+void PeerLink::runThread() {
+  std::string Buffer;
+  while (!this->Stopping) {
+    pollfd Poll{this->Descriptor, POLLIN, 0};
+    if (::poll(&Poll, 1, ReceiveMillis) <= 0)
+      continue;
+    Buffer.resize(MaxDatagramBytes * 2);
+    const ssize_t Count =
+        ::recv(this->Descriptor, Buffer.data(), Buffer.size(), 0);
+    if (Count <= 0)
+      continue;
+    Buffer.resize(static_cast<size_t>(Count));
+    this->receive(Buffer);
+  }
+}
+
+} // namespace canvaswick
--- /dev/null
+++ b/lib/Directory/ItemTable.cpp
@@ -0,0 +1,78 @@
+//===- ItemTable.cpp - A copy of the store that only moves forward --------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// An item that is gone needs no mark: whatever is not newer than the revision up
+/// to which the table is complete is already in it.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Directory/ItemTable.h"
+
+#include <algorithm>
+#include <set>
+
+namespace canvaswick {
+
+bool ItemTable::apply(const StoreItem &News) {
+  if (News.Revision <= this->AsOf)
+    return false;
+  const auto Found = this->Items.find(News.Key);
+  const bool IsKnown = Found != this->Items.end();
+  if (IsKnown && Found->second.Revision >= News.Revision)
+    return false;
+  if (!News.IsGone) {
+    this->Items[News.Key] = News;
+    return true;
+  }
+  if (!IsKnown)
+    return false;
+  this->Items.erase(Found);
+  return true;
+}
+
+bool ItemTable::replaceAll(const std::vector<StoreItem> &Given, uint64_t ReadAt) {
+  if (ReadAt < this->AsOf)
+    return false;
+  bool IsChanged = false;
+  std::set<std::string> Listed;
+  for (const StoreItem &Item : Given) {
+    Listed.insert(Item.Key);
+    StoreItem &Known = this->Items[Item.Key];
+    if (Known.Revision >= Item.Revision)
+      continue;
+    Known = Item;
+    IsChanged = true;
+  }
+  IsChanged |= std::erase_if(this->Items, [&](const auto &Entry) {
+                 return Listed.count(Entry.first) == 0 &&
+                        Entry.second.Revision <= ReadAt;
+               }) > 0;
+  this->AsOf = ReadAt;
+  return IsChanged;
+}
+
+void ItemTable::advanceTo(uint64_t Reached) {
+  this->AsOf = std::max(this->AsOf, Reached);
+}
+
+const StoreItem *ItemTable::find(const std::string &Key) const {
+  const auto Found = this->Items.find(Key);
+  return Found == this->Items.end() ? nullptr : &Found->second;
+}
+
+std::vector<const StoreItem *>
+ItemTable::list(const std::string &Prefix) const {
+  std::vector<const StoreItem *> Found;
+  for (auto Each = this->Items.lower_bound(Prefix);
+       Each != this->Items.end() && Each->first.starts_with(Prefix); ++Each)
+    Found.push_back(&Each->second);
+  return Found;
+}
+
+} // namespace canvaswick
--- a/lib/Health/HealthPolicy.cpp
+++ b/lib/Health/HealthPolicy.cpp
@@ -113,7 +113,9 @@
   ServerState &State = this->Servers[Server];
   if (Outcome == RequestOutcome::Good)
     State.FailuresInRow = 0;
-  if (Outcome != RequestOutcome::Failed || State.IsRemoved)
+  const bool IsFailure = Outcome == RequestOutcome::Failed ||
+                         Outcome == RequestOutcome::Unreachable;
+  if (!IsFailure || State.IsRemoved)
     return;
   if (++State.FailuresInRow < BaselineFailuresInRow)
     return;
--- a/lib/Health/Outcome.cpp
+++ b/lib/Health/Outcome.cpp
@@ -16,12 +16,13 @@
 
 namespace canvaswick {
 
-static constexpr EnumNames<RequestOutcome, 5> RequestOutcomeNames = {{
+static constexpr EnumNames<RequestOutcome, 6> RequestOutcomeNames = {{
     {RequestOutcome::Good, "good"},
     {RequestOutcome::Slow, "slow"},
     {RequestOutcome::Failed, "failed"},
     {RequestOutcome::Shed, "shed"},
     {RequestOutcome::Canceled, "canceled"},
+    {RequestOutcome::Unreachable, "unreachable"},
 }};
 
 const char *getName(RequestOutcome Outcome) {
--- /dev/null
+++ b/lib/Health/SpellPolicy.cpp
@@ -0,0 +1,235 @@
+//===- SpellPolicy.cpp - Sick spells of some seconds, judged by all daemons -===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// A hidden Markov model of two states for each server, filtered forward.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Health/SpellPolicy.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace canvaswick {
+
+/// Part of the servers that are usually in a spell, and the mean length of one.
+/// Both from the sites' descriptions: spells last three to nine seconds, and a
+/// server has one every half minute to some minutes.
+static constexpr double UsualSickness = 0.04;
+static constexpr Duration MeanSpell = fromSeconds(3);
+
+/// Sickness never leaves this range, so that one outcome can still move it.
+static constexpr double LeastSickness = 0.005;
+static constexpr double MostSickness = 0.995;
+
+/// Good outcomes are told to peers only of servers at least this likely sick.
+static constexpr double SuspectSickness = 0.12;
+
+/// Shares fall with this power of the probability of being well.
+static constexpr double OrdinaryPower = 3;
+static constexpr double UtmostPower = 8;
+
+/// A server that the floor keeps in use gets at least this share.
+static constexpr double KeptShare = 0.25;
+
+/// How long a server is left alone after no connection to it came about.
+/// Doubles with each failure in a row up to the longest.
+static constexpr Duration FirstUnreachable = fromMillis(1000);
+static constexpr int MostDoublings = 2;
+
+namespace {
+
+/// How likely an outcome is at a sick and at a well server.
+struct Likelihood {
+  double Sick;
+  double Well;
+};
+
+} // namespace
+
+/// A sick server fails about two in three of its requests, a well one a
+/// little over one in a hundred. A late answer or a refusal has other causes
+/// too; a connection that does not come about may be this daemon's own fault.
+static Likelihood getLikelihood(RequestOutcome Outcome) {
+  switch (Outcome) {
+  case RequestOutcome::Good:
+    return {0.35, 0.96};
+  case RequestOutcome::Slow:
+    return {0.30, 0.04};
+  case RequestOutcome::Failed:
+    return {0.60, 0.016};
+  case RequestOutcome::Shed:
+    return {0.30, 0.04};
+  case RequestOutcome::Unreachable:
+    return {0.30, 0.02};
+  case RequestOutcome::Canceled:
+    return {1, 1};
+  }
+  assert(false && "outcome without a likelihood");
+  return {1, 1};
+}
+
+SpellPolicy::SpellPolicy(PolicySetup Given) : Setup(std::move(Given)) {
+  for (const PolicyServer &Server : this->Setup.Servers) {
+    this->IndexOfServer[Server.Id] = this->Servers.size();
+    ServerState State;
+    State.Config = Server;
+    State.Sickness = UsualSickness;
+    this->Servers.push_back(State);
+  }
+}
+
+double SpellPolicy::getSickness(size_t Server, TimePoint Now) const {
+  const ServerState &State = this->Servers[Server];
+  const double Spells = toSeconds(Now - State.At) / toSeconds(MeanSpell);
+  const double Kept = std::exp(-std::max(0.0, Spells));
+  return UsualSickness + (State.Sickness - UsualSickness) * Kept;
+}
+
+void SpellPolicy::update(ServerState &State, RequestOutcome Outcome,
+                         TimePoint Now) {
+  const auto Server = static_cast<size_t>(&State - this->Servers.data());
+  const double Before = this->getSickness(Server, Now);
+  const Likelihood Seen = getLikelihood(Outcome);
+  const double Sick = Before * Seen.Sick;
+  const double Well = (1 - Before) * Seen.Well;
+  State.Sickness =
+      std::clamp(Sick / (Sick + Well), LeastSickness, MostSickness);
+  State.At = Now;
+}
+
+/// Keeps track of whether this daemon reaches the server at all, which says
+/// little about what others reach.
+void SpellPolicy::noteReach(ServerState &State, RequestOutcome Outcome,
+                            TimePoint Now) {
+  if (Outcome != RequestOutcome::Unreachable) {
+    State.UnreachableInRow = 0;
+    State.UnreachableUntil = TimePoint{};
+    return;
+  }
+  const int Doublings = std::min(State.UnreachableInRow, MostDoublings);
+  State.UnreachableUntil = Now + FirstUnreachable * (1 << Doublings);
+  ++State.UnreachableInRow;
+}
+
+void SpellPolicy::recordOutcome(size_t Server, RequestOutcome Outcome,
+                                TimePoint Now) {
+  if (Outcome == RequestOutcome::Canceled)
+    return;
+  ServerState &State = this->Servers[Server];
+  const bool WasSuspect = this->getSickness(Server, Now) >= SuspectSickness;
+  State.Counts.add(Outcome);
+  this->noteReach(State, Outcome, Now);
+  this->update(State, Outcome, Now);
+  if (Outcome != RequestOutcome::Good || WasSuspect)
+    this->News.push_back({State.Config.Id, Outcome});
+}
+
+void SpellPolicy::takeObservation(const Observation &Seen, TimePoint Now) {
+  const auto Found = this->IndexOfServer.find(Seen.Server);
+  if (Found != this->IndexOfServer.end())
+    this->update(this->Servers[Found->second], Seen.Outcome, Now);
+}
+
+void SpellPolicy::setLeaving(size_t Server, bool IsLeaving, TimePoint) {
+  this->Servers[Server].IsLeaving = IsLeaving;
+}
+
+void SpellPolicy::advance(TimePoint) {}
+
+/// The servers least likely sick stay in use up to the floor, leaving ones not
+/// counted.
+std::vector<bool> SpellPolicy::findKeptByFloor(TimePoint Now) const {
+  std::vector<size_t> Order;
+  std::vector<double> Sickness(this->Servers.size());
+  for (size_t I = 0; I < this->Servers.size(); ++I) {
+    Sickness[I] = this->getSickness(I, Now);
+    if (!this->Servers[I].IsLeaving)
+      Order.push_back(I);
+  }
+  std::sort(Order.begin(), Order.end(), [&](size_t Left, size_t Right) {
+    return Sickness[Left] < Sickness[Right];
+  });
+  const double Least =
+      static_cast<double>(Order.size()) * this->Setup.FloorPercent / 100;
+  std::vector<bool> Kept(this->Servers.size(), false);
+  for (size_t I = 0; I < Order.size() && static_cast<double>(I) < Least; ++I)
+    Kept[Order[I]] = true;
+  return Kept;
+}
+
+double SpellPolicy::computeShare(size_t Server, Caution Care, bool IsKept,
+                                 TimePoint Now) const {
+  const ServerState &State = this->Servers[Server];
+  if (State.IsLeaving)
+    return 0;
+  const double Power =
+      Care == Caution::Utmost ? UtmostPower : OrdinaryPower;
+  double Share = std::pow(1 - this->getSickness(Server, Now), Power);
+  if (IsKept)
+    Share = std::max(Share, KeptShare);
+  // Nothing that does not arrive helps the floor.
+  if (Now < State.UnreachableUntil)
+    Share *= 0.01;
+  return Share;
+}
+
+std::vector<double> SpellPolicy::getShares(Caution Care, TimePoint Now) const {
+  const std::vector<bool> Kept = this->findKeptByFloor(Now);
+  std::vector<double> Shares(this->Servers.size());
+  for (size_t I = 0; I < Shares.size(); ++I)
+    Shares[I] = this->computeShare(I, Care, Kept[I], Now);
+  return Shares;
+}
+
+double SpellPolicy::getShare(size_t Server, Caution Care, TimePoint Now) const {
+  return this->computeShare(Server, Care, this->findKeptByFloor(Now)[Server],
+                            Now);
+}
+
+std::vector<Observation> SpellPolicy::takeNews() {
+  std::vector<Observation> Taken;
+  Taken.swap(this->News);
+  return Taken;
+}
+
+void SpellPolicy::adopt(const SpellPolicy &Other, TimePoint) {
+  this->News = Other.News;
+  for (size_t I = 0; I < this->Servers.size(); ++I) {
+    const auto Found = Other.IndexOfServer.find(this->Servers[I].Config.Id);
+    if (Found == Other.IndexOfServer.end())
+      continue;
+    const PolicyServer Config = this->Servers[I].Config;
+    this->Servers[I] = Other.Servers[Found->second];
+    this->Servers[I].Config = Config;
+  }
+}
+
+ShareExplanation SpellPolicy::explain(size_t Server, TimePoint Now) const {
+  const ServerState &State = this->Servers[Server];
+  const std::vector<bool> Kept = this->findKeptByFloor(Now);
+  ShareExplanation Explanation;
+  Explanation.WantedShare =
+      this->computeShare(Server, Caution::Utmost, false, Now);
+  Explanation.Share =
+      this->computeShare(Server, Caution::Utmost, Kept[Server], Now);
+  Explanation.OwnScore = this->getSickness(Server, Now);
+  Explanation.OwnCounts = State.Counts;
+  Explanation.Since = State.At;
+  if (State.IsLeaving)
+    Explanation.Reason = ShareReason::Leaving;
+  else if (Explanation.Share > Explanation.WantedShare)
+    Explanation.Reason = ShareReason::KeptByFloor;
+  else if (Explanation.OwnScore >= SuspectSickness)
+    Explanation.Reason = ShareReason::FleetEvidence;
+  return Explanation;
+}
+
+} // namespace canvaswick
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -40,9 +40,6 @@
 /// Longest answer that is collected when nobody streams it.
 static constexpr size_t MaxCollectedBytes = 4 << 20;
 
-/// How long a new connection may take to come about.
-static constexpr Duration ConnectTime = fromSeconds(1);
-
 namespace {
 
 /// Opens cpp-httplib's reading and writing of one message over our stream.
@@ -74,9 +71,12 @@
 static bool isBodyless(int Status) { return Status == 204 || Status == 304; }
 
 /// Returns whether the end of the answer can be told from its headers.
-static bool isFramed(const httplib::Response &Response) {
+static bool isFramed(const httplib::Response &Response,
+                     bool MayEndWithConnection) {
   const size_t Lengths = Response.get_header_value_count("Content-Length");
   const size_t Encodings = Response.get_header_value_count("Transfer-Encoding");
+  if (Lengths + Encodings == 0)
+    return MayEndWithConnection;
   if (Lengths + Encodings != 1)
     return false;
   if (Encodings == 1)
@@ -113,20 +113,31 @@
   }
 }
 
-std::unique_ptr<SocketStream> ConnectionPool::acquire(const Endpoint &Endpoint,
-                                                      TimePoint Deadline,
-                                                      ExchangeEnd &End) {
+/// Returns an idle connection that nothing odd has arrived on, or null. The
+/// caller holds the mutex.
+std::unique_ptr<SocketStream> ConnectionPool::takeIdle(Address &Entry) {
+  while (!Entry.Idle.empty()) {
+    std::unique_ptr<SocketStream> Stream = std::move(Entry.Idle.back().Stream);
+    Entry.Idle.pop_back();
+    if (!Stream->hasUnexpectedInput())
+      return Stream;
+    --Entry.Open;
+  }
+  return nullptr;
+}
+
+std::unique_ptr<SocketStream>
+ConnectionPool::acquire(const Endpoint &Endpoint,
+                        const OutgoingRequest &Outgoing, TimePoint Deadline,
+                        ExchangeEnd &End) {
   {
     std::lock_guard<std::mutex> Lock(this->Mutex);
     Address &Entry = this->Addresses[Endpoint.format()];
-    while (!Entry.Idle.empty()) {
-      std::unique_ptr<SocketStream> Stream =
-          std::move(Entry.Idle.back().Stream);
-      Entry.Idle.pop_back();
-      if (!Stream->hasUnexpectedInput())
-        return Stream;
-      --Entry.Open;
-    }
+    std::unique_ptr<SocketStream> Stream;
+    if (!Outgoing.WantsFreshConnection)
+      Stream = this->takeIdle(Entry);
+    if (Stream)
+      return Stream;
     const size_t Bound = Entry.Bound ? Entry.Bound : this->PerAddress;
     if (Bound && Entry.Open >= Bound) {
       End = ExchangeEnd::NoConnection;
@@ -135,7 +146,7 @@
     ++Entry.Open;
   }
   const TimePoint ConnectBy =
-      std::min(Deadline, readSteadyClock() + ConnectTime);
+      std::min(Deadline, readSteadyClock() + Outgoing.ConnectLimit);
   const int Descriptor = connectTcp(Endpoint.Host, Endpoint.Port, ConnectBy);
   if (Descriptor >= 0)
     return std::make_unique<SocketStream>(Descriptor);
@@ -186,7 +197,8 @@
                               Sink](const httplib::Response &Response) {
     Stream.endHead();
     State.IsBodyless = isBodyless(Response.status);
-    State.IsUnframed = !State.IsBodyless && !isFramed(Response);
+    State.IsUnframed = !State.IsBodyless &&
+                       !isFramed(Response, Outgoing.MayEndWithConnection);
     if (State.IsUnframed)
       return false;
     State.HeadTaken = true;
@@ -224,6 +236,13 @@
   return ExchangeEnd::Broken;
 }
 
+/// Returns whether an answer ends before its connection does.
+static bool hasOwnEnd(const httplib::Response &Response) {
+  return isBodyless(Response.status) ||
+         Response.has_header("Content-Length") ||
+         Response.has_header("Transfer-Encoding");
+}
+
 static bool allowsReuse(const httplib::Response &Response) {
   return !equalsIgnoringCase(Response.get_header_value("Connection"),
                              "close") &&
@@ -236,7 +255,7 @@
                                         const AnswerSink *Sink) {
   ExchangeResult Result;
   std::unique_ptr<SocketStream> Stream =
-      this->acquire(Endpoint, Deadline, Result.End);
+      this->acquire(Endpoint, Outgoing, Deadline, Result.End);
   if (!Stream)
     return Result;
   Stream->beginHead(MaxAnswerHeadBytes);
@@ -264,8 +283,9 @@
   if (!Sink)
     Result.Headers = Response.headers;
   Result.End = IsWhole ? ExchangeEnd::Complete : judgeFailure(*Stream, State);
-  const bool IsReusable =
-      IsWhole && allowsReuse(Response) && !Stream->hasUnexpectedInput();
+  const bool IsReusable = IsWhole && allowsReuse(Response) &&
+                          !Outgoing.WantsFreshConnection &&
+                          hasOwnEnd(Response) && !Stream->hasUnexpectedInput();
   if (IsReusable)
     this->giveBack(Endpoint, std::move(Stream));
   else
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -129,6 +129,8 @@
 
 size_t HttpServer::countConnections() const { return this->Connections; }
 
+void HttpServer::beginClosing() { this->Stopping = true; }
+
 bool HttpServer::stopGracefully(TimePoint Deadline) {
   this->Stopping = true;
   bool AllEnded = true;
--- a/lib/Http/SocketStream.cpp
+++ b/lib/Http/SocketStream.cpp
@@ -93,6 +93,11 @@
   return ::poll(&Poll, 1, 0) != 0;
 }
 
+bool SocketStream::isPeerGone() const {
+  pollfd Poll{this->Descriptor, POLLRDHUP, 0};
+  return ::poll(&Poll, 1, 0) != 0;
+}
+
 /// Waits until the socket is ready. Notes the failure if it never is.
 bool SocketStream::waitFor(short Events) {
   TimePoint Until = this->Deadline;
@@ -308,6 +313,24 @@
   }
 }
 
+/// A peer that vanished without a word is noticed after about three seconds,
+/// both when it owes an acknowledgement and when the connection is silent.
+static constexpr int KeepAliveIdleSeconds = 1;
+static constexpr int KeepAliveIntervalSeconds = 1;
+static constexpr int KeepAliveProbes = 2;
+static constexpr unsigned UnacknowledgedMillis = 3000;
+
+static void setLiveness(int Descriptor) {
+  const auto Set = [Descriptor](int Level, int Option, auto Value) {
+    ::setsockopt(Descriptor, Level, Option, &Value, sizeof(Value));
+  };
+  Set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  Set(IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
+  Set(IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
+  Set(IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+  Set(IPPROTO_TCP, TCP_USER_TIMEOUT, UnacknowledgedMillis);
+}
+
 int connectTcp(const std::string &Host, uint16_t Port, TimePoint Deadline) {
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
@@ -318,6 +341,7 @@
       ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (Descriptor < 0)
     return -1;
+  setLiveness(Descriptor);
   const int Code =
       ::connect(Descriptor, reinterpret_cast<const sockaddr *>(&Address),
                 sizeof(Address));
--- a/lib/Metrics/Counters.cpp
+++ b/lib/Metrics/Counters.cpp
@@ -52,6 +52,12 @@
     {Counter::ClaimWrites, "claim_writes"},
     {Counter::HeartbeatsSent, "heartbeats_sent"},
     {Counter::MembersLost, "members_lost"},
+    {Counter::PeerDatagramsSent, "peer_datagrams_sent"},
+    {Counter::PeerDatagramsTaken, "peer_datagrams_taken"},
+    {Counter::PeerDatagramsRefused, "peer_datagrams_refused"},
+    {Counter::PeerSendFailures, "peer_send_failures"},
+    {Counter::FleetBuilds, "fleet_builds"},
+    {Counter::LogLinesDropped, "log_lines_dropped"},
 }};
 
 const char *getName(Counter Which) { return getEnumName(CounterNames, Which); }
--- a/lib/Proxy/AnswerRelay.cpp
+++ b/lib/Proxy/AnswerRelay.cpp
@@ -19,6 +19,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <cstdlib>
 #include <cstring>
 #include <sstream>
@@ -50,12 +51,49 @@
 
 static constexpr const char *LastChunk = "0\r\n\r\n";
 
-AnswerRelay::AnswerRelay(HttpExchange &Exchange, RelayRules Rules)
-    : Exchange(Exchange), Rules(Rules) {}
+AnswerRelay::AnswerRelay(HttpExchange &Exchange, const HeaderDialect &Names,
+                         RelayRules Rules)
+    : Exchange(Exchange), Names(Names), Rules(Rules) {}
 
 void AnswerRelay::beginAttempt(const std::string &RequestId) {
   this->RequestId = RequestId;
   this->Verdict = AnswerVerdict::None;
+  this->IsHolding = false;
+  this->HeldBody.clear();
+  this->HasLoad = false;
+}
+
+/// Statuses that tell the caller that its request was not run. Only a server
+/// that marks its answer so may say it.
+static bool promisesNotRun(int Status) {
+  return Status == 408 || Status == MisdirectedStatus || Status == 429 ||
+         Status == 503;
+}
+
+/// Returns whether an answer shows that it is the server's own and whole in
+/// form.
+bool AnswerRelay::isProved(const httplib::Response &Response) const {
+  if (this->Names.AnswerProof.empty())
+    return true;
+  // Callers ask for no encoding.
+  if (Response.has_header("Content-Encoding"))
+    return false;
+  if (promisesNotRun(Response.status))
+    return false;
+  const bool IsSuccess = Response.status >= 200 && Response.status < 300;
+  return !IsSuccess || (Response.has_header(this->Names.AnswerProof) &&
+                        Response.has_header(this->Names.RequestId));
+}
+
+void AnswerRelay::readLoad(const httplib::Response &Response) {
+  if (this->Names.ServerLoad.empty())
+    return;
+  const std::string Text = Response.get_header_value(this->Names.ServerLoad);
+  int Running = 0;
+  int Waiting = 0;
+  this->HasLoad =
+      std::sscanf(Text.c_str(), "%d,%d", &Running, &Waiting) == 2;
+  this->Load = std::max(0, Running) + std::max(0, Waiting);
 }
 
 bool AnswerRelay::continuesAnswer(const httplib::Response &Response) const {
@@ -67,14 +105,24 @@
 }
 
 AnswerVerdict AnswerRelay::judgeHead(const httplib::Response &Response) const {
-  const std::string Echo = Response.get_header_value(RequestIdHeader);
+  const std::string Echo = Response.get_header_value(this->Names.RequestId);
   if (!Echo.empty() && Echo != this->RequestId)
     return AnswerVerdict::Foreign;
   if (this->HeadWritten)
     return this->continuesAnswer(Response) ? AnswerVerdict::Relayed
                                            : AnswerVerdict::Mismatch;
-  if (Response.get_header_value(OutcomeHeader) == getName(RunOutcome::NotRun))
+  const bool IsMarked =
+      Response.has_header(this->Names.NotRun) &&
+      (this->Names.NotRunValue.empty() ||
+       Response.get_header_value(this->Names.NotRun) ==
+           this->Names.NotRunValue);
+  if (IsMarked)
     return AnswerVerdict::NotRun;
+  if (!this->Names.ExpectedInstance.empty() &&
+      Response.status == MisdirectedStatus)
+    return AnswerVerdict::NotRun;
+  if (!this->isProved(Response))
+    return AnswerVerdict::Failed;
   if (Response.status >= 500 && this->Rules.MaySetAsideFailure)
     return AnswerVerdict::Failed;
   return AnswerVerdict::Relayed;
@@ -84,9 +132,13 @@
   const bool IsContinuing = this->HeadWritten;
   this->Verdict = this->judgeHead(Response);
   this->Status = Response.status;
+  this->readLoad(Response);
   switch (this->Verdict) {
   case AnswerVerdict::Relayed:
-    return IsContinuing || this->writeHead(Response);
+    if (IsContinuing)
+      return true;
+    this->prepareHead(Response);
+    return this->IsHolding || this->writeHead();
   case AnswerVerdict::NotRun:
   case AnswerVerdict::Failed:
     // Read to the end, so that the connection can be kept.
@@ -105,34 +157,51 @@
   return Validator.size() > 2 && Validator[0] == '"' && Validator.back() == '"';
 }
 
-bool AnswerRelay::writeHead(const httplib::Response &Response) {
+/// Takes what of an answer's head goes to the caller.
+void AnswerRelay::prepareHead(const httplib::Response &Response) {
   const std::string Length = Response.get_header_value("Content-Length");
   this->HasLength = !Length.empty();
   this->Length = std::strtoull(Length.c_str(), nullptr, 10);
   this->Validator = Response.get_header_value("ETag");
-  const bool IsBodyless = Response.status == 204 || Response.status == 304 ||
+  this->IsBodyless = Response.status == 204 || Response.status == 304 ||
                           this->Exchange.Request.method == "HEAD";
-  this->IsChunked = !IsBodyless && !this->HasLength;
-  std::string Head =
-      fmt::format("HTTP/1.1 {} {}\r\n", Response.status,
-                  Response.reason.empty() ? "Unnamed" : Response.reason);
+  this->IsChunked = !this->IsBodyless && !this->HasLength;
+  this->IsHolding = this->Rules.HeldBytes > 0 && !this->IsBodyless &&
+                    this->Length <= this->Rules.HeldBytes;
+  this->Head = fmt::format("HTTP/1.1 {} {}\r\n", Response.status,
+                           Response.reason.empty() ? "Unnamed"
+                                                   : Response.reason);
   for (const auto &[Name, Value] : Response.headers)
     if (!isConnectionHeader(Name, Response.headers) &&
-        !equalsIgnoringCase(Name, RequestIdHeader))
-      Head += Name + ": " + Value + "\r\n";
+        (this->Names.PassesCallerId ||
+         !equalsIgnoringCase(Name, this->Names.RequestId)))
+      this->Head += Name + ": " + Value + "\r\n";
+  this->Kept.Status = Response.status;
+  this->Kept.ContentType = Response.get_header_value("Content-Type");
+}
+
+bool AnswerRelay::writeHead() {
   if (this->HasLength)
-    Head += "Content-Length: " + Length + "\r\n";
+    this->Head += fmt::format("Content-Length: {}\r\n", this->Length);
   if (this->IsChunked)
-    Head += "Transfer-Encoding: chunked\r\n";
+    this->Head += "Transfer-Encoding: chunked\r\n";
   if (this->Exchange.IsStopping) {
-    Head += "Connection: close\r\n";
+    this->Head += "Connection: close\r\n";
     this->Exchange.MustClose = true;
   }
-  Head += "\r\n";
+  this->Head += "\r\n";
   this->HeadWritten = true;
-  this->Kept.Status = Response.status;
-  this->Kept.ContentType = Response.get_header_value("Content-Type");
-  return this->writeToCaller(Head.data(), Head.size());
+  return this->writeToCaller(this->Head.data(), this->Head.size());
+}
+
+/// Gives up holding an answer back and writes what there is of it.
+bool AnswerRelay::releaseHeld() {
+  this->IsHolding = false;
+  if (!this->writeHead())
+    return false;
+  const std::string Body = std::move(this->HeldBody);
+  this->HeldBody.clear();
+  return Body.empty() || this->passBody(Body.data(), Body.size());
 }
 
 bool AnswerRelay::writeToCaller(const char *Data, size_t Size) {
@@ -150,6 +219,13 @@
   else
     this->IsKeptTooLong = true;
   this->Passed += Size;
+  if (!this->IsHolding)
+    return this->passBody(Data, Size);
+  this->HeldBody.append(Data, Size);
+  return this->HeldBody.size() <= this->Rules.HeldBytes || this->releaseHeld();
+}
+
+bool AnswerRelay::passBody(const char *Data, size_t Size) {
   if (!this->IsChunked)
     return this->writeToCaller(Data, Size);
   std::string Chunk = fmt::format("{:x}\r\n", Size);
@@ -159,6 +235,13 @@
 }
 
 void AnswerRelay::finish(bool IsWhole) {
+  if (this->IsHolding && IsWhole) {
+    // Its length is known by now, whatever the server said of it.
+    this->HasLength = true;
+    this->IsChunked = false;
+    this->Length = this->HeldBody.size();
+    IsWhole = this->releaseHeld();
+  }
   if (!this->HeadWritten)
     return;
   if (IsWhole && this->IsChunked)
--- a/lib/Proxy/FleetRuntime.cpp
+++ b/lib/Proxy/FleetRuntime.cpp
@@ -37,6 +37,13 @@
   return nullptr;
 }
 
+void FleetRuntime::boundConnections(ConnectionPool &Pool) const {
+  for (const ServiceRuntimeRef &Service : this->Services)
+    for (size_t I = 0; I < Service->countServers(); ++I)
+      Pool.setBound(Service->getServer(I).Address,
+                    static_cast<size_t>(Service->getSubset().Connections[I]));
+}
+
 FleetRuntimeRef FleetRuntimeSlot::get() const {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   return this->Current;
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -13,6 +13,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "RequestFlow.h"
+#include "canvaswick/Support/Text.h"
 
 #include <fmt/format.h>
 
@@ -26,20 +27,45 @@
 /// Tries of one request, the first included.
 static constexpr size_t MaxAttempts = 3;
 
+/// Connections that may fail to come about for one request. They are no
+/// attempts: nothing was sent.
+static constexpr size_t MaxUnreachable = 4;
+
+size_t RequestProxy::getMaxAttempts(const Flow &Request) const {
+  const auto Asked = static_cast<size_t>(Request.Route->MaxAttempts);
+  return Asked > 0 ? std::min(Asked, MaxAttempts) : MaxAttempts;
+}
+
 void RequestProxy::runAttempts(Flow &Request, AnswerRelay &Relay) {
-  std::vector<size_t> Tried;
-  while (Tried.size() < MaxAttempts) {
+  AttemptNeeds Needs;
+  Needs.Class = Request.Route->Class;
+  size_t Unreachable = 0;
+  while (Request.Tries < this->getMaxAttempts(Request) &&
+         Unreachable < MaxUnreachable) {
     const TimePoint Now = readSteadyClock();
     if (Now >= Request.Deadline && !Relay.hasBegun())
       break;
+    if (Request.Exchange.Stream.isPeerGone() && !Request.HasClaim) {
+      Request.WasCanceled = true;
+      break;
+    }
     Attempt Current;
-    if (!Request.Service->begin(Current, Tried, Now)) {
-      Request.HasNoServer = Tried.empty();
+    if (!Request.Service->begin(Current, Needs, Now)) {
+      Request.HasNoServer = Needs.Tried.empty();
       break;
     }
     const RequestOutcome Outcome = this->tryOnce(Request, Relay, Current);
-    Request.Service->end(Current, Outcome, readSteadyClock());
-    Tried.push_back(Current.Server);
+    const TimePoint End = readSteadyClock();
+    Request.Service->end(Current, Outcome, End);
+    Request.Trail += fmt::format(
+        "{}{}:{}:{}ms", Request.Trail.empty() ? "" : ",",
+        Request.Service->getServer(Current.Server).Name, getName(Outcome),
+        toMillis(End - Now));
+    Needs.Tried.push_back(Current.Server);
+    if (Outcome == RequestOutcome::Unreachable)
+      ++Unreachable;
+    else
+      ++Request.Tries;
     if (Request.IsAnswered || Request.WasCanceled ||
         !this->mayTryAgain(Request, Relay))
       break;
@@ -50,7 +76,9 @@
 
 OutgoingRequest
 RequestProxy::buildOutgoing(Flow &Request, const AnswerRelay &Relay,
+                            const ServerConfig &Server,
                             const std::string &RequestId) const {
+  const HeaderDialect &Names = this->Options.Headers;
   const httplib::Request &Caller = Request.Exchange.Request;
   OutgoingRequest Outgoing;
   Outgoing.Method = Caller.method;
@@ -58,16 +86,24 @@
   for (const auto &[Name, Value] : Caller.headers) {
     const bool IsOurs = Name == "REMOTE_ADDR" || Name == "REMOTE_PORT" ||
                         Name == "LOCAL_ADDR" || Name == "LOCAL_PORT" ||
-                        ::strcasecmp(Name.c_str(), DeadlineHeader) == 0 ||
-                        ::strcasecmp(Name.c_str(), RequestIdHeader) == 0 ||
+                        equalsIgnoringCase(Name, Names.Deadline) ||
+                        equalsIgnoringCase(Name, Names.RequestId) ||
+                        equalsIgnoringCase(Name, Names.ExpectedInstance) ||
                         ::strcasecmp(Name.c_str(), "Expect") == 0;
     if (!IsOurs && !isConnectionHeader(Name, Caller.headers))
       Outgoing.Headers.emplace(Name, Value);
   }
   const Duration Left = Request.Deadline - readSteadyClock();
   Outgoing.Headers.emplace(
-      DeadlineHeader, fmt::format("{}", std::max<int64_t>(1, toMillis(Left))));
-  Outgoing.Headers.emplace(RequestIdHeader, RequestId);
+      Names.Deadline, fmt::format("{}", std::max<int64_t>(1, toMillis(Left))));
+  if (!RequestId.empty())
+    Outgoing.Headers.emplace(Names.RequestId, RequestId);
+  if (!Names.ExpectedInstance.empty() && !Server.Instance.empty())
+    Outgoing.Headers.emplace(Names.ExpectedInstance, Server.Instance);
+  Outgoing.ConnectLimit = fromMillis(this->Options.ConnectMs);
+  Outgoing.WantsFreshConnection =
+      this->Options.HasFreshConnections && !mayRepeat(*Request.Route);
+  Outgoing.MayEndWithConnection = this->Options.HeldAnswerBytes > 0;
   Outgoing.Headers.emplace("Via", "1.1 " + this->DaemonName);
   Outgoing.Headers.emplace("X-Forwarded-For", Caller.remote_addr);
   Relay.addResumeHeaders(Outgoing.Headers);
@@ -75,8 +111,14 @@
   if (Request.HasOwnDeadline)
     Outgoing.BodyDeadline = Request.Deadline;
   Outgoing.Body = Request.Body;
-  if (Request.IsBodyWhole)
-    return Outgoing;
+  if (!Request.IsBodyWhole)
+    this->streamBody(Request, Outgoing);
+  return Outgoing;
+}
+
+/// Passes the caller's body on while it arrives.
+void RequestProxy::streamBody(Flow &Request, OutgoingRequest &Outgoing) const {
+  const httplib::Request &Caller = Request.Exchange.Request;
   const uint64_t Limit =
       static_cast<uint64_t>(Request.Service->getConfig().MaxBodyBytes);
   Outgoing.BodyIsChunked = Caller.has_header("Transfer-Encoding");
@@ -95,19 +137,43 @@
       Sink.done();
     return IsRead;
   };
-  return Outgoing;
+}
+
+/// Returns until when an attempt may take. A repeatable request that is slow
+/// is sent elsewhere while that can still help.
+TimePoint RequestProxy::chooseAttemptDeadline(Flow &Request,
+                                              const AnswerRelay &Relay,
+                                              TimePoint Now,
+                                              bool &IsPatience) const {
+  IsPatience = false;
+  // The head of an answer to be resumed needs a deadline of its own.
+  if (Relay.hasBegun())
+    return Now + fromMillis(Request.Service->getConfig().StallMs);
+  const bool IsLast = Request.Tries + 1 >= this->getMaxAttempts(Request);
+  if (this->Options.HeldAnswerBytes == 0 || IsLast || !Request.IsBodyWhole ||
+      !mayRepeat(*Request.Route) || !Request.Service->hasRepeat(Now))
+    return Request.Deadline;
+  const int64_t Objective = Request.Route->ObjectiveMs > 0
+                                ? Request.Route->ObjectiveMs
+                                : Request.Service->getConfig().ObjectiveMs;
+  const TimePoint Until =
+      Now + Request.Service->getPatience(fromMillis(Objective));
+  IsPatience = Until < Request.Deadline;
+  return std::min(Until, Request.Deadline);
 }
 
 RequestOutcome RequestProxy::tryOnce(Flow &Request, AnswerRelay &Relay,
                                      const Attempt &Current) {
   const std::string RequestId =
-      fmt::format("{}-{}", this->DaemonName, this->NextRequest++);
-  const bool IsRepeatable = Request.Route->Class == RouteClass::Repeatable;
+      this->Options.Headers.PassesCallerId
+          ? Request.CallerId
+          : fmt::format("{}-{}", this->DaemonName, this->NextRequest++);
+  const bool IsRepeatable = mayRepeat(*Request.Route);
   RelayRules Rules;
   // The second server's own words are worth more than a general failure.
   Rules.MaySetAsideFailure =
       IsRepeatable && Request.IsBodyWhole && Request.Tries == 0;
-  ++Request.Tries;
+  Rules.HeldBytes = this->Options.HeldAnswerBytes;
   Rules.KeepBytes = Request.HasClaim ? KeptAnswerBytes : 0;
   Rules.GoesOnWithoutCaller = Request.HasClaim;
   Relay.setRules(Rules);
@@ -118,20 +184,25 @@
                         [&Relay](const char *Data, size_t Size) {
                           return Relay.takeBody(Data, Size);
                         }};
+  const ServerConfig &Server = Request.Service->getServer(Current.Server);
   const OutgoingRequest Outgoing =
-      this->buildOutgoing(Request, Relay, RequestId);
-  // The head of an answer to be resumed needs a deadline of its own.
-  const TimePoint Deadline = Relay.hasBegun()
-                                 ? readSteadyClock() + Outgoing.StallLimit
-                                 : Request.Deadline;
+      this->buildOutgoing(Request, Relay, Server, RequestId);
+  bool IsPatience = false;
+  const TimePoint Deadline = this->chooseAttemptDeadline(
+      Request, Relay, readSteadyClock(), IsPatience);
   // A claimed request is run once: its answer is wanted even if this caller
   // has left.
   const bool MayCancel = Request.IsBodyWhole && !Request.HasClaim;
   const int HangUp = MayCancel ? Request.Exchange.Stream.socket() : -1;
   const ExchangeResult Result = this->Upstreams.exchange(
-      Request.Service->getServer(Current.Server).Address, Outgoing, Deadline,
-      HangUp, &Sink);
-  return this->judge(Request, Relay, Result);
+      Server.Address, Outgoing, Deadline, HangUp, &Sink);
+  if (Relay.hasLoad())
+    Request.Service->noteLoad(Current.Server, Relay.getLoad(),
+                              readSteadyClock());
+  const RequestOutcome Outcome = this->judge(Request, Relay, Result);
+  // One that ran out of patience is no more than late.
+  return IsPatience && Result.End == ExchangeEnd::Timeout ? RequestOutcome::Slow
+                                                          : Outcome;
 }
 
 /// Turns the end of an exchange into evidence about the server, and into what
@@ -140,12 +211,15 @@
                                    const ExchangeResult &Result) {
   Request.WasFailed = true;
   Request.WasTimeout = Result.End == ExchangeEnd::Timeout;
+  if (Result.End != ExchangeEnd::NoConnection &&
+      Result.End != ExchangeEnd::NotSent)
+    Request.WasSent = true;
   switch (Result.End) {
   case ExchangeEnd::NoConnection:
     return RequestOutcome::Canceled;
   case ExchangeEnd::NotSent:
     this->Counters.add(Counter::UpstreamFailures);
-    return RequestOutcome::Failed;
+    return RequestOutcome::Unreachable;
   case ExchangeEnd::Complete:
     break;
   case ExchangeEnd::Timeout:
@@ -174,7 +248,9 @@
   switch (Relay.getVerdict()) {
   case AnswerVerdict::NotRun:
     this->Counters.add(Counter::UpstreamSheds);
-    return RequestOutcome::Shed;
+    // Another server has taken over the address: this one is not there.
+    return Relay.getStatus() == MisdirectedStatus ? RequestOutcome::Unreachable
+                                                  : RequestOutcome::Shed;
   case AnswerVerdict::Relayed:
     Request.IsAnswered = true;
     Request.WasFailed = Relay.getStatus() >= 500;
@@ -186,7 +262,8 @@
     Request.Outcome = RunOutcome::NotKnown;
     break;
   }
-  if (Relay.getStatus() >= 500) {
+  if (Relay.getStatus() >= 500 ||
+      Relay.getVerdict() == AnswerVerdict::Failed) {
     this->Counters.add(Counter::UpstreamFailures);
     return RequestOutcome::Failed;
   }
@@ -199,10 +276,12 @@
     return Relay.canResume() && Request.Service->tryRepeat(readSteadyClock());
   if (Request.WasBodySent)
     return false;
-  // What was not run may be sent elsewhere, whatever its class.
+  // What was not run may be sent elsewhere, whatever its class. What was never
+  // sent is no repeat.
   if (Request.Outcome == RunOutcome::NotRun)
-    return true;
-  if (Request.Route->Class != RouteClass::Repeatable || !Request.IsBodyWhole)
+    return !Request.WasSent ||
+           Request.Service->tryRepeatUnrun(readSteadyClock());
+  if (!mayRepeat(*Request.Route) || !Request.IsBodyWhole)
     return false;
   return Request.Service->tryRepeat(readSteadyClock());
 }
--- a/lib/Proxy/RequestFlow.h
+++ b/lib/Proxy/RequestFlow.h
@@ -47,8 +47,20 @@
   bool WasCanceled = false;
   bool HasNoServer = false;
   bool IsAnswered = false;
+  /// The caller's own id, for the log. May be empty.
+  std::string CallerId;
+  /// What came of each attempt, for the log.
+  std::string Trail;
+  const char *Reason = "";
+  /// Whether any server was sent it, in whole or in part.
+  bool WasSent = false;
 };
 
+/// Returns whether a request of a route may be run more than once.
+inline bool mayRepeat(const RouteConfig &Route) {
+  return Route.Class != RouteClass::Once;
+}
+
 /// Returns the length that a request states for its body, 0 for none.
 inline uint64_t getBodyLength(const httplib::Request &Request) {
   return std::strtoull(Request.get_header_value("Content-Length").c_str(),
--- a/lib/Proxy/RequestProxy.cpp
+++ b/lib/Proxy/RequestProxy.cpp
@@ -15,10 +15,12 @@
 #include "RequestFlow.h"
 #include "canvaswick/Support/EnumNames.h"
 #include "canvaswick/Support/Hash.h"
+#include "canvaswick/Support/Log.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdlib>
 
 namespace canvaswick {
@@ -42,16 +44,15 @@
 /// A caller that takes no byte for this long has left.
 static constexpr Duration CallerStallLimit = fromSeconds(30);
 
-static constexpr Duration SoonWait = fromSeconds(1);
 static constexpr Duration RunningWait = fromSeconds(2);
 static constexpr Duration NoWait = Duration::zero();
 
 RequestProxy::RequestProxy(std::string DaemonName,
                            const FleetRuntimeSlot &Fleet,
                            ConnectionPool &Upstreams, CounterTable &Counters,
-                           ClaimGate *Claims)
+                           ClaimGate *Claims, ProxyOptions Options)
     : DaemonName(std::move(DaemonName)), Fleet(Fleet), Upstreams(Upstreams),
-      Counters(Counters), Claims(Claims) {}
+      Counters(Counters), Claims(Claims), Options(std::move(Options)) {}
 
 void RequestProxy::configure(const FleetConfig &Config) {
   std::lock_guard<std::mutex> Lock(this->OrganisationMutex);
@@ -63,6 +64,12 @@
   this->Organisations.forgetIdle(Now);
 }
 
+std::string RequestProxy::formatRetryAfter(Duration Wait) const {
+  if (this->Options.Headers.HasFractionalRetryAfter)
+    return fmt::format("{:.3f}", toSeconds(Wait));
+  return fmt::format("{}", toRetryAfterSeconds(Wait));
+}
+
 void RequestProxy::refuse(HttpExchange &Exchange, int Status,
                           RunOutcome Outcome, const char *Reason,
                           Duration Wait) {
@@ -71,17 +78,16 @@
   Response.set_header(OutcomeHeader, getName(Outcome));
   Response.set_header(ReasonHeader, Reason);
   if (Wait > NoWait)
-    Response.set_header("Retry-After",
-                        fmt::format("{}", toRetryAfterSeconds(Wait)));
+    Response.set_header("Retry-After", this->formatRetryAfter(Wait));
   Response.set_content(fmt::format("{}: {}\n", getName(Outcome), Reason),
                        "text/plain");
 }
 
-static TimePoint computeDeadline(const httplib::Request &Request,
+static TimePoint computeDeadline(const std::string &Asked,
+                                 const RouteConfig &Route,
                                  const ServiceConfig &Service, TimePoint Now,
                                  bool &IsOwn) {
-  int64_t Millis = Service.DeadlineMs;
-  const std::string Asked = Request.get_header_value(DeadlineHeader);
+  int64_t Millis = Route.TimeoutMs > 0 ? Route.TimeoutMs : Service.DeadlineMs;
   IsOwn = !Asked.empty();
   if (IsOwn)
     Millis =
@@ -95,9 +101,14 @@
   Request.Began = readSteadyClock();
   Exchange.Stream.setDeadline(TimePoint::max());
   Exchange.Stream.setStallLimit(CallerStallLimit);
+  Request.CallerId =
+      Exchange.Request.get_header_value(this->Options.Headers.RequestId);
   Request.Fleet = this->Fleet.get();
   if (!Request.Fleet) {
-    this->refuse(Exchange, 503, RunOutcome::NotRun, "no-settings", SoonWait);
+    this->refuse(Exchange, 503, RunOutcome::NotRun, "no-settings",
+                 fromMillis(this->Options.RefusedWaitMs));
+    logInfo("request", "id={} outcome=not-run reason=no-settings",
+            Request.CallerId);
     Exchange.MustClose = true;
     return;
   }
@@ -114,21 +125,45 @@
     this->Counters.add(Counter::RefusedUnknownRoute);
     this->refuse(Exchange, 404, RunOutcome::NotRun,
                  getName(Refusal::UnknownRoute), NoWait);
+    logInfo("request", "id={} version={} outcome=not-run reason=unknown-route",
+            Request.CallerId, Request.Fleet->getConfig().Version);
     Exchange.MustClose = true;
     return;
   }
-  Request.Service = Request.Fleet->getServices()[Request.Route->Service];
-  Request.Deadline =
-      computeDeadline(Exchange.Request, Request.Service->getConfig(),
-                      Request.Began, Request.HasOwnDeadline);
+  Request.Service = this->chooseService(*Request.Fleet, *Request.Route);
+  Request.Deadline = computeDeadline(
+      Exchange.Request.get_header_value(this->Options.Headers.Deadline),
+      *Request.Route, Request.Service->getConfig(), Request.Began,
+      Request.HasOwnDeadline);
   if (this->admitOrganisation(Request))
     this->serve(Request);
 }
 
+/// Chooses the part of a split route. The golden ratio spreads any number of
+/// consecutive requests nearly as the weights say.
+ServiceRuntimeRef RequestProxy::chooseService(const FleetRuntime &Runtime,
+                                              const RouteConfig &Route) {
+  static constexpr double GoldenRatio = 0.6180339887498949;
+  const std::vector<ServiceRuntimeRef> &Services = Runtime.getServices();
+  if (Route.Split.empty())
+    return Services[Route.Service];
+  int64_t Sum = 0;
+  for (const WeightedService &Part : Route.Split)
+    Sum += Part.Weight;
+  const double Position = std::fmod(this->NextSplit++ * GoldenRatio, 1.0);
+  auto Left = static_cast<int64_t>(Position * static_cast<double>(Sum));
+  for (const WeightedService &Part : Route.Split) {
+    Left -= Part.Weight;
+    if (Left < 0)
+      return Services[Part.Service];
+  }
+  return Services[Route.Split.back().Service];
+}
+
 bool RequestProxy::admitOrganisation(Flow &Request) {
   Request.Organisation =
       Request.Exchange.Request.get_header_value(OrganisationHeader);
-  Duration Wait = SoonWait;
+  Duration Wait = fromMillis(this->Options.RefusedWaitMs);
   {
     std::lock_guard<std::mutex> Lock(this->OrganisationMutex);
     if (this->Organisations.tryTake(Request.Organisation, Request.Began, Wait))
@@ -160,7 +195,7 @@
 }
 
 void RequestProxy::serve(Flow &Request) {
-  Duration Wait = SoonWait;
+  Duration Wait = fromMillis(this->Options.RefusedWaitMs);
   const Refusal Refused = Request.Service->admit(
       Request.Deadline - Request.Began, Request.Began, Wait);
   if (Refused != Refusal::None) {
@@ -171,10 +206,13 @@
     Request.Exchange.MustClose = true;
     Request.Service->getMetrics().add(AnswerKind::Refused, NoWait, NoWait,
                                       Request.Began);
+    logInfo("request", "id={} route={} outcome=not-run reason={} left-ms={}",
+            Request.CallerId, Request.Route->Name, getName(Refused),
+            toMillis(Request.Deadline - Request.Began));
     return;
   }
   RelayRules Rules;
-  AnswerRelay Relay(Request.Exchange, Rules);
+  AnswerRelay Relay(Request.Exchange, this->Options.Headers, Rules);
   if (this->readBody(Request) && this->claim(Request)) {
     this->runAttempts(Request, Relay);
     this->settleClaim(Request, Relay);
@@ -191,8 +229,7 @@
 /// Keeps a short body; a long one stays on the wire and is streamed.
 bool RequestProxy::readBody(Flow &Request) {
   const httplib::Request &Caller = Request.Exchange.Request;
-  const bool IsOnce = Request.Route->Class == RouteClass::Once;
-  if (IsOnce)
+  if (!mayRepeat(*Request.Route))
     Request.Key = Caller.get_header_value(IdempotencyHeader);
   if (!hasBody(Caller) || !Request.Exchange.Body)
     return true;
@@ -200,12 +237,12 @@
       static_cast<uint64_t>(Request.Service->getConfig().MaxBodyBytes);
   const bool IsChunked = Caller.has_header("Transfer-Encoding");
   if (!IsChunked && getBodyLength(Caller) > Limit) {
-    this->refuse(Request.Exchange, 413, RunOutcome::NotRun, "body-too-long",
-                 NoWait);
-    Request.Exchange.MustClose = true;
-    Request.IsAnswered = true;
+    this->refuseBody(Request, 413, "body-too-long");
     return false;
   }
+  if (IsChunked && this->Options.CollectedBodyBytes > 0)
+    return this->readChunkedBody(
+        Request, std::min<uint64_t>(Limit, this->Options.CollectedBodyBytes));
   const size_t Keep = Request.Key.empty() ? KeptBodyBytes : KeyedBodyBytes;
   if (IsChunked || getBodyLength(Caller) > Keep) {
     Request.IsBodyWhole = false;
@@ -220,9 +257,33 @@
   Request.Exchange.Stream.setDeadline(TimePoint::max());
   if (IsRead)
     return true;
-  this->refuse(Request.Exchange, 408, RunOutcome::NotRun, "body-cut", NoWait);
+  this->refuseBody(Request, 408, "body-cut");
+  return false;
+}
+
+void RequestProxy::refuseBody(Flow &Request, int Status, const char *Reason) {
+  this->refuse(Request.Exchange, Status, RunOutcome::NotRun, Reason, NoWait);
   Request.Exchange.MustClose = true;
   Request.IsAnswered = true;
+  Request.Reason = Reason;
+}
+
+/// Collects a body of unknown length, so that it can be sent again.
+bool RequestProxy::readChunkedBody(Flow &Request, uint64_t Limit) {
+  bool IsTooLong = false;
+  Request.Exchange.Stream.setDeadline(Request.Deadline);
+  const bool IsRead =
+      (*Request.Exchange.Body)([&](const char *Data, size_t Size) {
+        IsTooLong = Request.Body.size() + Size > Limit;
+        if (!IsTooLong)
+          Request.Body.append(Data, Size);
+        return !IsTooLong;
+      });
+  Request.Exchange.Stream.setDeadline(TimePoint::max());
+  if (IsRead)
+    return true;
+  this->refuseBody(Request, IsTooLong ? 413 : 408,
+                   IsTooLong ? "body-too-long" : "body-cut");
   return false;
 }
 
@@ -327,12 +388,47 @@
   this->Claims->finish(Request.ClaimKey, Request.Claim, End, Answer);
 }
 
+/// Gives the final answer of a request that no server has answered.
+void RequestProxy::refuseUnserved(Flow &Request) {
+  const Duration Wait = fromMillis(this->Options.RefusedWaitMs);
+  if (Request.HasNoServer) {
+    this->Counters.add(Counter::RefusedNoServer);
+    Request.Reason = getName(Refusal::NoServer);
+    this->refuse(Request.Exchange, 503, RunOutcome::NotRun, Request.Reason,
+                 Wait);
+    return;
+  }
+  Request.Reason = Request.WasTimeout ? "deadline" : "server-failed";
+  int Status = Request.WasTimeout ? 504 : 502;
+  if (Request.Outcome == RunOutcome::NotRun)
+    Status = 503;
+  this->refuse(Request.Exchange, Status, Request.Outcome, Request.Reason, Wait);
+}
+
+void RequestProxy::logEnd(const Flow &Request, const AnswerRelay &Relay,
+                          TimePoint Now) {
+  const bool IsRelayed = Request.IsAnswered && Request.Tries > 0;
+  logInfo("request",
+          "id={} route={} service={} version={} status={} outcome={} reason={} "
+          "ms={} left-ms={} tries={}",
+          Request.CallerId, Request.Route->Name,
+          Request.Service->getConfig().Name,
+          Request.Fleet->getConfig().Version,
+          IsRelayed ? Relay.getStatus() : Request.Exchange.Response.status,
+          IsRelayed ? "relayed"
+                    : (Request.WasCanceled ? "caller-left"
+                                           : getName(Request.Outcome)),
+          *Request.Reason ? Request.Reason : "-",
+          toMillis(Now - Request.Began), toMillis(Request.Deadline - Now),
+          Request.Trail.empty() ? "-" : Request.Trail);
+}
+
 /// Gives the final answer if none was given, and counts the request.
 void RequestProxy::finish(Flow &Request, AnswerRelay &Relay) {
   const TimePoint Now = readSteadyClock();
   AnswerKind Kind = AnswerKind::Good;
+  Relay.finish(Request.IsAnswered);
   if (Relay.hasBegun()) {
-    Relay.finish(Request.IsAnswered);
     if (!Request.IsAnswered && !Request.WasCanceled)
       this->Counters.add(Counter::CutAnswers);
     if (!Request.IsAnswered || Request.WasFailed)
@@ -341,15 +437,7 @@
     Kind = AnswerKind::Failed;
     if (!Request.IsBodyWhole)
       Request.Exchange.MustClose = true;
-    if (Request.HasNoServer) {
-      this->Counters.add(Counter::RefusedNoServer);
-      this->refuse(Request.Exchange, 503, RunOutcome::NotRun,
-                   getName(Refusal::NoServer), SoonWait);
-    } else {
-      const char *Reason = Request.WasTimeout ? "deadline" : "server-failed";
-      this->refuse(Request.Exchange, Request.WasTimeout ? 504 : 502,
-                   Request.Outcome, Reason, SoonWait);
-    }
+    this->refuseUnserved(Request);
   }
   if (Request.WasCanceled) {
     Kind = AnswerKind::Canceled;
@@ -357,6 +445,7 @@
   }
   if (Kind == AnswerKind::Good)
     this->Counters.add(Counter::Answered);
+  this->logEnd(Request, Relay, Now);
   Request.Service->finish(Kind, Now - Request.Began, Now);
 }
 
--- a/lib/Proxy/ServiceRuntime.cpp
+++ b/lib/Proxy/ServiceRuntime.cpp
@@ -17,12 +17,24 @@
 
 #include <algorithm>
 #include <cassert>
+#include <map>
 
 namespace canvaswick {
 
 /// When nothing can take a request now, coming back sooner makes no sense.
 static constexpr Duration BusyWait = fromSeconds(1);
 
+/// Part of a near server's share that one in another hall gets on the users'
+/// platform: bytes between halls have a price there, and a large answer costs
+/// more than it is worth.
+static constexpr double FarShareOfSmall = 0.08;
+static constexpr double FarShareOfLarge = 0.01;
+
+/// A repeatable request is sent elsewhere after this part of its objective, if
+/// that is past the service's usual time.
+static constexpr double PatienceOfObjective = 0.6;
+static constexpr double PatienceOfMedian = 2.5;
+
 static uint64_t makeSeed(const std::string &Service, const std::string &Daemon,
                          TimePoint Now) {
   return hashText(Service + "@" + Daemon,
@@ -35,11 +47,12 @@
     : Config(std::move(Given)),
       Subset(chooseSubset(this->Config, Identity.Name, Identity.Daemons,
                           Identity.ExpectedDaemons)),
-      Policy(this->makeSetup(Identity)),
+      Policy(this->makePolicy(Identity)),
       Selector(this->makeSelectable(Identity, Previous, Now),
                fromMillis(this->Config.ColdStartMs)),
       Latency(fromMillis(this->Config.SlowAfterMs)),
-      Retries(this->Config.RetryPercent), InFlight(this->Config.MaxInFlight),
+      Retries(this->Config.RetryPercent),
+      FleetRepeats(this->makeRepeats(Identity, Previous)), InFlight(this->Config.MaxInFlight),
       Random(makeSeed(this->Config.Name, Identity.Name, Now)),
       LeavingByList(this->Subset.Servers.size(), false),
       IsLeaving(this->Subset.Servers.size(), false),
@@ -47,13 +60,67 @@
                        : std::make_shared<ServiceMetrics>()) {
   if (Previous) {
     std::lock_guard<std::mutex> Lock(Previous->Mutex);
-    this->Policy.adopt(Previous->Policy, Now);
+    std::visit(
+        [&](auto &Own) {
+          using PolicyT = std::decay_t<decltype(Own)>;
+          if (const auto *Old = std::get_if<PolicyT>(&Previous->Policy))
+            Own.adopt(*Old, Now);
+        },
+        this->Policy);
+    this->Selector.adopt(Previous->Selector, this->matchServers(*Previous));
     this->Latency = Previous->Latency;
     this->Latency.setFixed(fromMillis(this->Config.SlowAfterMs));
   }
   for (size_t I = 0; I < this->countServers(); ++I)
     this->applyLeaving(I, Now);
-  this->Policy.advance(Now);
+  std::visit([Now](auto &Own) { Own.advance(Now); }, this->Policy);
+}
+
+/// Returns for each server its index in Other, or -1.
+std::vector<int> ServiceRuntime::matchServers(const ServiceRuntime &Other) const {
+  std::map<std::string, int> Known;
+  for (size_t I = 0; I < Other.countServers(); ++I)
+    Known[Other.getServer(I).Name] = static_cast<int>(I);
+  std::vector<int> Matches;
+  for (size_t I = 0; I < this->countServers(); ++I) {
+    const auto Found = Known.find(this->getServer(I).Name);
+    Matches.push_back(Found == Known.end() ? -1 : Found->second);
+  }
+  return Matches;
+}
+
+ServiceRuntime::Policies
+ServiceRuntime::makePolicy(const DaemonIdentity &Identity) const {
+  if (Identity.Source == SettingsSource::Platform)
+    return SpellPolicy(this->makeSetup(Identity));
+  return PooledPolicy(this->makeSetup(Identity));
+}
+
+FleetRepeatBudgetRef
+ServiceRuntime::makeRepeats(const DaemonIdentity &Identity,
+                            const ServiceRuntime *Previous) const {
+  if (Identity.Source != SettingsSource::Platform)
+    return nullptr;
+  FleetRepeatBudgetRef Budget;
+  if (Previous)
+    Budget = Previous->FleetRepeats;
+  if (!Budget)
+    Budget.reset(new FleetRepeatBudget(Identity.Repeats, Identity.Started));
+  return Budget;
+}
+
+std::vector<double> ServiceRuntime::getShares(RouteClass Class,
+                                              TimePoint Now) const {
+  const Caution Care =
+      Class == RouteClass::Once ? Caution::Utmost : Caution::Ordinary;
+  if (const auto *Spells = std::get_if<SpellPolicy>(&this->Policy))
+    return Spells->getShares(Care, Now);
+  const auto &Pooled = std::get<PooledPolicy>(this->Policy);
+  std::vector<double> Shares;
+  Shares.reserve(this->countServers());
+  for (size_t I = 0; I < this->countServers(); ++I)
+    Shares.push_back(Pooled.getShare(I));
+  return Shares;
 }
 
 const ServerConfig &ServiceRuntime::getServer(size_t Index) const {
@@ -88,6 +155,8 @@
     // Only a server that was added to a running service is a cold one.
     const bool IsNew = Previous && Known.count(Server.Name) == 0;
     Entry.Since = IsNew ? Now : Now - fromMillis(this->Config.ColdStartMs);
+    if (Server.WarmAt != TimePoint{})
+      Entry.Since = Server.WarmAt - fromMillis(this->Config.ColdStartMs);
     Servers.push_back(Entry);
   }
   return Servers;
@@ -117,7 +186,8 @@
   if (this->IsLeaving[Server] && !IsLeaving)
     this->Selector.restartColdStart(Server, Now);
   this->IsLeaving[Server] = IsLeaving;
-  this->Policy.setLeaving(Server, IsLeaving, Now);
+  std::visit(
+      [&](auto &Own) { Own.setLeaving(Server, IsLeaving, Now); }, this->Policy);
 }
 
 Refusal ServiceRuntime::admit(Duration Left, TimePoint Now, Duration &Wait) {
@@ -128,6 +198,8 @@
   if (!this->InFlight.tryBegin())
     return Refusal::ServiceBusy;
   this->Retries.noteRequest(Now);
+  if (this->FleetRepeats)
+    this->FleetRepeats->noteRequest(Now);
   return Refusal::None;
 }
 
@@ -139,14 +211,18 @@
   this->Metrics->add(Kind, Latency, fromMillis(this->Config.ObjectiveMs), Now);
 }
 
-bool ServiceRuntime::begin(Attempt &Next, const std::vector<size_t> &Tried,
+double ServiceRuntime::getFarShare(RouteClass Class) const {
+  if (std::holds_alternative<PooledPolicy>(this->Policy))
+    return 1;
+  return Class == RouteClass::Download ? FarShareOfLarge : FarShareOfSmall;
+}
+
+bool ServiceRuntime::begin(Attempt &Next, const AttemptNeeds &Needs,
                            TimePoint Now) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
-  std::vector<double> Shares;
-  Shares.reserve(this->countServers());
-  for (size_t I = 0; I < this->countServers(); ++I)
-    Shares.push_back(this->Policy.getShare(I));
-  const int Server = this->Selector.pick(Shares, Tried, Now, this->Random);
+  const std::vector<double> Shares = this->getShares(Needs.Class, Now);
+  const int Server = this->Selector.pick(Shares, Needs.Tried, Now, this->Random,
+                                         this->getFarShare(Needs.Class));
   if (Server < 0)
     return false;
   Next.Server = static_cast<size_t>(Server);
@@ -172,14 +248,32 @@
   // A late request was counted as slow while it was under way.
   if (Evidence == RequestOutcome::Slow && Ended.IsNotedLate)
     return;
-  this->Policy.recordOutcome(Ended.Server, Evidence, Now);
+  this->recordOutcome(Ended.Server, Evidence, Now);
+}
+
+void ServiceRuntime::recordOutcome(size_t Server, RequestOutcome Outcome,
+                                   TimePoint Now) {
+  std::visit([&](auto &Own) { Own.recordOutcome(Server, Outcome, Now); },
+             this->Policy);
 }
 
 bool ServiceRuntime::tryRepeat(TimePoint Now) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
+  if (this->FleetRepeats)
+    return this->FleetRepeats->tryTake(Now);
   return this->Retries.tryTake(Now);
 }
 
+bool ServiceRuntime::tryRepeatUnrun(TimePoint Now) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  return !this->FleetRepeats || this->FleetRepeats->tryTake(Now);
+}
+
+bool ServiceRuntime::hasRepeat(TimePoint Now) const {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  return this->FleetRepeats && this->FleetRepeats->hasRoom(Now);
+}
+
 void ServiceRuntime::advance(TimePoint Now) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   const Duration SlowAfter = this->Latency.getSlowAfter();
@@ -187,19 +281,49 @@
     if (Each.IsNotedLate || Now - Each.Began <= SlowAfter)
       continue;
     Each.IsNotedLate = true;
-    this->Policy.recordOutcome(Each.Server, RequestOutcome::Slow, Now);
+    this->recordOutcome(Each.Server, RequestOutcome::Slow, Now);
   }
-  this->Policy.advance(Now);
+  std::visit([Now](auto &Own) { Own.advance(Now); }, this->Policy);
+}
+
+std::vector<Observation> ServiceRuntime::takeObservations() {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  if (auto *Spells = std::get_if<SpellPolicy>(&this->Policy))
+    return Spells->takeNews();
+  return {};
+}
+
+void ServiceRuntime::takeObservation(const Observation &Seen, TimePoint Now) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  if (auto *Spells = std::get_if<SpellPolicy>(&this->Policy))
+    Spells->takeObservation(Seen, Now);
+}
+
+void ServiceRuntime::setDaemonCount(size_t Count) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  if (this->FleetRepeats)
+    this->FleetRepeats->setDaemons(Count);
+}
+
+Duration ServiceRuntime::getPatience(Duration Objective) const {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  const Duration ByMedian =
+      fromSeconds(toSeconds(this->Latency.getMedian()) * PatienceOfMedian);
+  return std::max(fromSeconds(toSeconds(Objective) * PatienceOfObjective),
+                  ByMedian);
 }
 
 std::optional<EvidenceReport> ServiceRuntime::makeReport(TimePoint Now) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
-  return this->Policy.makeReport(Now);
+  if (auto *Pooled = std::get_if<PooledPolicy>(&this->Policy))
+    return Pooled->makeReport(Now);
+  return std::nullopt;
 }
 
 void ServiceRuntime::takeDigest(const EvidenceDigest &Digest, TimePoint Now) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
-  this->Policy.takeDigest(Digest, Now);
+  if (auto *Pooled = std::get_if<PooledPolicy>(&this->Policy))
+    Pooled->takeDigest(Digest, Now);
 }
 
 void ServiceRuntime::setLeavingAddresses(const std::set<std::string> &Addresses,
@@ -218,13 +342,19 @@
   this->Selector.noteReportedLoad(Server, Load, Now);
 }
 
-std::vector<ServerStatus> ServiceRuntime::describe() const {
+ShareExplanation ServiceRuntime::explain(size_t Server, TimePoint Now) const {
+  if (const auto *Spells = std::get_if<SpellPolicy>(&this->Policy))
+    return Spells->explain(Server, Now);
+  return std::get<PooledPolicy>(this->Policy).explain(Server);
+}
+
+std::vector<ServerStatus> ServiceRuntime::describe(TimePoint Now) const {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   std::vector<ServerStatus> All;
   for (size_t I = 0; I < this->countServers(); ++I) {
     const ServerConfig &Server = this->getServer(I);
     All.push_back({Server.Name, Server.Address, this->Selector.countInFlight(I),
-                   this->Policy.explain(I)});
+                   this->explain(I, Now)});
   }
   return All;
 }
--- a/lib/Routing/RouteTable.cpp
+++ b/lib/Routing/RouteTable.cpp
@@ -40,12 +40,18 @@
   return Host.substr(0, Host.find(':'));
 }
 
+/// A prefix that ends with a slash takes what is below it, not the path without
+/// the slash.
+static bool takesPath(const RouteConfig &Route, const std::string &Path) {
+  return !Route.Prefix.ends_with('/') || Path.starts_with(Route.Prefix);
+}
+
 const RouteConfig *RouteTable::findForHost(const std::string &Host,
                                            const std::string &Path) const {
   std::string Prefix = Path;
   while (true) {
     const auto Found = this->Routes.find(makeKey(Host, Prefix));
-    if (Found != this->Routes.end())
+    if (Found != this->Routes.end() && takesPath(*Found->second, Path))
       return Found->second;
     if (Prefix.size() <= 1)
       return nullptr;
--- a/lib/Routing/ServerSelector.cpp
+++ b/lib/Routing/ServerSelector.cpp
@@ -66,11 +66,12 @@
 
 double ServerSelector::getWeight(size_t Server,
                                  const std::vector<double> &Shares,
-                                 TimePoint Now) const {
+                                 TimePoint Now, double FarShare) const {
   const ServerState &State = this->Servers[Server];
   if (State.InFlight >= State.Config.Limit)
     return 0;
-  return Shares[Server] * State.Config.Slots * this->getReadiness(Server, Now);
+  return Shares[Server] * State.Config.Slots *
+         this->getReadiness(Server, Now) * (State.Config.IsNear ? 1 : FarShare);
 }
 
 double ServerSelector::getCost(size_t Server, TimePoint Now) const {
@@ -87,13 +88,13 @@
 
 int ServerSelector::pick(const std::vector<double> &Shares,
                          const std::vector<size_t> &Excluded, TimePoint Now,
-                         RandomSource &Random) const {
+                         RandomSource &Random, double FarShare) const {
   assert(Shares.size() == this->Servers.size() && "one share a server");
   std::vector<double> Weights(this->Servers.size(), 0);
   double Sum = 0;
   for (size_t I = 0; I < Weights.size(); ++I) {
     if (!contains(Excluded, I))
-      Weights[I] = this->getWeight(I, Shares, Now);
+      Weights[I] = this->getWeight(I, Shares, Now, FarShare);
     Sum += Weights[I];
   }
   if (Sum <= 0)
@@ -122,6 +123,19 @@
   return static_cast<int>(First);
 }
 
+void ServerSelector::adopt(const ServerSelector &Other,
+                           const std::vector<int> &Matches) {
+  for (size_t I = 0; I < Matches.size(); ++I) {
+    if (Matches[I] < 0)
+      continue;
+    const ServerState &Old = Other.Servers[static_cast<size_t>(Matches[I])];
+    this->Servers[I].Ease = Old.Ease;
+    this->Servers[I].EaseAt = Old.EaseAt;
+    this->Servers[I].ReportedLoad = Old.ReportedLoad;
+    this->Servers[I].ReportedAt = Old.ReportedAt;
+  }
+}
+
 void ServerSelector::begin(size_t Server) { ++this->Servers[Server].InFlight; }
 
 void ServerSelector::end(size_t Server, RequestOutcome Outcome, TimePoint Now) {
--- a/lib/Settings/DaemonConfig.cpp
+++ b/lib/Settings/DaemonConfig.cpp
@@ -15,6 +15,9 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <cmath>
+#include <span>
 #include <sstream>
 
 namespace canvaswick {
@@ -25,9 +28,15 @@
     SettingKey::ControlAddress, SettingKey::PlatformAddress,
     SettingKey::KeyFile};
 
+static const SettingKey RequiredKeysOnPlatform[] = {
+    SettingKey::DaemonName,   SettingKey::DaemonRegion,
+    SettingKey::DaemonHall,   SettingKey::CallerAddress,
+    SettingKey::ReadyAddress, SettingKey::PlatformAddress};
+
 static Result<void> checkRequired(const SettingNode &Node,
+                                  std::span<const SettingKey> Keys,
                                   const std::string &Path) {
-  for (const SettingKey Key : RequiredKeys)
+  for (const SettingKey Key : Keys)
     if (!Node.find(Key))
       return makeError(ErrorKind::InvalidArgument,
                        fmt::format("{}:{}: [daemon]: {} is missing", Path,
@@ -35,6 +44,29 @@
   return outcome::success();
 }
 
+static double toDecimal(int64_t Parts) {
+  return static_cast<double>(Parts) / static_cast<double>(DecimalParts);
+}
+
+/// Reads the keys that only a daemon on the users' platform has.
+static void readPlatformKeys(const SettingsTree &Tree, const SettingNode &Node,
+                             DaemonConfig &Config) {
+  const auto Decimal = [&](SettingKey Key) {
+    return toDecimal(Tree.lookupInteger(Node, Key));
+  };
+  Config.PeerPort =
+      static_cast<uint16_t>(Tree.lookupInteger(Node, SettingKey::PeerPort));
+  Config.Grace = fromSeconds(Decimal(SettingKey::GraceSeconds));
+  Config.FloorPercent =
+      static_cast<int>(std::lround(Decimal(SettingKey::FloorShare) * 100));
+  Config.Repeats.Share = Decimal(SettingKey::RepeatShare);
+  Config.Repeats.Window =
+      fromSeconds(Decimal(SettingKey::RepeatWindowSeconds));
+  Config.Repeats.Reserve = Tree.lookupInteger(Node, SettingKey::RepeatReserve);
+  Config.Lease = fromSeconds(Decimal(SettingKey::LeaseSeconds));
+  Config.Drain = fromSeconds(Decimal(SettingKey::DrainSeconds));
+}
+
 Result<DaemonConfig> loadDaemonConfig(const std::string &Path) {
   BOOST_OUTCOME_TRY(IniDocument Document, loadIni(Path));
   if (Document.Sections.size() != 1 || Document.Sections[0].Name != "daemon")
@@ -43,19 +75,30 @@
   BOOST_OUTCOME_TRY(
       SettingNode Node,
       buildNode(Document.Sections[0], SettingLevel::Daemon, "daemon", Path));
-  BOOST_OUTCOME_TRY(checkRequired(Node, Path));
   // A node with no parent resolves to its own values and the defaults.
   const SettingsTree Tree;
+  const auto Source = static_cast<SettingsSource>(
+      Tree.lookupInteger(Node, SettingKey::Source));
+  std::span<const SettingKey> Required = RequiredKeys;
+  if (Source == SettingsSource::Platform)
+    Required = RequiredKeysOnPlatform;
+  BOOST_OUTCOME_TRY(checkRequired(Node, Required, Path));
   const auto Integer = [&](SettingKey Key) {
     return Tree.lookupInteger(Node, Key);
   };
   const auto Text = [&](SettingKey Key) { return Tree.lookupText(Node, Key); };
+  // An address that is not given stays empty; those given are checked.
+  const auto Address = [&](SettingKey Key) {
+    return Node.find(Key) ? parseEndpoint(Text(Key)).value() : Endpoint();
+  };
   DaemonConfig Config;
   Config.Name = Text(SettingKey::DaemonName);
   Config.Region = Text(SettingKey::DaemonRegion);
   Config.Hall = Text(SettingKey::DaemonHall);
   Config.Callers = parseEndpoint(Text(SettingKey::CallerAddress)).value();
-  Config.Control = parseEndpoint(Text(SettingKey::ControlAddress)).value();
+  Config.Source = Source;
+  Config.Control = Address(SettingKey::ControlAddress);
+  Config.Ready = Address(SettingKey::ReadyAddress);
   Config.Platform = parseEndpoint(Text(SettingKey::PlatformAddress)).value();
   Config.KeyFile = Text(SettingKey::KeyFile);
   Config.Workers = static_cast<int>(Integer(SettingKey::Workers));
@@ -66,7 +109,10 @@
   Config.ExpectedDaemons =
       static_cast<int>(Integer(SettingKey::ExpectedDaemons));
   Config.ClaimMemorySeconds = Integer(SettingKey::ClaimMemorySeconds);
-  std::istringstream Seeds(Text(SettingKey::Seeds));
+  readPlatformKeys(Tree, Node, Config);
+  std::string SeedText = Text(SettingKey::Seeds);
+  std::replace(SeedText.begin(), SeedText.end(), ',', ' ');
+  std::istringstream Seeds(SeedText);
   std::string Seed;
   while (Seeds >> Seed) {
     Result<Endpoint> Address = parseEndpoint(Seed);
--- a/lib/Settings/SettingTable.cpp
+++ b/lib/Settings/SettingTable.cpp
@@ -20,6 +20,7 @@
 #include <algorithm>
 #include <cassert>
 #include <charconv>
+#include <cmath>
 #include <limits>
 #include <sstream>
 #include <vector>
@@ -98,8 +99,8 @@
      "Path prefix the route takes; the longest one wins."},
     {SettingKey::RouteService, "service", RouteOnly, SettingType::Text, 1, 64, "", "", nullptr,
      "Service that answers the route."},
-    {SettingKey::RouteClass, "class", RouteOnly, SettingType::Choice, 0, 1, "repeatable", "", "repeatable|once",
-     "Whether a request may be run more than once."},
+    {SettingKey::RouteClass, "class", RouteOnly, SettingType::Choice, 0, 2, "repeatable", "", "repeatable|once|download",
+     "Whether a request may be run more than once; downloads may, and have large answers."},
     {SettingKey::OrganisationRate, "requests-per-second", OrganisationOnly, SettingType::Integer, 1, 1000000, "1000", "requests/s", nullptr,
      "Requests a second that one daemon takes of the organisation."},
     {SettingKey::OrganisationBurst, "burst", OrganisationOnly, SettingType::Integer, 1, 1000000, "2000", "requests", nullptr,
@@ -134,6 +135,26 @@
      "Control addresses of some daemons, separated by spaces, to begin with."},
     {SettingKey::ClaimMemorySeconds, "claim-memory-s", DaemonOnly, SettingType::Integer, 60, 604800, "21600", "s", nullptr,
      "How long an Idempotency-Key is remembered."},
+    {SettingKey::Source, "source", DaemonOnly, SettingType::Choice, 0, 1, "own", "", "own|platform",
+     "Where settings and servers come from: the fleet's own tree, or the users' platform."},
+    {SettingKey::ReadyAddress, "ready-address", DaemonOnly, SettingType::Address, 0, 0, "", "", nullptr,
+     "IP number and port for the balancer's checks and metrics, with source = platform."},
+    {SettingKey::PeerPort, "peer-port", DaemonOnly, SettingType::Integer, 0, 65535, "0", "port", nullptr,
+     "UDP port for evidence between daemons, the same on all. 0: none is shared."},
+    {SettingKey::GraceSeconds, "grace-s", DaemonOnly, SettingType::Decimal, 500, HourMs, "6", "s", nullptr,
+     "Time from the stop signal until the platform kills the process."},
+    {SettingKey::FloorShare, "floor-share", DaemonOnly, SettingType::Decimal, 0, 1000, "0.7", "part of 1", nullptr,
+     "Part of a service's backend servers that stay in use whatever they show."},
+    {SettingKey::RepeatShare, "repeat-share", DaemonOnly, SettingType::Decimal, 0, 1000, "0.2", "part of 1", nullptr,
+     "Repeats that the fleet may add to a service's requests within the window."},
+    {SettingKey::RepeatWindowSeconds, "repeat-window-s", DaemonOnly, SettingType::Decimal, 1, HourMs, "10", "s", nullptr,
+     "Sliding window of the fleet's repeats."},
+    {SettingKey::RepeatReserve, "repeat-reserve", DaemonOnly, SettingType::Integer, 0, 1000000, "0", "requests", nullptr,
+     "Repeats that the fleet may make in a window whatever the rate."},
+    {SettingKey::LeaseSeconds, "lease-s", DaemonOnly, SettingType::Decimal, 1, HourMs, "60", "s", nullptr,
+     "Lease of this daemon's entry among the daemons at the platform."},
+    {SettingKey::DrainSeconds, "drain-s", DaemonOnly, SettingType::Decimal, 1, HourMs, "2", "s", nullptr,
+     "Time within which a backend server that leaves receives no new work."},
 };
 // clang-format on
 
@@ -186,6 +207,10 @@
   return Best;
 }
 
+static double toDecimal(int64_t Parts) {
+  return static_cast<double>(Parts) / static_cast<double>(DecimalParts);
+}
+
 static std::vector<std::string> splitChoices(const SettingSpec &Spec) {
   std::vector<std::string> Names;
   std::istringstream Stream(Spec.Choices);
@@ -209,6 +234,23 @@
                                Spec.Unit));
 }
 
+/// Reads a decimal such as "0.25". Digits past the third place are dropped.
+static Result<SettingValue> parseDecimal(const SettingSpec &Spec,
+                                         const std::string &Text) {
+  double Value = 0;
+  const char *End = Text.data() + Text.size();
+  auto [Rest, Code] = std::from_chars(Text.data(), End, Value);
+  const double Parts = Value * static_cast<double>(DecimalParts);
+  if (Code == std::errc() && Rest == End &&
+      Parts >= static_cast<double>(Spec.Min) &&
+      Parts <= static_cast<double>(Spec.Max))
+    return SettingValue(static_cast<int64_t>(std::llround(Parts)));
+  return makeError(ErrorKind::InvalidArgument,
+                   fmt::format("expected a number from {} to {} {}",
+                               toDecimal(Spec.Min), toDecimal(Spec.Max),
+                               Spec.Unit));
+}
+
 static Result<SettingValue> parseChoice(const SettingSpec &Spec,
                                         const std::string &Text) {
   const std::vector<std::string> Names = splitChoices(Spec);
@@ -238,10 +280,13 @@
     return parseChoice(Spec, Text);
   case SettingType::Text:
     return parseText(Spec, Text);
-  case SettingType::Address:
+  case SettingType::Address: {
     BOOST_OUTCOME_TRY(Endpoint Address, parseEndpoint(Text));
     return SettingValue(Address.format());
   }
+  case SettingType::Decimal:
+    return parseDecimal(Spec, Text);
+  }
   assert(false && "setting type without a parser");
   return makeError(ErrorKind::InvalidArgument, "unknown type");
 }
@@ -253,6 +298,8 @@
   const int64_t Number = std::get<int64_t>(Value);
   if (Spec.Type == SettingType::Choice)
     return splitChoices(Spec)[static_cast<size_t>(Number)];
+  if (Spec.Type == SettingType::Decimal)
+    return fmt::format("{}", toDecimal(Number));
   return fmt::format("{}", Number);
 }
 
@@ -281,6 +328,9 @@
     return fmt::format("text, {} to {} bytes", Spec.Min, Spec.Max);
   case SettingType::Address:
     return "IP number:port";
+  case SettingType::Decimal:
+    return fmt::format("{} to {} {}", toDecimal(Spec.Min), toDecimal(Spec.Max),
+                       Spec.Unit);
   }
   assert(false && "setting type without a description");
   return "";
--- a/tools/canvaswickd/canvaswickd.cpp
+++ b/tools/canvaswickd/canvaswickd.cpp
@@ -15,11 +15,14 @@
 #include "canvaswick/Settings/SettingsTree.h"
 #include "canvaswick/Support/Log.h"
 #include "canvaswick/Tool/Program.h"
+#include "platform/PlatformDaemon.h"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
-DEFINE_string(settings, "", "The daemon's INI file");
+DEFINE_string(settings, "",
+              "The daemon's INI file. Default: the path in the environment "
+              "variable CANVASWICK_NODE_FILE");
 DEFINE_bool(check_settings, false, "Check the settings and exit");
 DEFINE_int64(grace_ms, 3000,
              "Time between turning readiness red and closing kept connections");
@@ -58,12 +61,48 @@
   std::_Exit(toInt(AllEnded ? ExitCode::Success : ExitCode::CutShort));
 }
 
+/// The platform kills the process when its grace time is over. New connections
+/// may come until the balancer has noticed that readiness is red, which takes
+/// it two checks a second apart.
+static constexpr double AcceptingPart = 0.5;
+static constexpr Duration LongestAccepting = fromSeconds(3);
+
+/// Time left for the process to end.
+static constexpr Duration ExitMargin = fromMillis(400);
+
+static int runPlatformDaemon(const DaemonConfig &Config) {
+  platform::PlatformDaemon Server(Config);
+  Result<void> Started = Server.start();
+  if (!Started) {
+    printError(ProgramName, Started.error());
+    return toInt(ExitCode::Failure);
+  }
+  waitForStopSignal();
+  const TimePoint Deadline = readSteadyClock() + Config.Grace - ExitMargin;
+  Server.beginStop();
+  const Duration Accepting =
+      std::min(LongestAccepting,
+               fromSeconds(toSeconds(Config.Grace) * AcceptingPart));
+  waitForSecondStopSignal(toMillis(Accepting));
+  const bool AllEnded = Server.finishStop(Deadline);
+  std::fflush(stdout);
+  // Threads that still wait for the store or a request end with the process.
+  std::_Exit(toInt(AllEnded ? ExitCode::Success : ExitCode::CutShort));
+}
+
+static std::string findSettingsPath() {
+  if (!FLAGS_settings.empty())
+    return FLAGS_settings;
+  const char *Path = std::getenv("CANVASWICK_NODE_FILE");
+  return Path ? Path : "";
+}
+
 int main(int Count, char **Values) {
   blockStopSignals();
   parseCommandLine(&Count, &Values,
                    "Serves callers in front of backend servers.\n"
                    "canvaswickd --settings daemon.ini");
-  Result<DaemonConfig> Config = loadDaemonConfig(FLAGS_settings);
+  Result<DaemonConfig> Config = loadDaemonConfig(findSettingsPath());
   if (!Config) {
     printError(ProgramName, Config.error());
     return toInt(ExitCode::BadSettings);
@@ -77,5 +116,7 @@
     fmt::print("{}: settings are good\n", ProgramName);
     return toInt(ExitCode::Success);
   }
+  if (Config.value().Source == SettingsSource::Platform)
+    return runPlatformDaemon(Config.value());
   return runDaemon(Config.value());
 }
