A request that was not run keeps its status 502 on the own interface

Cause: the platform's callers need 503, and the change had reached the own interface too; the test of it failed (503 == 502). The status is an option now.

--- a/include/canvaswick/Proxy/ProxyOptions.h
+++ b/include/canvaswick/Proxy/ProxyOptions.h
@@ -61,6 +61,8 @@
   bool HasFreshConnections = false;
   /// Longest wait for a connection to a server, in milliseconds.
   int ConnectMs = 1000;
+  /// Status of a request that no server has run after all.
+  int UnrunStatus = 502;
   /// When a refused request may come back, in milliseconds, if nothing better
   /// is known.
   int RefusedWaitMs = 1000;
--- a/lib/Proxy/RequestProxy.cpp
+++ b/lib/Proxy/RequestProxy.cpp
@@ -401,7 +401,7 @@
   Request.Reason = Request.WasTimeout ? "deadline" : "server-failed";
   int Status = Request.WasTimeout ? 504 : 502;
   if (Request.Outcome == RunOutcome::NotRun)
-    Status = 503;
+    Status = this->Options.UnrunStatus;
   this->refuse(Request.Exchange, Status, Request.Outcome, Request.Reason, Wait);
 }
 
--- a/unittests/Proxy/RequestProxyTest.cpp
+++ b/unittests/Proxy/RequestProxyTest.cpp
@@ -313,7 +313,7 @@
   Under.setFaults(Hang);
   const TimePoint Before = readSteadyClock();
   const ExchangeResult Result =
-      Under.send("POST", "/pay/1", {{DeadlineHeader, "200"}}, "order");
+      Under.send("POST", "/pay/1", {{"X-Deadline-Ms", "200"}}, "order");
   CHECK(Result.Status == 504);
   CHECK(getHeader(Result, OutcomeHeader) == "not-known");
   CHECK(readSteadyClock() - Before < fromSeconds(15));
