--- a/include/canvaswick/Admission/FleetRepeatBudget.h
+++ b/include/canvaswick/Admission/FleetRepeatBudget.h
@@ -35,8 +35,9 @@
   /// has sent is not known, so the reserve is held back for one window.
   FleetRepeatBudget(RepeatAllowance Allowance, TimePoint Started);
 
-  /// Sets how many daemons there may be. The most that was ever set counts.
-  void setDaemons(size_t Count);
+  /// Changes the allowance, and sets how many daemons there may be. The most
+  /// daemons that were ever set count.
+  void configure(const RepeatAllowance &Allowance, size_t Daemons);
 
   /// Notes the first try of a request.
   void noteRequest(TimePoint Now);
@@ -53,7 +54,7 @@
 private:
   void forgetOld(TimePoint Now);
 
-  const RepeatAllowance Allowance;
+  RepeatAllowance Allowance;
   const TimePoint Started;
   size_t Daemons = 1;
   std::deque<TimePoint> Requests;
--- a/include/canvaswick/Daemon/Gateway.h
+++ b/include/canvaswick/Daemon/Gateway.h
@@ -41,6 +41,9 @@
   /// Takes the daemons of the fleet, this one included.
   void setDaemons(const std::vector<DaemonRecord> &Daemons);
 
+  /// Changes the repeats that the fleet may send.
+  void setRepeats(const RepeatAllowance &Allowance);
+
   /// Turns readiness red; answers from now on close their connections.
   void beginStop();
 
--- a/include/canvaswick/Health/SpellPolicy.h
+++ b/include/canvaswick/Health/SpellPolicy.h
@@ -29,6 +29,8 @@
 struct Observation {
   ServerId Server = 0;
   RequestOutcome Outcome = RequestOutcome::Good;
+  /// Requests that ran or waited at the server, by its answer; -1: not told.
+  int Load = -1;
 
   bool operator==(const Observation &) const = default;
 };
@@ -47,11 +49,15 @@
   explicit SpellPolicy(PolicySetup Setup);
 
   /// Takes an outcome that this daemon saw. What peers should know of it waits
-  /// in takeNews.
-  void recordOutcome(size_t Server, RequestOutcome Outcome, TimePoint Now);
+  /// in takeNews. Load is what the answer told of the server's, or -1.
+  void recordOutcome(size_t Server, RequestOutcome Outcome, TimePoint Now,
+                     int Load = -1);
 
-  /// Takes an outcome that a peer saw. Unknown servers are left out.
-  void takeObservation(const Observation &Seen, TimePoint Now);
+  /// Takes an outcome that a peer saw.
+  void takeObservation(size_t Server, RequestOutcome Outcome, TimePoint Now);
+
+  /// Returns the index of a server, or -1.
+  int findServer(ServerId Id) const;
 
   void setLeaving(size_t Server, bool IsLeaving, TimePoint Now);
 
--- a/include/canvaswick/Proxy/AnswerRelay.h
+++ b/include/canvaswick/Proxy/AnswerRelay.h
@@ -90,10 +90,9 @@
   AnswerVerdict getVerdict() const { return this->Verdict; }
   int getStatus() const { return this->Status; }
 
-  /// Returns whether the answer told the server's load, and the requests that
-  /// run or wait there.
-  bool hasLoad() const { return this->HasLoad; }
-  double getLoad() const { return this->Load; }
+  /// Returns the requests that run or wait at the server, as its answer told,
+  /// or -1.
+  int getLoad() const { return this->Load; }
 
   /// Returns whether the caller has got any part of an answer.
   bool hasBegun() const { return this->HeadWritten; }
@@ -138,8 +137,7 @@
   std::string HeldBody;
   bool IsHolding = false;
   bool IsBodyless = false;
-  bool HasLoad = false;
-  double Load = 0;
+  int Load = -1;
   bool IsChunked = false;
   bool CallerLeft = false;
   bool HasLength = false;
--- a/include/canvaswick/Proxy/ServiceRuntime.h
+++ b/include/canvaswick/Proxy/ServiceRuntime.h
@@ -43,6 +43,8 @@
   size_t Server = 0;
   TimePoint Began{};
   bool IsNotedLate = false;
+  /// What the answer told of the server's load, or -1.
+  int Load = -1;
 };
 
 /// What of a request decides which server it may go to.
@@ -140,8 +142,8 @@
   /// Returns what an operator may know.
   std::vector<ServerStatus> describe(TimePoint Now) const;
 
-  /// Sets how many daemons share the fleet's budget of repeats.
-  void setDaemonCount(size_t Count);
+  /// Sets the fleet's allowance of repeats and how many daemons share it.
+  void setRepeats(const RepeatAllowance &Allowance, size_t Daemons);
 
   const ServiceConfig &getConfig() const { return this->Config; }
   const ServerSubset &getSubset() const { return this->Subset; }
@@ -168,8 +170,9 @@
   std::vector<double> getShares(RouteClass Class, TimePoint Now) const;
   void applyLeaving(size_t Server, TimePoint Now);
   std::vector<int> matchServers(const ServiceRuntime &Other) const;
-  double getFarShare(RouteClass Class) const;
-  void recordOutcome(size_t Server, RequestOutcome Outcome, TimePoint Now);
+  SelectionRules makeSelectionRules(RouteClass Class) const;
+  void recordOutcome(size_t Server, RequestOutcome Outcome, TimePoint Now,
+                     int Load);
   ShareExplanation explain(size_t Server, TimePoint Now) const;
 
   const ServiceConfig Config;
--- a/include/canvaswick/Routing/ServerSelector.h
+++ b/include/canvaswick/Routing/ServerSelector.h
@@ -40,6 +40,15 @@
   TimePoint Since{};
 };
 
+/// How a choice weighs distance and load.
+struct SelectionRules {
+  /// Part of a near server's weight that one in another hall has.
+  double FarShare = 1;
+  /// Whether load reports are a fraction of a second old, so that a loaded
+  /// server gets less and not just loses ties.
+  bool HasFreshLoad = false;
+};
+
 /// Chooses servers of one service for one daemon.
 class ServerSelector {
 public:
@@ -48,10 +57,9 @@
   /// Picks a server, or -1 if none may take a request now. Shares holds the
   /// part of its fair share that each server gets; Excluded servers were tried
   /// before.
-  /// A server in another hall gets FarShare of what a near one would.
   int pick(const std::vector<double> &Shares,
            const std::vector<size_t> &Excluded, TimePoint Now,
-           RandomSource &Random, double FarShare = 1) const;
+           RandomSource &Random, const SelectionRules &Rules = {}) const;
 
   /// Notes that a request was sent to a server.
   void begin(size_t Server);
@@ -88,7 +96,8 @@
   };
 
   double getWeight(size_t Server, const std::vector<double> &Shares,
-                   TimePoint Now, double FarShare) const;
+                   TimePoint Now, const SelectionRules &Rules) const;
+  double getLoadFactor(const ServerState &State, TimePoint Now) const;
   double getCost(size_t Server, TimePoint Now) const;
   double getEase(const ServerState &State, TimePoint Now) const;
 
--- a/include/canvaswick/Tool/Program.h
+++ b/include/canvaswick/Tool/Program.h
@@ -39,10 +39,16 @@
 /// Prints "program: error: what" for each line of the failure.
 void printError(const std::string &Program, const Error &Failure);
 
-/// Blocks SIGTERM and SIGINT in this thread and those it starts. Call first in
-/// main.
+/// What a process is asked for from outside.
+enum class ProcessSignal : uint8_t { None, Stop, Reload };
+
+/// Blocks SIGTERM, SIGINT and SIGHUP in this thread and those it starts. Call
+/// first in main.
 void blockStopSignals();
 
+/// Waits for a signal, at most Millis. SIGHUP asks for a reload.
+ProcessSignal waitForSignal(int64_t Millis);
+
 /// Waits for SIGTERM or SIGINT.
 void waitForStopSignal();
 
--- a/lib/Admission/FleetRepeatBudget.cpp
+++ b/lib/Admission/FleetRepeatBudget.cpp
@@ -26,7 +26,8 @@
                                      TimePoint Started)
     : Allowance(Allowance), Started(Started) {}
 
-void FleetRepeatBudget::setDaemons(size_t Count) {
+void FleetRepeatBudget::configure(const RepeatAllowance &Given, size_t Count) {
+  this->Allowance = Given;
   this->Daemons = std::max(this->Daemons, Count);
 }
 
--- a/lib/Daemon/Gateway.cpp
+++ b/lib/Daemon/Gateway.cpp
@@ -45,6 +45,7 @@
   Result<void> start();
   void setFleet(const FleetConfigRef &Config);
   void setDaemons(const std::vector<DaemonRecord> &Daemons);
+  void setRepeats(const RepeatAllowance &Allowance);
   void beginStop();
   bool finishStop(TimePoint Deadline);
 
@@ -70,6 +71,7 @@
   /// Guards the building of a new FleetRuntime and the names.
   std::mutex BuildMutex;
   std::vector<std::string> DaemonNames;
+  RepeatAllowance Repeats;
   std::atomic<bool> IsStopping{false};
   RoundThread HealthRounds;
   RoundThread HousekeepingRounds;
@@ -87,7 +89,8 @@
 Gateway::Impl::Impl(DaemonConfig Given, ProxyOptions Options)
     : Config(std::move(Given)), Self(makeSelf(this->Config)),
       Proxy(this->Config.Name, this->Fleet, this->Upstreams, this->Counters,
-            nullptr, std::move(Options)) {}
+            nullptr, std::move(Options)),
+      Repeats(this->Config.Repeats) {}
 
 Result<void> Gateway::Impl::start() {
   HttpServerLimits ReadyLimits;
@@ -129,7 +132,7 @@
   Identity.Daemons = this->DaemonNames;
   Identity.ExpectedDaemons = this->Config.ExpectedDaemons;
   Identity.Source = SettingsSource::Platform;
-  Identity.Repeats = this->Config.Repeats;
+  Identity.Repeats = this->Repeats;
   Identity.Started = this->Started;
   const FleetRuntimeRef Previous = this->Fleet.get();
   const FleetRuntimeRef Runtime(
@@ -138,7 +141,7 @@
       std::max(this->DaemonNames.size(),
                static_cast<size_t>(this->Config.ExpectedDaemons));
   for (const ServiceRuntimeRef &Service : Runtime->getServices())
-    Service->setDaemonCount(Count);
+    Service->setRepeats(this->Repeats, Count);
   Runtime->boundConnections(this->Upstreams);
   this->Fleet.set(Runtime);
   this->Counters.add(Counter::FleetBuilds);
@@ -163,6 +166,13 @@
     this->build(FleetConfigRef(&Current->getConfig()));
 }
 
+void Gateway::Impl::setRepeats(const RepeatAllowance &Allowance) {
+  std::lock_guard<std::mutex> Lock(this->BuildMutex);
+  this->Repeats = Allowance;
+  if (const FleetRuntimeRef Current = this->Fleet.get())
+    this->build(FleetConfigRef(&Current->getConfig()));
+}
+
 void Gateway::Impl::runHealthRound() {
   const FleetRuntimeRef Current = this->Fleet.get();
   if (!Current)
@@ -276,6 +286,10 @@
   this->Implementation->setDaemons(Daemons);
 }
 
+void Gateway::setRepeats(const RepeatAllowance &Allowance) {
+  this->Implementation->setRepeats(Allowance);
+}
+
 void Gateway::beginStop() { this->Implementation->beginStop(); }
 
 bool Gateway::finishStop(TimePoint Deadline) {
--- a/lib/Daemon/PeerLink.cpp
+++ b/lib/Daemon/PeerLink.cpp
@@ -49,15 +49,20 @@
     // A number of 64 bits does not survive every JSON reader.
     Pair.append(fmt::format("{:x}", Each.Server));
     Pair.append(static_cast<int>(Each.Outcome));
+    if (Each.Load >= 0)
+      Pair.append(Each.Load);
     Value["seen"].append(Pair);
   }
   return writeJson(Value);
 }
 
 static bool decodeObservation(const Json::Value &Pair, Observation &Seen) {
-  if (!Pair.isArray() || Pair.size() != 2 || !Pair[0].isString() ||
-      !Pair[1].isInt())
+  if (!Pair.isArray() || Pair.size() < 2 || Pair.size() > 3 ||
+      !Pair[0].isString() || !Pair[1].isInt())
     return false;
+  if (Pair.size() == 3 && (!Pair[2].isInt() || Pair[2].asInt() < 0))
+    return false;
+  Seen.Load = Pair.size() == 3 ? Pair[2].asInt() : -1;
   const std::string Id = Pair[0].asString();
   const char *End = Id.data() + Id.size();
   const auto [Rest, Code] = std::from_chars(Id.data(), End, Seen.Server, 16);
@@ -176,9 +181,14 @@
     const size_t Count = std::min(Seen.size(), MaxSeen);
     Message.Seen.assign(Seen.end() - static_cast<ptrdiff_t>(Count), Seen.end());
     Seen.resize(Seen.size() - Count);
-    const std::string Text = encodePeerMessage(Message);
-    this->sendWithinHall(Text);
-    this->sendToOtherHalls(Text);
+    this->sendWithinHall(encodePeerMessage(Message));
+    // Bytes between halls have a price, and daemons use the servers of their
+    // own hall first: other halls are told of what is bad only.
+    std::erase_if(Message.Seen, [](const Observation &Each) {
+      return Each.Outcome == RequestOutcome::Good;
+    });
+    if (!Message.Seen.empty())
+      this->sendToOtherHalls(encodePeerMessage(Message));
   }
 }
 
--- a/lib/Health/SpellPolicy.cpp
+++ b/lib/Health/SpellPolicy.cpp
@@ -19,22 +19,23 @@
 
 namespace canvaswick {
 
-/// Part of the servers that are usually in a spell, and the mean length of one.
-/// Both from the sites' descriptions: spells last three to nine seconds, and a
-/// server has one every half minute to some minutes.
-static constexpr double UsualSickness = 0.04;
-static constexpr Duration MeanSpell = fromSeconds(3);
+/// Part of the servers that are in a spell at any time, and how fast what is
+/// known of one loses its worth. From a bench day on which every outcome was
+/// logged: about three in ten servers were sick, for three to nine seconds at a
+/// time.
+static constexpr double UsualSickness = 0.2;
+static constexpr Duration MemoryTime = fromSeconds(4);
 
 /// Sickness never leaves this range, so that one outcome can still move it.
 static constexpr double LeastSickness = 0.005;
 static constexpr double MostSickness = 0.995;
 
-/// Good outcomes are told to peers only of servers at least this likely sick.
-static constexpr double SuspectSickness = 0.12;
+/// A server at least this likely sick is named as suspect.
+static constexpr double SuspectSickness = 0.4;
 
 /// Shares fall with this power of the probability of being well.
 static constexpr double OrdinaryPower = 3;
-static constexpr double UtmostPower = 8;
+static constexpr double UtmostPower = 6;
 
 /// A server that the floor keeps in use gets at least this share.
 static constexpr double KeptShare = 0.25;
@@ -68,7 +69,7 @@
   case RequestOutcome::Shed:
     return {0.30, 0.04};
   case RequestOutcome::Unreachable:
-    return {0.30, 0.02};
+    return {0.20, 0.05};
   case RequestOutcome::Canceled:
     return {1, 1};
   }
@@ -88,7 +89,7 @@
 
 double SpellPolicy::getSickness(size_t Server, TimePoint Now) const {
   const ServerState &State = this->Servers[Server];
-  const double Spells = toSeconds(Now - State.At) / toSeconds(MeanSpell);
+  const double Spells = toSeconds(Now - State.At) / toSeconds(MemoryTime);
   const double Kept = std::exp(-std::max(0.0, Spells));
   return UsualSickness + (State.Sickness - UsualSickness) * Kept;
 }
@@ -120,22 +121,27 @@
 }
 
 void SpellPolicy::recordOutcome(size_t Server, RequestOutcome Outcome,
-                                TimePoint Now) {
+                                TimePoint Now, int Load) {
   if (Outcome == RequestOutcome::Canceled)
     return;
   ServerState &State = this->Servers[Server];
-  const bool WasSuspect = this->getSickness(Server, Now) >= SuspectSickness;
   State.Counts.add(Outcome);
   this->noteReach(State, Outcome, Now);
   this->update(State, Outcome, Now);
-  if (Outcome != RequestOutcome::Good || WasSuspect)
-    this->News.push_back({State.Config.Id, Outcome});
+  // What this daemon does not reach, others may.
+  if (Outcome != RequestOutcome::Unreachable)
+    this->News.push_back({State.Config.Id, Outcome, Load});
 }
 
-void SpellPolicy::takeObservation(const Observation &Seen, TimePoint Now) {
-  const auto Found = this->IndexOfServer.find(Seen.Server);
-  if (Found != this->IndexOfServer.end())
-    this->update(this->Servers[Found->second], Seen.Outcome, Now);
+void SpellPolicy::takeObservation(size_t Server, RequestOutcome Outcome,
+                                  TimePoint Now) {
+  this->update(this->Servers[Server], Outcome, Now);
+}
+
+int SpellPolicy::findServer(ServerId Id) const {
+  const auto Found = this->IndexOfServer.find(Id);
+  return Found == this->IndexOfServer.end() ? -1
+                                            : static_cast<int>(Found->second);
 }
 
 void SpellPolicy::setLeaving(size_t Server, bool IsLeaving, TimePoint) {
--- a/lib/Proxy/AnswerRelay.cpp
+++ b/lib/Proxy/AnswerRelay.cpp
@@ -60,7 +60,7 @@
   this->Verdict = AnswerVerdict::None;
   this->IsHolding = false;
   this->HeldBody.clear();
-  this->HasLoad = false;
+  this->Load = -1;
 }
 
 /// Statuses that tell the caller that its request was not run. Only a server
@@ -85,15 +85,18 @@
                         Response.has_header(this->Names.RequestId));
 }
 
+/// Larger loads than this are not believed.
+static constexpr int MostLoad = 10000;
+
 void AnswerRelay::readLoad(const httplib::Response &Response) {
   if (this->Names.ServerLoad.empty())
     return;
   const std::string Text = Response.get_header_value(this->Names.ServerLoad);
   int Running = 0;
   int Waiting = 0;
-  this->HasLoad =
-      std::sscanf(Text.c_str(), "%d,%d", &Running, &Waiting) == 2;
-  this->Load = std::max(0, Running) + std::max(0, Waiting);
+  if (std::sscanf(Text.c_str(), "%d,%d", &Running, &Waiting) == 2)
+    this->Load = std::clamp(Running, 0, MostLoad) +
+                 std::clamp(Waiting, 0, MostLoad);
 }
 
 bool AnswerRelay::continuesAnswer(const httplib::Response &Response) const {
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -55,6 +55,7 @@
       break;
     }
     const RequestOutcome Outcome = this->tryOnce(Request, Relay, Current);
+    Current.Load = Relay.getLoad();
     const TimePoint End = readSteadyClock();
     Request.Service->end(Current, Outcome, End);
     Request.Trail += fmt::format(
@@ -196,9 +197,6 @@
   const int HangUp = MayCancel ? Request.Exchange.Stream.socket() : -1;
   const ExchangeResult Result = this->Upstreams.exchange(
       Server.Address, Outgoing, Deadline, HangUp, &Sink);
-  if (Relay.hasLoad())
-    Request.Service->noteLoad(Current.Server, Relay.getLoad(),
-                              readSteadyClock());
   const RequestOutcome Outcome = this->judge(Request, Relay, Result);
   // One that ran out of patience is no more than late.
   return IsPatience && Result.End == ExchangeEnd::Timeout ? RequestOutcome::Slow
--- a/lib/Proxy/ServiceRuntime.cpp
+++ b/lib/Proxy/ServiceRuntime.cpp
@@ -211,10 +211,14 @@
   this->Metrics->add(Kind, Latency, fromMillis(this->Config.ObjectiveMs), Now);
 }
 
-double ServiceRuntime::getFarShare(RouteClass Class) const {
+SelectionRules ServiceRuntime::makeSelectionRules(RouteClass Class) const {
+  SelectionRules Rules;
   if (std::holds_alternative<PooledPolicy>(this->Policy))
-    return 1;
-  return Class == RouteClass::Download ? FarShareOfLarge : FarShareOfSmall;
+    return Rules;
+  Rules.FarShare =
+      Class == RouteClass::Download ? FarShareOfLarge : FarShareOfSmall;
+  Rules.HasFreshLoad = true;
+  return Rules;
 }
 
 bool ServiceRuntime::begin(Attempt &Next, const AttemptNeeds &Needs,
@@ -222,7 +226,7 @@
   std::lock_guard<std::mutex> Lock(this->Mutex);
   const std::vector<double> Shares = this->getShares(Needs.Class, Now);
   const int Server = this->Selector.pick(Shares, Needs.Tried, Now, this->Random,
-                                         this->getFarShare(Needs.Class));
+                                         this->makeSelectionRules(Needs.Class));
   if (Server < 0)
     return false;
   Next.Server = static_cast<size_t>(Server);
@@ -245,16 +249,20 @@
     Evidence = RequestOutcome::Slow;
   if (Outcome == RequestOutcome::Good)
     this->Latency.add(Took);
+  if (Ended.Load >= 0)
+    this->Selector.noteReportedLoad(Ended.Server, Ended.Load, Now);
   // A late request was counted as slow while it was under way.
   if (Evidence == RequestOutcome::Slow && Ended.IsNotedLate)
     return;
-  this->recordOutcome(Ended.Server, Evidence, Now);
+  this->recordOutcome(Ended.Server, Evidence, Now, Ended.Load);
 }
 
 void ServiceRuntime::recordOutcome(size_t Server, RequestOutcome Outcome,
-                                   TimePoint Now) {
-  std::visit([&](auto &Own) { Own.recordOutcome(Server, Outcome, Now); },
-             this->Policy);
+                                   TimePoint Now, int Load) {
+  if (auto *Spells = std::get_if<SpellPolicy>(&this->Policy))
+    Spells->recordOutcome(Server, Outcome, Now, Load);
+  else
+    std::get<PooledPolicy>(this->Policy).recordOutcome(Server, Outcome, Now);
 }
 
 bool ServiceRuntime::tryRepeat(TimePoint Now) {
@@ -281,7 +289,7 @@
     if (Each.IsNotedLate || Now - Each.Began <= SlowAfter)
       continue;
     Each.IsNotedLate = true;
-    this->recordOutcome(Each.Server, RequestOutcome::Slow, Now);
+    this->recordOutcome(Each.Server, RequestOutcome::Slow, Now, -1);
   }
   std::visit([Now](auto &Own) { Own.advance(Now); }, this->Policy);
 }
@@ -295,14 +303,21 @@
 
 void ServiceRuntime::takeObservation(const Observation &Seen, TimePoint Now) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
-  if (auto *Spells = std::get_if<SpellPolicy>(&this->Policy))
-    Spells->takeObservation(Seen, Now);
+  auto *Spells = std::get_if<SpellPolicy>(&this->Policy);
+  const int Server = Spells ? Spells->findServer(Seen.Server) : -1;
+  if (Server < 0)
+    return;
+  const auto Index = static_cast<size_t>(Server);
+  Spells->takeObservation(Index, Seen.Outcome, Now);
+  if (Seen.Load >= 0)
+    this->Selector.noteReportedLoad(Index, Seen.Load, Now);
 }
 
-void ServiceRuntime::setDaemonCount(size_t Count) {
+void ServiceRuntime::setRepeats(const RepeatAllowance &Allowance,
+                                size_t Daemons) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   if (this->FleetRepeats)
-    this->FleetRepeats->setDaemons(Count);
+    this->FleetRepeats->configure(Allowance, Daemons);
 }
 
 Duration ServiceRuntime::getPatience(Duration Objective) const {
--- a/lib/Routing/ServerSelector.cpp
+++ b/lib/Routing/ServerSelector.cpp
@@ -32,6 +32,14 @@
 /// How much a reported request counts against one of our own.
 static constexpr double ReportWeight = 0.5;
 
+/// A shared load report is used this long: some request times.
+static constexpr Duration FreshReportLife = fromMillis(800);
+
+/// Load in slots at which a server gets half its weight, and how steeply the
+/// weight falls there: queueing begins when all slots are taken.
+static constexpr double LoadAtHalf = 1.15;
+static constexpr double LoadSteepness = 4;
+
 /// How much dearer a server in another hall is.
 static constexpr double FarFactor = 1.2;
 
@@ -64,14 +72,30 @@
   return Ease * Warmth;
 }
 
+/// Falls from 1 for an idle server over 0.6 when its slots are all taken to
+/// nearly nothing when as many wait as run.
+double ServerSelector::getLoadFactor(const ServerState &State,
+                                     TimePoint Now) const {
+  if (Now - State.ReportedAt > FreshReportLife)
+    return 1;
+  const double Taken = State.ReportedLoad / State.Config.Slots;
+  return 1 / (1 + std::pow(Taken / LoadAtHalf, LoadSteepness));
+}
+
 double ServerSelector::getWeight(size_t Server,
                                  const std::vector<double> &Shares,
-                                 TimePoint Now, double FarShare) const {
+                                 TimePoint Now,
+                                 const SelectionRules &Rules) const {
   const ServerState &State = this->Servers[Server];
   if (State.InFlight >= State.Config.Limit)
     return 0;
-  return Shares[Server] * State.Config.Slots *
-         this->getReadiness(Server, Now) * (State.Config.IsNear ? 1 : FarShare);
+  double Weight = Shares[Server] * State.Config.Slots *
+                  this->getReadiness(Server, Now);
+  if (!State.Config.IsNear)
+    Weight *= Rules.FarShare;
+  if (Rules.HasFreshLoad)
+    Weight *= this->getLoadFactor(State, Now);
+  return Weight;
 }
 
 double ServerSelector::getCost(size_t Server, TimePoint Now) const {
@@ -88,13 +112,14 @@
 
 int ServerSelector::pick(const std::vector<double> &Shares,
                          const std::vector<size_t> &Excluded, TimePoint Now,
-                         RandomSource &Random, double FarShare) const {
+                         RandomSource &Random,
+                         const SelectionRules &Rules) const {
   assert(Shares.size() == this->Servers.size() && "one share a server");
   std::vector<double> Weights(this->Servers.size(), 0);
   double Sum = 0;
   for (size_t I = 0; I < Weights.size(); ++I) {
     if (!contains(Excluded, I))
-      Weights[I] = this->getWeight(I, Shares, Now, FarShare);
+      Weights[I] = this->getWeight(I, Shares, Now, Rules);
     Sum += Weights[I];
   }
   if (Sum <= 0)
--- a/lib/Tool/Program.cpp
+++ b/lib/Tool/Program.cpp
@@ -47,11 +47,22 @@
 }
 
 void blockStopSignals() {
-  const sigset_t Signals = makeStopSignals();
+  sigset_t Signals = makeStopSignals();
+  sigaddset(&Signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
 }
 
+ProcessSignal waitForSignal(int64_t Millis) {
+  sigset_t Signals = makeStopSignals();
+  sigaddset(&Signals, SIGHUP);
+  const timespec Wait{Millis / 1000, (Millis % 1000) * 1000000};
+  const int Which = sigtimedwait(&Signals, nullptr, &Wait);
+  if (Which <= 0)
+    return ProcessSignal::None;
+  return Which == SIGHUP ? ProcessSignal::Reload : ProcessSignal::Stop;
+}
+
 void waitForStopSignal() {
   const sigset_t Signals = makeStopSignals();
   int Which = 0;
--- a/tools/canvaswickd/canvaswickd.cpp
+++ b/tools/canvaswickd/canvaswickd.cpp
@@ -61,6 +61,13 @@
   std::_Exit(toInt(AllEnded ? ExitCode::Success : ExitCode::CutShort));
 }
 
+static std::string findSettingsPath() {
+  if (!FLAGS_settings.empty())
+    return FLAGS_settings;
+  const char *Path = std::getenv("CANVASWICK_NODE_FILE");
+  return Path ? Path : "";
+}
+
 /// The platform kills the process when its grace time is over. New connections
 /// may come until the balancer has noticed that readiness is red, which takes
 /// it two checks a second apart.
@@ -70,6 +77,42 @@
 /// Time left for the process to end.
 static constexpr Duration ExitMargin = fromMillis(400);
 
+/// How often the settings file is read again: it may change without a signal.
+static constexpr int64_t FileCheckMillis = 1000;
+
+/// Takes the settings file's new content, if it is good.
+static void reloadSettings(platform::PlatformDaemon &Server,
+                           const std::string &Path, DaemonConfig &Current) {
+  Result<DaemonConfig> Loaded = loadDaemonConfig(Path);
+  if (!Loaded) {
+    logError("reload-refused", "what={:?}", Loaded.error().Message);
+    return;
+  }
+  Server.reload(Loaded.value());
+  Current = Loaded.value();
+  logInfo("reloaded", "file={} grace-ms={} floor-percent={}", Path,
+          toMillis(Current.Grace), Current.FloorPercent);
+}
+
+/// Serves until a signal asks to stop. Returns the grace time then in force.
+static Duration serveUntilStopped(platform::PlatformDaemon &Server,
+                                  DaemonConfig Current) {
+  const std::string Path = findSettingsPath();
+  std::string Content = readFile(Path).value();
+  while (true) {
+    const ProcessSignal Signal = waitForSignal(FileCheckMillis);
+    if (Signal == ProcessSignal::Stop)
+      return Current.Grace;
+    Result<std::string> Now = readFile(Path);
+    const bool IsChanged = Now && Now.value() != Content;
+    if (Signal == ProcessSignal::None && !IsChanged)
+      continue;
+    if (Now)
+      Content = Now.value();
+    reloadSettings(Server, Path, Current);
+  }
+}
+
 static int runPlatformDaemon(const DaemonConfig &Config) {
   platform::PlatformDaemon Server(Config);
   Result<void> Started = Server.start();
@@ -77,12 +120,11 @@
     printError(ProgramName, Started.error());
     return toInt(ExitCode::Failure);
   }
-  waitForStopSignal();
-  const TimePoint Deadline = readSteadyClock() + Config.Grace - ExitMargin;
+  const Duration Grace = serveUntilStopped(Server, Config);
+  const TimePoint Deadline = readSteadyClock() + Grace - ExitMargin;
   Server.beginStop();
-  const Duration Accepting =
-      std::min(LongestAccepting,
-               fromSeconds(toSeconds(Config.Grace) * AcceptingPart));
+  const Duration Accepting = std::min(
+      LongestAccepting, fromSeconds(toSeconds(Grace) * AcceptingPart));
   waitForSecondStopSignal(toMillis(Accepting));
   const bool AllEnded = Server.finishStop(Deadline);
   std::fflush(stdout);
@@ -90,13 +132,6 @@
   std::_Exit(toInt(AllEnded ? ExitCode::Success : ExitCode::CutShort));
 }
 
-static std::string findSettingsPath() {
-  if (!FLAGS_settings.empty())
-    return FLAGS_settings;
-  const char *Path = std::getenv("CANVASWICK_NODE_FILE");
-  return Path ? Path : "";
-}
-
 int main(int Count, char **Values) {
   blockStopSignals();
   parseCommandLine(&Count, &Values,
