--- a/include/canvaswick/Daemon/PeerLink.h
+++ b/include/canvaswick/Daemon/PeerLink.h
@@ -37,8 +37,10 @@
 /// One datagram.
 struct PeerMessage {
   std::string Source;
-  /// Hall of the daemon that sent this datagram.
+  /// Hall of the source.
   std::string Hall;
+  /// Whether a daemon of the receiver's hall has passed it on.
+  bool IsRelayed = false;
   /// Grows with each message of a source; starts at its calendar time.
   uint64_t Sequence = 0;
   std::vector<Observation> Seen;
@@ -55,7 +57,9 @@
 /// Sends and receives. Thread-safe.
 class PeerLink {
 public:
-  using Handler = std::function<void(const std::vector<Observation> &)>;
+  /// IsNear is true for what a daemon of the own hall saw.
+  using Handler =
+      std::function<void(const std::vector<Observation> &Seen, bool IsNear)>;
 
   /// Self is how peers know this daemon. Handle is called on the link's thread.
   PeerLink(DaemonRecord Self, uint64_t FirstSequence, CounterTable &Counters,
--- a/include/canvaswick/Health/SpellPolicy.h
+++ b/include/canvaswick/Health/SpellPolicy.h
@@ -53,8 +53,10 @@
   void recordOutcome(size_t Server, RequestOutcome Outcome, TimePoint Now,
                      int Load = -1);
 
-  /// Takes an outcome that a peer saw.
-  void takeObservation(size_t Server, RequestOutcome Outcome, TimePoint Now);
+  /// Takes an outcome that a peer saw. Those in other halls (not IsNear) tell
+  /// only what went wrong, which says nothing about how often things do.
+  void takeObservation(size_t Server, RequestOutcome Outcome, bool IsNear,
+                       TimePoint Now);
 
   /// Returns the index of a server, or -1.
   int findServer(ServerId Id) const;
@@ -96,15 +98,20 @@
   };
 
   void update(ServerState &State, RequestOutcome Outcome, TimePoint Now);
+  void noteRecent(RequestOutcome Outcome, TimePoint Now);
   void noteReach(ServerState &State, RequestOutcome Outcome, TimePoint Now);
   std::vector<bool> findKeptByFloor(TimePoint Now) const;
-  double computeShare(size_t Server, Caution Care, bool IsKept,
+  double getKeptShare(Caution Care, TimePoint Now) const;
+  double computeShare(size_t Server, Caution Care, double LeastShare,
                       TimePoint Now) const;
 
   PolicySetup Setup;
   std::vector<ServerState> Servers;
   std::map<ServerId, size_t> IndexOfServer;
   std::vector<Observation> News;
+  /// Outcomes at all servers of late, own and peers'.
+  DecayingCount RecentAll;
+  DecayingCount RecentBad;
 };
 
 } // namespace canvaswick
--- a/include/canvaswick/Proxy/ServiceRuntime.h
+++ b/include/canvaswick/Proxy/ServiceRuntime.h
@@ -45,6 +45,8 @@
   bool IsNotedLate = false;
   /// What the answer told of the server's load, or -1.
   int Load = -1;
+  /// Part of its fair share that the server had when it was chosen.
+  double Share = 1;
 };
 
 /// What of a request decides which server it may go to.
@@ -125,8 +127,8 @@
   /// Returns the observations that peers should know, and forgets them.
   std::vector<Observation> takeObservations();
 
-  /// Takes what a peer saw.
-  void takeObservation(const Observation &Seen, TimePoint Now);
+  /// Takes what a peer saw. IsNear: one of this daemon's hall.
+  void takeObservation(const Observation &Seen, bool IsNear, TimePoint Now);
 
   /// Returns after how long without an answer a repeatable request is better
   /// sent elsewhere. Objective is its route's.
--- a/lib/Daemon/Gateway.cpp
+++ b/lib/Daemon/Gateway.cpp
@@ -57,7 +57,7 @@
   void build(const FleetConfigRef &Next);
   void runHealthRound();
   void housekeep();
-  void takeObservations(const std::vector<Observation> &Seen);
+  void takeObservations(const std::vector<Observation> &Seen, bool IsNear);
   void handleReady(HttpExchange &Exchange);
   std::string formatMetrics() const;
 
@@ -102,8 +102,8 @@
   if (this->Config.PeerPort != 0) {
     this->Peers = std::make_unique<PeerLink>(
         this->Self, static_cast<uint64_t>(readCalendarMillis()), this->Counters,
-        [this](const std::vector<Observation> &Seen) {
-          this->takeObservations(Seen);
+        [this](const std::vector<Observation> &Seen, bool IsNear) {
+          this->takeObservations(Seen, IsNear);
         });
     BOOST_OUTCOME_TRY(this->Peers->start());
   }
@@ -188,14 +188,15 @@
     this->Peers->send(std::move(Seen));
 }
 
-void Gateway::Impl::takeObservations(const std::vector<Observation> &Seen) {
+void Gateway::Impl::takeObservations(const std::vector<Observation> &Seen,
+                                     bool IsNear) {
   const FleetRuntimeRef Current = this->Fleet.get();
   if (!Current)
     return;
   const TimePoint Now = readSteadyClock();
   for (const ServiceRuntimeRef &Service : Current->getServices())
     for (const Observation &Each : Seen)
-      Service->takeObservation(Each, Now);
+      Service->takeObservation(Each, IsNear, Now);
 }
 
 void Gateway::Impl::housekeep() {
--- a/lib/Daemon/PeerLink.cpp
+++ b/lib/Daemon/PeerLink.cpp
@@ -42,6 +42,8 @@
   Json::Value Value;
   Value["from"] = Message.Source;
   Value["hall"] = Message.Hall;
+  if (Message.IsRelayed)
+    Value["relayed"] = true;
   Value["seq"] = static_cast<Json::UInt64>(Message.Sequence);
   Value["seen"] = Json::arrayValue;
   for (const Observation &Each : Message.Seen) {
@@ -84,6 +86,7 @@
   Message.Source = Value["from"].asString();
   Message.Hall = Value["hall"].asString();
   Message.Sequence = Value["seq"].asUInt64();
+  Message.IsRelayed = Value["relayed"].isBool() && Value["relayed"].asBool();
   for (const Json::Value &Pair : Value["seen"]) {
     Observation Seen;
     if (!decodeObservation(Pair, Seen))
@@ -216,11 +219,12 @@
   if (Taken.Source == this->Self.Name || !this->isNew(Taken))
     return;
   this->Counters.add(Counter::PeerDatagramsTaken);
-  if (Taken.Hall != this->Self.Hall) {
-    Taken.Hall = this->Self.Hall;
+  const bool IsNear = Taken.Hall == this->Self.Hall;
+  if (!IsNear && !Taken.IsRelayed) {
+    Taken.IsRelayed = true;
     this->sendWithinHall(encodePeerMessage(Taken));
   }
-  this->Handle(Taken.Seen);
+  this->Handle(Taken.Seen, IsNear);
 }
 
 void PeerLink::runThread() {
--- a/lib/Health/SpellPolicy.cpp
+++ b/lib/Health/SpellPolicy.cpp
@@ -37,8 +37,22 @@
 static constexpr double OrdinaryPower = 3;
 static constexpr double UtmostPower = 6;
 
-/// A server that the floor keeps in use gets at least this share.
-static constexpr double KeptShare = 0.25;
+/// The floor matters once a tenth of the requests go unserved. Below the first
+/// part of failures a server that the floor keeps gets LeastKeptShare, from the
+/// second on MostKeptShare, which is enough to be used by some daemon every
+/// second, and in between what lies between.
+static constexpr double LowFailures = 0.08;
+static constexpr double HighFailures = 0.11;
+static constexpr double LeastKeptShare = 0.01;
+static constexpr double MostKeptShare = 0.25;
+
+/// Half-life of the count of recent outcomes; the floor is judged over two
+/// seconds.
+static constexpr Duration RecentHalfLife = fromSeconds(1);
+
+/// Outcomes that are imagined to have gone well, so that a quiet service's
+/// first failure is not taken for a rate.
+static constexpr double ImaginedGood = 10;
 
 /// How long a server is left alone after no connection to it came about.
 /// Doubles with each failure in a row up to the longest.
@@ -106,6 +120,12 @@
   State.At = Now;
 }
 
+void SpellPolicy::noteRecent(RequestOutcome Outcome, TimePoint Now) {
+  this->RecentAll.add(1, Now, RecentHalfLife);
+  if (Outcome == RequestOutcome::Failed || Outcome == RequestOutcome::Slow)
+    this->RecentBad.add(1, Now, RecentHalfLife);
+}
+
 /// Keeps track of whether this daemon reaches the server at all, which says
 /// little about what others reach.
 void SpellPolicy::noteReach(ServerState &State, RequestOutcome Outcome,
@@ -127,6 +147,7 @@
   ServerState &State = this->Servers[Server];
   State.Counts.add(Outcome);
   this->noteReach(State, Outcome, Now);
+  this->noteRecent(Outcome, Now);
   this->update(State, Outcome, Now);
   // What this daemon does not reach, others may.
   if (Outcome != RequestOutcome::Unreachable)
@@ -134,7 +155,9 @@
 }
 
 void SpellPolicy::takeObservation(size_t Server, RequestOutcome Outcome,
-                                  TimePoint Now) {
+                                  bool IsNear, TimePoint Now) {
+  if (IsNear)
+    this->noteRecent(Outcome, Now);
   this->update(this->Servers[Server], Outcome, Now);
 }
 
@@ -171,7 +194,18 @@
   return Kept;
 }
 
-double SpellPolicy::computeShare(size_t Server, Caution Care, bool IsKept,
+double SpellPolicy::getKeptShare(Caution Care, TimePoint Now) const {
+  const double All = this->RecentAll.get(Now, RecentHalfLife) + ImaginedGood;
+  double Failures = this->RecentBad.get(Now, RecentHalfLife) / All;
+  // What may be sent again goes unserved only if it fails twice.
+  if (Care == Caution::Ordinary)
+    Failures *= Failures;
+  const double Part = std::clamp(
+      (Failures - LowFailures) / (HighFailures - LowFailures), 0.0, 1.0);
+  return LeastKeptShare + (MostKeptShare - LeastKeptShare) * Part;
+}
+
+double SpellPolicy::computeShare(size_t Server, Caution Care, double LeastShare,
                                  TimePoint Now) const {
   const ServerState &State = this->Servers[Server];
   if (State.IsLeaving)
@@ -179,8 +213,7 @@
   const double Power =
       Care == Caution::Utmost ? UtmostPower : OrdinaryPower;
   double Share = std::pow(1 - this->getSickness(Server, Now), Power);
-  if (IsKept)
-    Share = std::max(Share, KeptShare);
+  Share = std::max(Share, LeastShare);
   // Nothing that does not arrive helps the floor.
   if (Now < State.UnreachableUntil)
     Share *= 0.01;
@@ -189,15 +222,15 @@
 
 std::vector<double> SpellPolicy::getShares(Caution Care, TimePoint Now) const {
   const std::vector<bool> Kept = this->findKeptByFloor(Now);
+  const double KeptShare = this->getKeptShare(Care, Now);
   std::vector<double> Shares(this->Servers.size());
   for (size_t I = 0; I < Shares.size(); ++I)
-    Shares[I] = this->computeShare(I, Care, Kept[I], Now);
+    Shares[I] = this->computeShare(I, Care, Kept[I] ? KeptShare : 0, Now);
   return Shares;
 }
 
 double SpellPolicy::getShare(size_t Server, Caution Care, TimePoint Now) const {
-  return this->computeShare(Server, Care, this->findKeptByFloor(Now)[Server],
-                            Now);
+  return this->getShares(Care, Now)[Server];
 }
 
 std::vector<Observation> SpellPolicy::takeNews() {
@@ -220,12 +253,9 @@
 
 ShareExplanation SpellPolicy::explain(size_t Server, TimePoint Now) const {
   const ServerState &State = this->Servers[Server];
-  const std::vector<bool> Kept = this->findKeptByFloor(Now);
   ShareExplanation Explanation;
-  Explanation.WantedShare =
-      this->computeShare(Server, Caution::Utmost, false, Now);
-  Explanation.Share =
-      this->computeShare(Server, Caution::Utmost, Kept[Server], Now);
+  Explanation.WantedShare = this->computeShare(Server, Caution::Utmost, 0, Now);
+  Explanation.Share = this->getShare(Server, Caution::Utmost, Now);
   Explanation.OwnScore = this->getSickness(Server, Now);
   Explanation.OwnCounts = State.Counts;
   Explanation.Since = State.At;
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -59,9 +59,9 @@
     const TimePoint End = readSteadyClock();
     Request.Service->end(Current, Outcome, End);
     Request.Trail += fmt::format(
-        "{}{}:{}:{}ms", Request.Trail.empty() ? "" : ",",
+        "{}{}:{}:{}ms:share={:.3f}", Request.Trail.empty() ? "" : ",",
         Request.Service->getServer(Current.Server).Name, getName(Outcome),
-        toMillis(End - Now));
+        toMillis(End - Now), Current.Share);
     Needs.Tried.push_back(Current.Server);
     if (Outcome == RequestOutcome::Unreachable)
       ++Unreachable;
--- a/lib/Proxy/ServiceRuntime.cpp
+++ b/lib/Proxy/ServiceRuntime.cpp
@@ -232,6 +232,7 @@
   Next.Server = static_cast<size_t>(Server);
   Next.Began = Now;
   Next.IsNotedLate = false;
+  Next.Share = Shares[Next.Server];
   this->Selector.begin(Next.Server);
   this->Attempts.push_back(Next);
   return true;
@@ -301,14 +302,15 @@
   return {};
 }
 
-void ServiceRuntime::takeObservation(const Observation &Seen, TimePoint Now) {
+void ServiceRuntime::takeObservation(const Observation &Seen, bool IsNear,
+                                     TimePoint Now) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   auto *Spells = std::get_if<SpellPolicy>(&this->Policy);
   const int Server = Spells ? Spells->findServer(Seen.Server) : -1;
   if (Server < 0)
     return;
   const auto Index = static_cast<size_t>(Server);
-  Spells->takeObservation(Index, Seen.Outcome, Now);
+  Spells->takeObservation(Index, Seen.Outcome, IsNear, Now);
   if (Seen.Load >= 0)
     this->Selector.noteReportedLoad(Index, Seen.Load, Now);
 }
