Halls tell each other estimates of their servers instead of single failures

Cause: a daemon heard of far servers only what went wrong, so all of them looked sick and a hall with few good servers of its own kept using the sick ones. Seen in the weights at each choice (trial): every far server at the floor's share. Ruled out: load (loads were 1 to 3 of 3).

--- a/include/canvaswick/Daemon/PeerLink.h
+++ b/include/canvaswick/Daemon/PeerLink.h
@@ -9,9 +9,10 @@
 /// \file
 /// Tells the other daemons what this one saw of backend servers, within some tens
 /// of milliseconds and without an answer. A datagram that is lost costs a little
-/// evidence, nothing else. Daemons of the own hall are told directly; in each other
-/// hall one is, and passes it on within its hall, so that the bytes between halls
-/// do not grow with the halls.
+/// evidence, nothing else. Daemons of the own hall are told each outcome. Other halls
+/// learn a few times a second what this hall thinks of its servers: one daemon
+/// there is told and passes it on, so that the bytes between halls grow with the
+/// servers and not with the daemons or the requests.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -44,6 +45,7 @@
   /// Grows with each message of a source; starts at its calendar time.
   uint64_t Sequence = 0;
   std::vector<Observation> Seen;
+  std::vector<Estimate> Estimates;
 
   bool operator==(const PeerMessage &) const = default;
 };
@@ -57,9 +59,7 @@
 /// Sends and receives. Thread-safe.
 class PeerLink {
 public:
-  /// IsNear is true for what a daemon of the own hall saw.
-  using Handler =
-      std::function<void(const std::vector<Observation> &Seen, bool IsNear)>;
+  using Handler = std::function<void(const PeerMessage &)>;
 
   /// Self is how peers know this daemon. Handle is called on the link's thread.
   PeerLink(DaemonRecord Self, uint64_t FirstSequence, CounterTable &Counters,
@@ -74,14 +74,21 @@
   /// Takes the daemons of the fleet, this one included or not.
   void setPeers(std::vector<DaemonRecord> Peers);
 
-  /// Tells all peers.
-  void send(std::vector<Observation> Seen);
+  /// Tells the peers of this hall.
+  void sendObservations(std::vector<Observation> Seen);
+
+  /// Tells the other halls.
+  void sendEstimates(std::vector<Estimate> Estimates);
+
+  /// Returns how many daemons of this hall are known, this one included.
+  size_t countNear();
 
   void stop();
 
 private:
   void runThread();
   void receive(const std::string &Text);
+  PeerMessage makeMessage();
   bool isNew(const PeerMessage &Message);
   void sendTo(const Endpoint &Peer, const std::string &Text);
   void sendWithinHall(const std::string &Text);
--- a/include/canvaswick/Health/SpellPolicy.h
+++ b/include/canvaswick/Health/SpellPolicy.h
@@ -35,6 +35,15 @@
   bool operator==(const Observation &) const = default;
 };
 
+/// How likely a server is in a spell, as a daemon near it sees it.
+struct Estimate {
+  ServerId Server = 0;
+  /// Probability in thousandths.
+  int PerMille = 0;
+
+  bool operator==(const Estimate &) const = default;
+};
+
 /// What a request has to lose at a sick server.
 enum class Caution : uint8_t {
   /// It may be sent again, so it may test a server.
@@ -53,10 +62,12 @@
   void recordOutcome(size_t Server, RequestOutcome Outcome, TimePoint Now,
                      int Load = -1);
 
-  /// Takes an outcome that a peer saw. Those in other halls (not IsNear) tell
-  /// only what went wrong, which says nothing about how often things do.
-  void takeObservation(size_t Server, RequestOutcome Outcome, bool IsNear,
-                       TimePoint Now);
+  /// Takes an outcome that a peer of this hall saw.
+  void takeObservation(size_t Server, RequestOutcome Outcome, TimePoint Now);
+
+  /// Takes what a daemon near the server thinks of it, in place of what was
+  /// known here.
+  void takeEstimate(size_t Server, double Sickness, TimePoint Now);
 
   /// Returns the index of a server, or -1.
   int findServer(ServerId Id) const;
@@ -98,7 +109,7 @@
   };
 
   void update(ServerState &State, RequestOutcome Outcome, TimePoint Now);
-  void noteRecent(RequestOutcome Outcome, TimePoint Now);
+  void noteRecent(size_t Server, RequestOutcome Outcome, TimePoint Now);
   void noteReach(ServerState &State, RequestOutcome Outcome, TimePoint Now);
   std::vector<bool> findKeptByFloor(TimePoint Now) const;
   double getKeptShare(Caution Care, TimePoint Now) const;
@@ -109,7 +120,7 @@
   std::vector<ServerState> Servers;
   std::map<ServerId, size_t> IndexOfServer;
   std::vector<Observation> News;
-  /// Outcomes at all servers of late, own and peers'.
+  /// Outcomes of late at servers that look well, own and peers' of this hall.
   DecayingCount RecentAll;
   DecayingCount RecentBad;
 };
--- a/include/canvaswick/Proxy/ServiceRuntime.h
+++ b/include/canvaswick/Proxy/ServiceRuntime.h
@@ -127,8 +127,14 @@
   /// Returns the observations that peers should know, and forgets them.
   std::vector<Observation> takeObservations();
 
-  /// Takes what a peer saw. IsNear: one of this daemon's hall.
-  void takeObservation(const Observation &Seen, bool IsNear, TimePoint Now);
+  /// Takes what a peer of this hall saw.
+  void takeObservation(const Observation &Seen, TimePoint Now);
+
+  /// Returns what this daemon thinks of the servers in its own hall.
+  std::vector<Estimate> getNearEstimates(TimePoint Now) const;
+
+  /// Takes what a daemon of another hall thinks of a server there.
+  void takeEstimate(const Estimate &Given, TimePoint Now);
 
   /// Returns after how long without an answer a repeatable request is better
   /// sent elsewhere. Objective is its route's.
--- a/include/canvaswick/Routing/ServerSelector.h
+++ b/include/canvaswick/Routing/ServerSelector.h
@@ -78,6 +78,11 @@
   /// Restarts the slow start of a server that was away.
   void restartColdStart(size_t Server, TimePoint Now);
 
+  /// Returns whether a server stands in this daemon's hall.
+  bool isNear(size_t Server) const {
+    return this->Servers[Server].Config.IsNear;
+  }
+
   /// Returns this daemon's requests at a server.
   int countInFlight(size_t Server) const;
 
--- a/lib/Daemon/Gateway.cpp
+++ b/lib/Daemon/Gateway.cpp
@@ -19,7 +19,7 @@
 
 #include <fmt/format.h>
 
-#include <cmath>
+#include <random>
 
 namespace canvaswick {
 
@@ -36,6 +36,11 @@
 /// How often late requests are looked for and observations are sent: peers
 /// should know within a tenth of a second.
 static constexpr Duration HealthInterval = fromMillis(50);
+
+/// How often another hall hears of this one's servers: a few times within the
+/// shortest spells, and at a price of bytes between halls.
+static constexpr Duration EstimateInterval = fromMillis(250);
+
 static constexpr Duration HousekeepingInterval = fromSeconds(1);
 
 class Gateway::Impl {
@@ -57,7 +62,8 @@
   void build(const FleetConfigRef &Next);
   void runHealthRound();
   void housekeep();
-  void takeObservations(const std::vector<Observation> &Seen, bool IsNear);
+  void sendEstimates(const FleetRuntime &Current, TimePoint Now);
+  void takeMessage(const PeerMessage &Message);
   void handleReady(HttpExchange &Exchange);
   std::string formatMetrics() const;
 
@@ -73,6 +79,8 @@
   std::vector<std::string> DaemonNames;
   RepeatAllowance Repeats;
   std::atomic<bool> IsStopping{false};
+  /// Used by the health rounds only.
+  std::mt19937_64 Random{std::random_device()()};
   RoundThread HealthRounds;
   RoundThread HousekeepingRounds;
 };
@@ -102,9 +110,7 @@
   if (this->Config.PeerPort != 0) {
     this->Peers = std::make_unique<PeerLink>(
         this->Self, static_cast<uint64_t>(readCalendarMillis()), this->Counters,
-        [this](const std::vector<Observation> &Seen, bool IsNear) {
-          this->takeObservations(Seen, IsNear);
-        });
+        [this](const PeerMessage &Message) { this->takeMessage(Message); });
     BOOST_OUTCOME_TRY(this->Peers->start());
   }
   HttpServerLimits Limits;
@@ -184,19 +190,40 @@
     const std::vector<Observation> More = Service->takeObservations();
     Seen.insert(Seen.end(), More.begin(), More.end());
   }
-  if (this->Peers && !Seen.empty())
-    this->Peers->send(std::move(Seen));
+  if (!this->Peers)
+    return;
+  this->Peers->sendObservations(std::move(Seen));
+  this->sendEstimates(*Current, Now);
+}
+
+/// Tells other halls what this one thinks of its servers. All daemons of a hall
+/// think nearly the same: each speaks now and then, so that together they do
+/// once in EstimateInterval.
+void Gateway::Impl::sendEstimates(const FleetRuntime &Current, TimePoint Now) {
+  const double Rounds = toSeconds(EstimateInterval) / toSeconds(HealthInterval);
+  const double Daemons = static_cast<double>(this->Peers->countNear());
+  std::bernoulli_distribution IsDue(std::min(1.0, 1 / (Rounds * Daemons)));
+  if (!IsDue(this->Random))
+    return;
+  std::vector<Estimate> Estimates;
+  for (const ServiceRuntimeRef &Service : Current.getServices()) {
+    const std::vector<Estimate> More = Service->getNearEstimates(Now);
+    Estimates.insert(Estimates.end(), More.begin(), More.end());
+  }
+  this->Peers->sendEstimates(std::move(Estimates));
 }
 
-void Gateway::Impl::takeObservations(const std::vector<Observation> &Seen,
-                                     bool IsNear) {
+void Gateway::Impl::takeMessage(const PeerMessage &Message) {
   const FleetRuntimeRef Current = this->Fleet.get();
   if (!Current)
     return;
   const TimePoint Now = readSteadyClock();
-  for (const ServiceRuntimeRef &Service : Current->getServices())
-    for (const Observation &Each : Seen)
-      Service->takeObservation(Each, IsNear, Now);
+  for (const ServiceRuntimeRef &Service : Current->getServices()) {
+    for (const Observation &Each : Message.Seen)
+      Service->takeObservation(Each, Now);
+    for (const Estimate &Each : Message.Estimates)
+      Service->takeEstimate(Each, Now);
+  }
 }
 
 void Gateway::Impl::housekeep() {
--- a/lib/Daemon/PeerLink.cpp
+++ b/lib/Daemon/PeerLink.cpp
@@ -29,8 +29,8 @@
 /// Longest datagram: one that crosses any link in one piece.
 static constexpr size_t MaxDatagramBytes = 1400;
 
-/// Observations in one datagram; at under 25 bytes each they fit.
-static constexpr size_t MaxSeen = 48;
+/// Observations or estimates in one datagram; at under 25 bytes each they fit.
+static constexpr size_t MaxListed = 48;
 
 /// Messages that are remembered, to leave out what comes twice.
 static constexpr size_t RecentKept = 512;
@@ -55,21 +55,41 @@
       Pair.append(Each.Load);
     Value["seen"].append(Pair);
   }
+  for (const Estimate &Each : Message.Estimates) {
+    Json::Value Pair(Json::arrayValue);
+    Pair.append(fmt::format("{:x}", Each.Server));
+    Pair.append(Each.PerMille);
+    Value["thinks"].append(Pair);
+  }
   return writeJson(Value);
 }
 
+static bool decodeServerId(const Json::Value &Value, ServerId &Id) {
+  if (!Value.isString())
+    return false;
+  const std::string Text = Value.asString();
+  const char *End = Text.data() + Text.size();
+  const auto [Rest, Code] = std::from_chars(Text.data(), End, Id, 16);
+  return Code == std::errc() && Rest == End;
+}
+
+static bool decodeEstimate(const Json::Value &Pair, Estimate &Given) {
+  if (!Pair.isArray() || Pair.size() != 2 || !Pair[1].isInt())
+    return false;
+  Given.PerMille = Pair[1].asInt();
+  return Given.PerMille >= 0 && Given.PerMille <= 1000 &&
+         decodeServerId(Pair[0], Given.Server);
+}
+
 static bool decodeObservation(const Json::Value &Pair, Observation &Seen) {
   if (!Pair.isArray() || Pair.size() < 2 || Pair.size() > 3 ||
-      !Pair[0].isString() || !Pair[1].isInt())
+      !Pair[1].isInt())
     return false;
   if (Pair.size() == 3 && (!Pair[2].isInt() || Pair[2].asInt() < 0))
     return false;
   Seen.Load = Pair.size() == 3 ? Pair[2].asInt() : -1;
-  const std::string Id = Pair[0].asString();
-  const char *End = Id.data() + Id.size();
-  const auto [Rest, Code] = std::from_chars(Id.data(), End, Seen.Server, 16);
   const int Outcome = Pair[1].asInt();
-  if (Code != std::errc() || Rest != End || Outcome < 0 ||
+  if (!decodeServerId(Pair[0], Seen.Server) || Outcome < 0 ||
       Outcome > static_cast<int>(RequestOutcome::Unreachable))
     return false;
   Seen.Outcome = static_cast<RequestOutcome>(Outcome);
@@ -93,6 +113,15 @@
       return makeError(ErrorKind::InvalidArgument, "not an observation");
     Message.Seen.push_back(Seen);
   }
+  const Json::Value &Estimates = Value["thinks"];
+  if (!Estimates.isNull() && !Estimates.isArray())
+    return makeError(ErrorKind::InvalidArgument, "not estimates");
+  for (const Json::Value &Pair : Estimates) {
+    Estimate Given;
+    if (!decodeEstimate(Pair, Given))
+      return makeError(ErrorKind::InvalidArgument, "not an estimate");
+    Message.Estimates.push_back(Given);
+  }
   return Message;
 }
 
@@ -175,26 +204,45 @@
     this->sendTo(Peers[this->Random() % Peers.size()].Peer, Text);
 }
 
-void PeerLink::send(std::vector<Observation> Seen) {
+PeerMessage PeerLink::makeMessage() {
+  PeerMessage Message;
+  Message.Source = this->Self.Name;
+  Message.Hall = this->Self.Hall;
+  Message.Sequence = this->NextSequence++;
+  return Message;
+}
+
+/// Takes at most Count elements off the end of All.
+template <typename T>
+static std::vector<T> takeSome(std::vector<T> &All, size_t Count) {
+  const size_t Taken = std::min(All.size(), Count);
+  const auto First = All.end() - static_cast<ptrdiff_t>(Taken);
+  std::vector<T> Some(First, All.end());
+  All.erase(First, All.end());
+  return Some;
+}
+
+void PeerLink::sendObservations(std::vector<Observation> Seen) {
   while (!Seen.empty()) {
-    PeerMessage Message;
-    Message.Source = this->Self.Name;
-    Message.Hall = this->Self.Hall;
-    Message.Sequence = this->NextSequence++;
-    const size_t Count = std::min(Seen.size(), MaxSeen);
-    Message.Seen.assign(Seen.end() - static_cast<ptrdiff_t>(Count), Seen.end());
-    Seen.resize(Seen.size() - Count);
+    PeerMessage Message = this->makeMessage();
+    Message.Seen = takeSome(Seen, MaxListed);
     this->sendWithinHall(encodePeerMessage(Message));
-    // Bytes between halls have a price, and daemons use the servers of their
-    // own hall first: other halls are told of what is bad only.
-    std::erase_if(Message.Seen, [](const Observation &Each) {
-      return Each.Outcome == RequestOutcome::Good;
-    });
-    if (!Message.Seen.empty())
-      this->sendToOtherHalls(encodePeerMessage(Message));
   }
 }
 
+void PeerLink::sendEstimates(std::vector<Estimate> Estimates) {
+  while (!Estimates.empty()) {
+    PeerMessage Message = this->makeMessage();
+    Message.Estimates = takeSome(Estimates, MaxListed);
+    this->sendToOtherHalls(encodePeerMessage(Message));
+  }
+}
+
+size_t PeerLink::countNear() {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  return this->Near.size() + 1;
+}
+
 bool PeerLink::isNew(const PeerMessage &Message) {
   const std::pair<std::string, uint64_t> Mark(Message.Source, Message.Sequence);
   if (!this->Recent.insert(Mark).second)
@@ -219,12 +267,11 @@
   if (Taken.Source == this->Self.Name || !this->isNew(Taken))
     return;
   this->Counters.add(Counter::PeerDatagramsTaken);
-  const bool IsNear = Taken.Hall == this->Self.Hall;
-  if (!IsNear && !Taken.IsRelayed) {
+  if (Taken.Hall != this->Self.Hall && !Taken.IsRelayed) {
     Taken.IsRelayed = true;
     this->sendWithinHall(encodePeerMessage(Taken));
   }
-  this->Handle(Taken.Seen, IsNear);
+  this->Handle(Taken);
 }
 
 void PeerLink::runThread() {
--- a/lib/Health/SpellPolicy.cpp
+++ b/lib/Health/SpellPolicy.cpp
@@ -23,8 +23,8 @@
 /// known of one loses its worth. From a bench day on which every outcome was
 /// logged: about three in ten servers were sick, for three to nine seconds at a
 /// time.
-static constexpr double UsualSickness = 0.2;
-static constexpr Duration MemoryTime = fromSeconds(4);
+static constexpr double UsualSickness = 0.3;
+static constexpr Duration MemoryTime = fromSeconds(4.5);
 
 /// Sickness never leaves this range, so that one outcome can still move it.
 static constexpr double LeastSickness = 0.005;
@@ -34,17 +34,17 @@
 static constexpr double SuspectSickness = 0.4;
 
 /// Shares fall with this power of the probability of being well.
-static constexpr double OrdinaryPower = 3;
-static constexpr double UtmostPower = 6;
+static constexpr double OrdinaryPower = 6;
+static constexpr double UtmostPower = 12;
 
 /// The floor matters once a tenth of the requests go unserved. Below the first
 /// part of failures a server that the floor keeps gets LeastKeptShare, from the
 /// second on MostKeptShare, which is enough to be used by some daemon every
 /// second, and in between what lies between.
-static constexpr double LowFailures = 0.08;
-static constexpr double HighFailures = 0.11;
+static constexpr double LowFailures = 0.10;
+static constexpr double HighFailures = 0.14;
 static constexpr double LeastKeptShare = 0.01;
-static constexpr double MostKeptShare = 0.25;
+static constexpr double MostKeptShare = 0.12;
 
 /// Half-life of the count of recent outcomes; the floor is judged over two
 /// seconds.
@@ -120,7 +120,12 @@
   State.At = Now;
 }
 
-void SpellPolicy::noteRecent(RequestOutcome Outcome, TimePoint Now) {
+/// Counts outcomes at servers that nothing speaks against: what fails at the
+/// others would not if the floor did not keep them in use.
+void SpellPolicy::noteRecent(size_t Server, RequestOutcome Outcome,
+                             TimePoint Now) {
+  if (this->getSickness(Server, Now) >= SuspectSickness)
+    return;
   this->RecentAll.add(1, Now, RecentHalfLife);
   if (Outcome == RequestOutcome::Failed || Outcome == RequestOutcome::Slow)
     this->RecentBad.add(1, Now, RecentHalfLife);
@@ -147,7 +152,7 @@
   ServerState &State = this->Servers[Server];
   State.Counts.add(Outcome);
   this->noteReach(State, Outcome, Now);
-  this->noteRecent(Outcome, Now);
+  this->noteRecent(Server, Outcome, Now);
   this->update(State, Outcome, Now);
   // What this daemon does not reach, others may.
   if (Outcome != RequestOutcome::Unreachable)
@@ -155,12 +160,17 @@
 }
 
 void SpellPolicy::takeObservation(size_t Server, RequestOutcome Outcome,
-                                  bool IsNear, TimePoint Now) {
-  if (IsNear)
-    this->noteRecent(Outcome, Now);
+                                  TimePoint Now) {
+  this->noteRecent(Server, Outcome, Now);
   this->update(this->Servers[Server], Outcome, Now);
 }
 
+void SpellPolicy::takeEstimate(size_t Server, double Sickness, TimePoint Now) {
+  this->Servers[Server].Sickness =
+      std::clamp(Sickness, LeastSickness, MostSickness);
+  this->Servers[Server].At = Now;
+}
+
 int SpellPolicy::findServer(ServerId Id) const {
   const auto Found = this->IndexOfServer.find(Id);
   return Found == this->IndexOfServer.end() ? -1
--- a/lib/Proxy/ServiceRuntime.cpp
+++ b/lib/Proxy/ServiceRuntime.cpp
@@ -302,15 +302,40 @@
   return {};
 }
 
-void ServiceRuntime::takeObservation(const Observation &Seen, bool IsNear,
-                                     TimePoint Now) {
+std::vector<Estimate>
+ServiceRuntime::getNearEstimates(TimePoint Now) const {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  std::vector<Estimate> Estimates;
+  const auto *Spells = std::get_if<SpellPolicy>(&this->Policy);
+  if (!Spells)
+    return Estimates;
+  for (size_t I = 0; I < this->countServers(); ++I)
+    if (this->Selector.isNear(I))
+      Estimates.push_back(
+          {getServerId(this->Config.Name, this->getServer(I).Name),
+           static_cast<int>(Spells->getSickness(I, Now) * 1000)});
+  return Estimates;
+}
+
+void ServiceRuntime::takeEstimate(const Estimate &Given, TimePoint Now) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  auto *Spells = std::get_if<SpellPolicy>(&this->Policy);
+  const int Server = Spells ? Spells->findServer(Given.Server) : -1;
+  // What happens near this daemon it knows better.
+  if (Server < 0 || this->Selector.isNear(static_cast<size_t>(Server)))
+    return;
+  Spells->takeEstimate(static_cast<size_t>(Server), Given.PerMille / 1000.0,
+                       Now);
+}
+
+void ServiceRuntime::takeObservation(const Observation &Seen, TimePoint Now) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   auto *Spells = std::get_if<SpellPolicy>(&this->Policy);
   const int Server = Spells ? Spells->findServer(Seen.Server) : -1;
   if (Server < 0)
     return;
   const auto Index = static_cast<size_t>(Server);
-  Spells->takeObservation(Index, Seen.Outcome, IsNear, Now);
+  Spells->takeObservation(Index, Seen.Outcome, Now);
   if (Seen.Load >= 0)
     this->Selector.noteReportedLoad(Index, Seen.Load, Now);
 }
