--- a/include/canvaswick/Daemon/PeerLink.h
+++ b/include/canvaswick/Daemon/PeerLink.h
@@ -46,6 +46,7 @@
   uint64_t Sequence = 0;
   std::vector<Observation> Seen;
   std::vector<Estimate> Estimates;
+  std::vector<HallRate> Rates;
 
   bool operator==(const PeerMessage &) const = default;
 };
@@ -78,7 +79,8 @@
   void sendObservations(std::vector<Observation> Seen);
 
   /// Tells the other halls.
-  void sendEstimates(std::vector<Estimate> Estimates);
+  void sendEstimates(std::vector<Estimate> Estimates,
+                     std::vector<HallRate> Rates);
 
   /// Returns how many daemons of this hall are known, this one included.
   size_t countNear();
--- a/include/canvaswick/Health/SpellPolicy.h
+++ b/include/canvaswick/Health/SpellPolicy.h
@@ -44,6 +44,16 @@
   bool operator==(const Estimate &) const = default;
 };
 
+/// How many requests of a service a hall sent of late to servers that nothing
+/// speaks against, and how many of them failed. In tenths of a request, fading.
+struct HallRate {
+  ServerId Service = 0;
+  int All = 0;
+  int Bad = 0;
+
+  bool operator==(const HallRate &) const = default;
+};
+
 /// What a request has to lose at a sick server.
 enum class Caution : uint8_t {
   /// It may be sent again, so it may test a server.
@@ -72,6 +82,15 @@
   /// Returns the index of a server, or -1.
   int findServer(ServerId Id) const;
 
+  /// Returns this hall's rate.
+  HallRate getRate(TimePoint Now) const;
+
+  /// Takes another hall's rate.
+  void takeRate(const std::string &Hall, const HallRate &Rate, TimePoint Now);
+
+  /// Notes that a request was sent to a server.
+  void noteUse(size_t Server, TimePoint Now);
+
   void setLeaving(size_t Server, bool IsLeaving, TimePoint Now);
 
   /// Recomputes nothing by itself: shares follow the time they are asked at.
@@ -102,6 +121,10 @@
     double Sickness = 0;
     TimePoint At{};
     bool IsLeaving = false;
+    /// When this daemon or one of its hall last used it.
+    TimePoint UsedAt{};
+    /// When the server's own hall last told what it thinks of it.
+    TimePoint EstimatedAt{};
     /// This daemon does not reach the server until then.
     TimePoint UnreachableUntil{};
     int UnreachableInRow = 0;
@@ -112,7 +135,8 @@
   void noteRecent(size_t Server, RequestOutcome Outcome, TimePoint Now);
   void noteReach(ServerState &State, RequestOutcome Outcome, TimePoint Now);
   std::vector<bool> findKeptByFloor(TimePoint Now) const;
-  double getKeptShare(Caution Care, TimePoint Now) const;
+  double getFailurePart(Caution Care, TimePoint Now) const;
+  double getKeptShare(size_t Server, bool IsTesting, TimePoint Now) const;
   double computeShare(size_t Server, Caution Care, double LeastShare,
                       TimePoint Now) const;
 
@@ -123,6 +147,8 @@
   /// Outcomes of late at servers that look well, own and peers' of this hall.
   DecayingCount RecentAll;
   DecayingCount RecentBad;
+  /// The rates of other halls, and when they came.
+  std::map<std::string, std::pair<HallRate, TimePoint>> OtherRates;
 };
 
 } // namespace canvaswick
--- a/include/canvaswick/Http/HttpClient.h
+++ b/include/canvaswick/Http/HttpClient.h
@@ -72,6 +72,8 @@
   /// and the instant by which the body must be whole.
   Duration StallLimit = Duration::zero();
   TimePoint BodyDeadline = TimePoint::max();
+  /// Asked for a later deadline when the one for the head has passed.
+  std::function<TimePoint()> ExtendDeadline;
   /// How long a new connection may take to come about.
   Duration ConnectLimit = fromSeconds(1);
   /// Takes no connection that was used before, and leaves none behind.
--- a/include/canvaswick/Http/SocketStream.h
+++ b/include/canvaswick/Http/SocketStream.h
@@ -21,6 +21,7 @@
 
 #include <httplib.h>
 
+#include <functional>
 #include <string>
 
 namespace canvaswick {
@@ -40,6 +41,10 @@
   /// Sets the instant after which every read and write fails.
   void setDeadline(TimePoint Deadline);
 
+  /// Asks Extend for a later deadline when the deadline has passed. An empty
+  /// function: it holds.
+  void setDeadlineExtension(std::function<TimePoint()> Extend);
+
   /// Makes a single wait for the peer fail after Limit. Zero: no such bound.
   void setStallLimit(Duration Limit);
 
@@ -105,6 +110,7 @@
 
 private:
   bool waitFor(short Events);
+  bool extendDeadline();
   ssize_t fill();
   bool checkHeadByte(char Byte);
   void escapeHead();
@@ -114,6 +120,7 @@
   int Descriptor;
   int Watched = -1;
   TimePoint Deadline = TimePoint::max();
+  std::function<TimePoint()> Extend;
   Duration StallLimit = Duration::zero();
   std::string Buffer;
   size_t BufferAt = 0;
--- a/include/canvaswick/Proxy/RequestProxy.h
+++ b/include/canvaswick/Proxy/RequestProxy.h
@@ -56,6 +56,9 @@
   /// Takes new limits of organisations.
   void configure(const FleetConfig &Config);
 
+  /// Breaks nothing off any more that a server works on.
+  void beginStop() { this->IsStopping = true; }
+
   /// Forgets organisations that are idle.
   void forgetIdle(TimePoint Now);
 
@@ -106,6 +109,7 @@
   std::mutex OrganisationMutex;
   OrganisationLimiter Organisations;
   std::atomic<uint64_t> NextRequest{1};
+  std::atomic<bool> IsStopping{false};
 };
 
 } // namespace canvaswick
--- a/include/canvaswick/Proxy/ServiceRuntime.h
+++ b/include/canvaswick/Proxy/ServiceRuntime.h
@@ -52,6 +52,8 @@
 /// What of a request decides which server it may go to.
 struct AttemptNeeds {
   RouteClass Class = RouteClass::Repeatable;
+  /// Whether a failure of this attempt would be final.
+  bool IsLast = true;
   /// Servers that were tried before.
   std::vector<size_t> Tried;
 };
@@ -133,6 +135,12 @@
   /// Returns what this daemon thinks of the servers in its own hall.
   std::vector<Estimate> getNearEstimates(TimePoint Now) const;
 
+  /// Returns how this hall's requests fare of late.
+  HallRate getRate(TimePoint Now) const;
+
+  /// Takes how another hall's requests fare, if Rate is about this service.
+  void takeRate(const std::string &Hall, const HallRate &Rate, TimePoint Now);
+
   /// Takes what a daemon of another hall thinks of a server there.
   void takeEstimate(const Estimate &Given, TimePoint Now);
 
@@ -175,7 +183,7 @@
   Policies makePolicy(const DaemonIdentity &Identity) const;
   FleetRepeatBudgetRef makeRepeats(const DaemonIdentity &Identity,
                                    const ServiceRuntime *Previous) const;
-  std::vector<double> getShares(RouteClass Class, TimePoint Now) const;
+  std::vector<double> getShares(const AttemptNeeds &Needs, TimePoint Now) const;
   void applyLeaving(size_t Server, TimePoint Now);
   std::vector<int> matchServers(const ServiceRuntime &Other) const;
   SelectionRules makeSelectionRules(RouteClass Class) const;
--- a/lib/Daemon/Gateway.cpp
+++ b/lib/Daemon/Gateway.cpp
@@ -210,7 +210,10 @@
     const std::vector<Estimate> More = Service->getNearEstimates(Now);
     Estimates.insert(Estimates.end(), More.begin(), More.end());
   }
-  this->Peers->sendEstimates(std::move(Estimates));
+  std::vector<HallRate> Rates;
+  for (const ServiceRuntimeRef &Service : Current.getServices())
+    Rates.push_back(Service->getRate(Now));
+  this->Peers->sendEstimates(std::move(Estimates), std::move(Rates));
 }
 
 void Gateway::Impl::takeMessage(const PeerMessage &Message) {
@@ -223,6 +226,8 @@
       Service->takeObservation(Each, Now);
     for (const Estimate &Each : Message.Estimates)
       Service->takeEstimate(Each, Now);
+    for (const HallRate &Each : Message.Rates)
+      Service->takeRate(Message.Hall, Each, Now);
   }
 }
 
@@ -283,6 +288,7 @@
 
 void Gateway::Impl::beginStop() {
   this->IsStopping = true;
+  this->Proxy.beginStop();
   this->Callers->beginClosing();
   logInfo("daemon-stopping", "in-flight={}", this->Callers->countInFlight());
 }
--- a/lib/Daemon/PeerLink.cpp
+++ b/lib/Daemon/PeerLink.cpp
@@ -30,7 +30,8 @@
 static constexpr size_t MaxDatagramBytes = 1400;
 
 /// Observations or estimates in one datagram; at under 25 bytes each they fit.
-static constexpr size_t MaxListed = 48;
+static constexpr size_t MaxListed = 40;
+static constexpr size_t MaxRates = 10;
 
 /// Messages that are remembered, to leave out what comes twice.
 static constexpr size_t RecentKept = 512;
@@ -61,6 +62,13 @@
     Pair.append(Each.PerMille);
     Value["thinks"].append(Pair);
   }
+  for (const HallRate &Each : Message.Rates) {
+    Json::Value Row(Json::arrayValue);
+    Row.append(fmt::format("{:x}", Each.Service));
+    Row.append(Each.All);
+    Row.append(Each.Bad);
+    Value["rates"].append(Row);
+  }
   return writeJson(Value);
 }
 
@@ -73,6 +81,15 @@
   return Code == std::errc() && Rest == End;
 }
 
+static bool decodeRate(const Json::Value &Row, HallRate &Rate) {
+  if (!Row.isArray() || Row.size() != 3 || !Row[1].isInt() || !Row[2].isInt())
+    return false;
+  Rate.All = Row[1].asInt();
+  Rate.Bad = Row[2].asInt();
+  return Rate.Bad >= 0 && Rate.All >= Rate.Bad &&
+         decodeServerId(Row[0], Rate.Service);
+}
+
 static bool decodeEstimate(const Json::Value &Pair, Estimate &Given) {
   if (!Pair.isArray() || Pair.size() != 2 || !Pair[1].isInt())
     return false;
@@ -113,6 +130,15 @@
       return makeError(ErrorKind::InvalidArgument, "not an observation");
     Message.Seen.push_back(Seen);
   }
+  const Json::Value &Rates = Value["rates"];
+  if (!Rates.isNull() && !Rates.isArray())
+    return makeError(ErrorKind::InvalidArgument, "not rates");
+  for (const Json::Value &Row : Rates) {
+    HallRate Rate;
+    if (!decodeRate(Row, Rate))
+      return makeError(ErrorKind::InvalidArgument, "not a rate");
+    Message.Rates.push_back(Rate);
+  }
   const Json::Value &Estimates = Value["thinks"];
   if (!Estimates.isNull() && !Estimates.isArray())
     return makeError(ErrorKind::InvalidArgument, "not estimates");
@@ -230,9 +256,11 @@
   }
 }
 
-void PeerLink::sendEstimates(std::vector<Estimate> Estimates) {
-  while (!Estimates.empty()) {
+void PeerLink::sendEstimates(std::vector<Estimate> Estimates,
+                             std::vector<HallRate> Rates) {
+  while (!Estimates.empty() || !Rates.empty()) {
     PeerMessage Message = this->makeMessage();
+    Message.Rates = takeSome(Rates, MaxRates);
     Message.Estimates = takeSome(Estimates, MaxListed);
     this->sendToOtherHalls(encodePeerMessage(Message));
   }
--- a/lib/Health/SpellPolicy.cpp
+++ b/lib/Health/SpellPolicy.cpp
@@ -34,21 +34,37 @@
 static constexpr double SuspectSickness = 0.4;
 
 /// Shares fall with this power of the probability of being well.
-static constexpr double OrdinaryPower = 6;
-static constexpr double UtmostPower = 12;
-
-/// The floor matters once a tenth of the requests go unserved. Below the first
-/// part of failures a server that the floor keeps gets LeastKeptShare, from the
-/// second on MostKeptShare, which is enough to be used by some daemon every
-/// second, and in between what lies between.
-static constexpr double LowFailures = 0.10;
-static constexpr double HighFailures = 0.14;
+static constexpr double OrdinaryPower = 3;
+static constexpr double UtmostPower = 10;
+
+/// The floor matters once a tenth of a service's requests go unserved. From
+/// this part of failures on, each server that it keeps is used every now and
+/// then: one that nobody of its hall has used for UnusedLimit gets TestShare,
+/// as much as a well one, and its next request soon. The floor is judged over
+/// two seconds.
+static constexpr double FloorFailures = 0.09;
+static constexpr Duration UnusedLimit = fromMillis(1000);
+static constexpr double TestShare = 0.6;
 static constexpr double LeastKeptShare = 0.01;
-static constexpr double MostKeptShare = 0.12;
 
-/// Half-life of the count of recent outcomes; the floor is judged over two
-/// seconds.
-static constexpr Duration RecentHalfLife = fromSeconds(1);
+/// Servers kept beyond the floor, for those that leave or fall sick meanwhile.
+static constexpr double ExtraKept = 0.5;
+
+/// A request that is late and still out may be served after all.
+static constexpr double LateFailure = 0.5;
+
+/// Without word from another hall for this long, its servers are looked after
+/// as if they were near.
+static constexpr Duration EstimateLife = fromSeconds(2);
+
+/// Half-life of the count of recent outcomes.
+static constexpr Duration RecentHalfLife = fromSeconds(1.4);
+
+/// A server up to this likely sick is one that nothing speaks against.
+static constexpr double TrustedSickness = 0.25;
+
+/// How long another hall's rate counts.
+static constexpr Duration RateLife = fromSeconds(2);
 
 /// Outcomes that are imagined to have gone well, so that a quiet service's
 /// first failure is not taken for a rate.
@@ -124,11 +140,13 @@
 /// others would not if the floor did not keep them in use.
 void SpellPolicy::noteRecent(size_t Server, RequestOutcome Outcome,
                              TimePoint Now) {
-  if (this->getSickness(Server, Now) >= SuspectSickness)
+  if (this->getSickness(Server, Now) > TrustedSickness)
     return;
   this->RecentAll.add(1, Now, RecentHalfLife);
-  if (Outcome == RequestOutcome::Failed || Outcome == RequestOutcome::Slow)
+  if (Outcome == RequestOutcome::Failed)
     this->RecentBad.add(1, Now, RecentHalfLife);
+  if (Outcome == RequestOutcome::Slow)
+    this->RecentBad.add(LateFailure, Now, RecentHalfLife);
 }
 
 /// Keeps track of whether this daemon reaches the server at all, which says
@@ -162,6 +180,7 @@
 void SpellPolicy::takeObservation(size_t Server, RequestOutcome Outcome,
                                   TimePoint Now) {
   this->noteRecent(Server, Outcome, Now);
+  this->noteUse(Server, Now);
   this->update(this->Servers[Server], Outcome, Now);
 }
 
@@ -169,6 +188,7 @@
   this->Servers[Server].Sickness =
       std::clamp(Sickness, LeastSickness, MostSickness);
   this->Servers[Server].At = Now;
+  this->Servers[Server].EstimatedAt = Now;
 }
 
 int SpellPolicy::findServer(ServerId Id) const {
@@ -197,22 +217,39 @@
     return Sickness[Left] < Sickness[Right];
   });
   const double Least =
-      static_cast<double>(Order.size()) * this->Setup.FloorPercent / 100;
+      static_cast<double>(Order.size()) * this->Setup.FloorPercent / 100 +
+      ExtraKept;
   std::vector<bool> Kept(this->Servers.size(), false);
   for (size_t I = 0; I < Order.size() && static_cast<double>(I) < Least; ++I)
     Kept[Order[I]] = true;
   return Kept;
 }
 
-double SpellPolicy::getKeptShare(Caution Care, TimePoint Now) const {
-  const double All = this->RecentAll.get(Now, RecentHalfLife) + ImaginedGood;
-  double Failures = this->RecentBad.get(Now, RecentHalfLife) / All;
+double SpellPolicy::getFailurePart(Caution Care, TimePoint Now) const {
+  double All = this->RecentAll.get(Now, RecentHalfLife) + ImaginedGood;
+  double Bad = this->RecentBad.get(Now, RecentHalfLife);
+  for (const auto &[Hall, Rate] : this->OtherRates) {
+    if (Now - Rate.second > RateLife)
+      continue;
+    All += Rate.first.All / 10.0;
+    Bad += Rate.first.Bad / 10.0;
+  }
+  const double Failures = Bad / All;
   // What may be sent again goes unserved only if it fails twice.
-  if (Care == Caution::Ordinary)
-    Failures *= Failures;
-  const double Part = std::clamp(
-      (Failures - LowFailures) / (HighFailures - LowFailures), 0.0, 1.0);
-  return LeastKeptShare + (MostKeptShare - LeastKeptShare) * Part;
+  return Care == Caution::Ordinary ? Failures * Failures : Failures;
+}
+
+void SpellPolicy::noteUse(size_t Server, TimePoint Now) {
+  this->Servers[Server].UsedAt = Now;
+}
+
+/// Returns the least share of a server that the floor keeps in use.
+double SpellPolicy::getKeptShare(size_t Server, bool IsTesting,
+                                 TimePoint Now) const {
+  const ServerState &State = this->Servers[Server];
+  const bool IsOwn = Now - State.EstimatedAt > EstimateLife;
+  const bool IsUnused = Now - State.UsedAt > UnusedLimit;
+  return IsTesting && IsOwn && IsUnused ? TestShare : LeastKeptShare;
 }
 
 double SpellPolicy::computeShare(size_t Server, Caution Care, double LeastShare,
@@ -232,10 +269,14 @@
 
 std::vector<double> SpellPolicy::getShares(Caution Care, TimePoint Now) const {
   const std::vector<bool> Kept = this->findKeptByFloor(Now);
-  const double KeptShare = this->getKeptShare(Care, Now);
+  const bool IsTesting = this->getFailurePart(Care, Now) >= FloorFailures;
   std::vector<double> Shares(this->Servers.size());
   for (size_t I = 0; I < Shares.size(); ++I)
-    Shares[I] = this->computeShare(I, Care, Kept[I] ? KeptShare : 0, Now);
+    Shares[I] = this->computeShare(I, Care, 
+                                    Kept[I]
+                                        ? this->getKeptShare(I, IsTesting, Now)
+                                        : 0,
+                                    Now);
   return Shares;
 }
 
@@ -243,6 +284,18 @@
   return this->getShares(Care, Now)[Server];
 }
 
+HallRate SpellPolicy::getRate(TimePoint Now) const {
+  const auto Tenths = [Now](const DecayingCount &Count) {
+    return static_cast<int>(std::lround(10 * Count.get(Now, RecentHalfLife)));
+  };
+  return {0, Tenths(this->RecentAll), Tenths(this->RecentBad)};
+}
+
+void SpellPolicy::takeRate(const std::string &Hall, const HallRate &Rate,
+                           TimePoint Now) {
+  this->OtherRates[Hall] = {Rate, Now};
+}
+
 std::vector<Observation> SpellPolicy::takeNews() {
   std::vector<Observation> Taken;
   Taken.swap(this->News);
@@ -251,6 +304,9 @@
 
 void SpellPolicy::adopt(const SpellPolicy &Other, TimePoint) {
   this->News = Other.News;
+  this->RecentAll = Other.RecentAll;
+  this->RecentBad = Other.RecentBad;
+  this->OtherRates = Other.OtherRates;
   for (size_t I = 0; I < this->Servers.size(); ++I) {
     const auto Found = Other.IndexOfServer.find(this->Servers[I].Config.Id);
     if (Found == Other.IndexOfServer.end())
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -260,6 +260,7 @@
     return Result;
   Stream->beginHead(MaxAnswerHeadBytes);
   Stream->setDeadline(Deadline);
+  Stream->setDeadlineExtension(Outgoing.ExtendDeadline);
   Stream->watchHangUp(HangUp);
   httplib::Request Request = buildRequest(Endpoint, Outgoing);
   httplib::Response Response;
@@ -270,6 +271,7 @@
   const bool IsDone = Exchanger.run(*Stream, Request, Response, Error);
   Stream->watchHangUp(-1);
   Stream->setStallLimit(Duration::zero());
+  Stream->setDeadlineExtension(nullptr);
   Result.BytesSent = Stream->countBytesWritten();
   Result.BytesReceived = Stream->countBytesRead();
   // An answer without a body by its method or status never calls the hook.
--- a/lib/Http/SocketStream.cpp
+++ b/lib/Http/SocketStream.cpp
@@ -41,6 +41,21 @@
   this->Deadline = Deadline;
 }
 
+void SocketStream::setDeadlineExtension(std::function<TimePoint()> Extend) {
+  this->Extend = std::move(Extend);
+}
+
+/// Returns whether the deadline has been moved.
+bool SocketStream::extendDeadline() {
+  if (!this->Extend)
+    return false;
+  const TimePoint Later = this->Extend();
+  if (Later <= this->Deadline)
+    return false;
+  this->Deadline = Later;
+  return true;
+}
+
 void SocketStream::setStallLimit(Duration Limit) { this->StallLimit = Limit; }
 
 void SocketStream::watchHangUp(int Descriptor) { this->Watched = Descriptor; }
@@ -107,6 +122,10 @@
     const Duration Left = Until == TimePoint::max() ? fromSeconds(3600)
                                                     : Until - readSteadyClock();
     if (Left <= Duration::zero()) {
+      if (Until == this->Deadline && this->extendDeadline()) {
+        Until = this->Deadline;
+        continue;
+      }
       this->Failure = StreamFailure::Timeout;
       return false;
     }
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -49,6 +49,9 @@
       Request.WasCanceled = true;
       break;
     }
+    Needs.IsLast = !mayRepeat(*Request.Route) ||
+                   Request.Tries + 1 >= this->getMaxAttempts(Request) ||
+                   !Request.Service->hasRepeat(Now);
     Attempt Current;
     if (!Request.Service->begin(Current, Needs, Now)) {
       Request.HasNoServer = Needs.Tried.empty();
@@ -186,11 +189,19 @@
                           return Relay.takeBody(Data, Size);
                         }};
   const ServerConfig &Server = Request.Service->getServer(Current.Server);
-  const OutgoingRequest Outgoing =
+  OutgoingRequest Outgoing =
       this->buildOutgoing(Request, Relay, Server, RequestId);
   bool IsPatience = false;
   const TimePoint Deadline = this->chooseAttemptDeadline(
       Request, Relay, readSteadyClock(), IsPatience);
+  // A daemon that is stopping breaks nothing off that a server works on.
+  if (IsPatience)
+    Outgoing.ExtendDeadline = [this, &Request, &IsPatience] {
+      if (!this->IsStopping)
+        return TimePoint{};
+      IsPatience = false;
+      return Request.Deadline;
+    };
   // A claimed request is run once: its answer is wanted even if this caller
   // has left.
   const bool MayCancel = Request.IsBodyWhole && !Request.HasClaim;
--- a/lib/Proxy/ServiceRuntime.cpp
+++ b/lib/Proxy/ServiceRuntime.cpp
@@ -109,10 +109,9 @@
   return Budget;
 }
 
-std::vector<double> ServiceRuntime::getShares(RouteClass Class,
+std::vector<double> ServiceRuntime::getShares(const AttemptNeeds &Needs,
                                               TimePoint Now) const {
-  const Caution Care =
-      Class == RouteClass::Once ? Caution::Utmost : Caution::Ordinary;
+  const Caution Care = Needs.IsLast ? Caution::Utmost : Caution::Ordinary;
   if (const auto *Spells = std::get_if<SpellPolicy>(&this->Policy))
     return Spells->getShares(Care, Now);
   const auto &Pooled = std::get<PooledPolicy>(this->Policy);
@@ -224,7 +223,7 @@
 bool ServiceRuntime::begin(Attempt &Next, const AttemptNeeds &Needs,
                            TimePoint Now) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
-  const std::vector<double> Shares = this->getShares(Needs.Class, Now);
+  const std::vector<double> Shares = this->getShares(Needs, Now);
   const int Server = this->Selector.pick(Shares, Needs.Tried, Now, this->Random,
                                          this->makeSelectionRules(Needs.Class));
   if (Server < 0)
@@ -234,6 +233,8 @@
   Next.IsNotedLate = false;
   Next.Share = Shares[Next.Server];
   this->Selector.begin(Next.Server);
+  if (auto *Spells = std::get_if<SpellPolicy>(&this->Policy))
+    Spells->noteUse(Next.Server, Now);
   this->Attempts.push_back(Next);
   return true;
 }
@@ -317,6 +318,28 @@
   return Estimates;
 }
 
+/// The name that a service has in messages between daemons.
+static ServerId getServiceId(const ServiceConfig &Config) {
+  return hashText(Config.Name);
+}
+
+HallRate ServiceRuntime::getRate(TimePoint Now) const {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  HallRate Rate;
+  if (const auto *Spells = std::get_if<SpellPolicy>(&this->Policy))
+    Rate = Spells->getRate(Now);
+  Rate.Service = getServiceId(this->Config);
+  return Rate;
+}
+
+void ServiceRuntime::takeRate(const std::string &Hall, const HallRate &Rate,
+                              TimePoint Now) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  auto *Spells = std::get_if<SpellPolicy>(&this->Policy);
+  if (Spells && Rate.Service == getServiceId(this->Config))
+    Spells->takeRate(Hall, Rate, Now);
+}
+
 void ServiceRuntime::takeEstimate(const Estimate &Given, TimePoint Now) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   auto *Spells = std::get_if<SpellPolicy>(&this->Policy);
