--- a/include/canvaswick/Health/Outcome.h
+++ b/include/canvaswick/Health/Outcome.h
@@ -34,6 +34,8 @@
   Canceled,
   /// No connection came about.
   Unreachable,
+  /// Still out after half of the time it may take.
+  Overdue,
 };
 
 /// Returns the name of an outcome as reports print it.
@@ -53,7 +55,7 @@
   void add(RequestOutcome Outcome) {
     if (Outcome == RequestOutcome::Good)
       ++this->Good;
-    if (Outcome == RequestOutcome::Slow)
+    if (Outcome == RequestOutcome::Slow || Outcome == RequestOutcome::Overdue)
       ++this->Slow;
     if (Outcome == RequestOutcome::Failed ||
         Outcome == RequestOutcome::Unreachable)
--- a/include/canvaswick/Proxy/ServiceRuntime.h
+++ b/include/canvaswick/Proxy/ServiceRuntime.h
@@ -42,7 +42,10 @@
 struct Attempt : boost::intrusive::list_base_hook<> {
   size_t Server = 0;
   TimePoint Began{};
+  /// When it may take no longer.
+  TimePoint Deadline{};
   bool IsNotedLate = false;
+  bool IsNotedOverdue = false;
   /// What the answer told of the server's load, or -1.
   int Load = -1;
   /// Part of its fair share that the server had when it was chosen.
@@ -52,6 +55,7 @@
 /// What of a request decides which server it may go to.
 struct AttemptNeeds {
   RouteClass Class = RouteClass::Repeatable;
+  TimePoint Deadline{};
   /// Whether a failure of this attempt would be final.
   bool IsLast = true;
   /// Servers that were tried before.
@@ -187,6 +191,7 @@
   void applyLeaving(size_t Server, TimePoint Now);
   std::vector<int> matchServers(const ServiceRuntime &Other) const;
   SelectionRules makeSelectionRules(RouteClass Class) const;
+  void noteUnderWay(Attempt &Each, TimePoint Now);
   void recordOutcome(size_t Server, RequestOutcome Outcome, TimePoint Now,
                      int Load);
   ShareExplanation explain(size_t Server, TimePoint Now) const;
--- a/lib/Health/Outcome.cpp
+++ b/lib/Health/Outcome.cpp
@@ -16,13 +16,14 @@
 
 namespace canvaswick {
 
-static constexpr EnumNames<RequestOutcome, 6> RequestOutcomeNames = {{
+static constexpr EnumNames<RequestOutcome, 7> RequestOutcomeNames = {{
     {RequestOutcome::Good, "good"},
     {RequestOutcome::Slow, "slow"},
     {RequestOutcome::Failed, "failed"},
     {RequestOutcome::Shed, "shed"},
     {RequestOutcome::Canceled, "canceled"},
     {RequestOutcome::Unreachable, "unreachable"},
+    {RequestOutcome::Overdue, "overdue"},
 }};
 
 const char *getName(RequestOutcome Outcome) {
--- a/lib/Health/SpellPolicy.cpp
+++ b/lib/Health/SpellPolicy.cpp
@@ -50,9 +50,6 @@
 /// Servers kept beyond the floor, for those that leave or fall sick meanwhile.
 static constexpr double ExtraKept = 0.5;
 
-/// A request that is late and still out may be served after all.
-static constexpr double LateFailure = 0.5;
-
 /// Without word from another hall for this long, its servers are looked after
 /// as if they were near.
 static constexpr Duration EstimateLife = fromSeconds(2);
@@ -94,6 +91,8 @@
     return {0.35, 0.96};
   case RequestOutcome::Slow:
     return {0.30, 0.04};
+  case RequestOutcome::Overdue:
+    return {0.40, 0.02};
   case RequestOutcome::Failed:
     return {0.60, 0.016};
   case RequestOutcome::Shed:
@@ -143,10 +142,9 @@
   if (this->getSickness(Server, Now) > TrustedSickness)
     return;
   this->RecentAll.add(1, Now, RecentHalfLife);
-  if (Outcome == RequestOutcome::Failed)
+  // A late answer is served all the same; one that is overdue hardly ever.
+  if (Outcome == RequestOutcome::Failed || Outcome == RequestOutcome::Overdue)
     this->RecentBad.add(1, Now, RecentHalfLife);
-  if (Outcome == RequestOutcome::Slow)
-    this->RecentBad.add(LateFailure, Now, RecentHalfLife);
 }
 
 /// Keeps track of whether this daemon reaches the server at all, which says
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -39,6 +39,7 @@
 void RequestProxy::runAttempts(Flow &Request, AnswerRelay &Relay) {
   AttemptNeeds Needs;
   Needs.Class = Request.Route->Class;
+  Needs.Deadline = Request.Deadline;
   size_t Unreachable = 0;
   while (Request.Tries < this->getMaxAttempts(Request) &&
          Unreachable < MaxUnreachable) {
--- a/lib/Proxy/ServiceRuntime.cpp
+++ b/lib/Proxy/ServiceRuntime.cpp
@@ -230,7 +230,9 @@
     return false;
   Next.Server = static_cast<size_t>(Server);
   Next.Began = Now;
+  Next.Deadline = Needs.Deadline;
   Next.IsNotedLate = false;
+  Next.IsNotedOverdue = false;
   Next.Share = Shares[Next.Server];
   this->Selector.begin(Next.Server);
   if (auto *Spells = std::get_if<SpellPolicy>(&this->Policy))
@@ -253,6 +255,9 @@
     this->Latency.add(Took);
   if (Ended.Load >= 0)
     this->Selector.noteReportedLoad(Ended.Server, Ended.Load, Now);
+  // One that was overdue has been counted as it will end.
+  if (Ended.IsNotedOverdue && Evidence == RequestOutcome::Failed)
+    return;
   // A late request was counted as slow while it was under way.
   if (Evidence == RequestOutcome::Slow && Ended.IsNotedLate)
     return;
@@ -284,15 +289,26 @@
   return this->FleetRepeats && this->FleetRepeats->hasRoom(Now);
 }
 
-void ServiceRuntime::advance(TimePoint Now) {
-  std::lock_guard<std::mutex> Lock(this->Mutex);
-  const Duration SlowAfter = this->Latency.getSlowAfter();
-  for (Attempt &Each : this->Attempts) {
-    if (Each.IsNotedLate || Now - Each.Began <= SlowAfter)
-      continue;
+/// Takes what an attempt shows before it ends.
+void ServiceRuntime::noteUnderWay(Attempt &Each, TimePoint Now) {
+  const Duration Elapsed = Now - Each.Began;
+  if (!Each.IsNotedLate && Elapsed > this->Latency.getSlowAfter()) {
     Each.IsNotedLate = true;
     this->recordOutcome(Each.Server, RequestOutcome::Slow, Now, -1);
   }
+  // The own interface's policy knows of late requests only.
+  const bool IsOverdue = Elapsed > (Each.Deadline - Each.Began) / 2;
+  if (Each.IsNotedOverdue || !IsOverdue ||
+      std::holds_alternative<PooledPolicy>(this->Policy))
+    return;
+  Each.IsNotedOverdue = true;
+  this->recordOutcome(Each.Server, RequestOutcome::Overdue, Now, -1);
+}
+
+void ServiceRuntime::advance(TimePoint Now) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  for (Attempt &Each : this->Attempts)
+    this->noteUnderWay(Each, Now);
   std::visit([Now](auto &Own) { Own.advance(Now); }, this->Policy);
 }
 
