--- a/lib/Health/SpellPolicy.cpp
+++ b/lib/Health/SpellPolicy.cpp
@@ -24,7 +24,7 @@
 /// logged: about three in ten servers were sick, for three to nine seconds at a
 /// time.
 static constexpr double UsualSickness = 0.3;
-static constexpr Duration MemoryTime = fromSeconds(4.5);
+static constexpr Duration MemoryTime = fromSeconds(3.5);
 
 /// Sickness never leaves this range, so that one outcome can still move it.
 static constexpr double LeastSickness = 0.005;
@@ -34,8 +34,8 @@
 static constexpr double SuspectSickness = 0.4;
 
 /// Shares fall with this power of the probability of being well.
-static constexpr double OrdinaryPower = 3;
-static constexpr double UtmostPower = 10;
+static constexpr double OrdinaryPower = 4;
+static constexpr double UtmostPower = 20;
 
 /// The floor matters once a tenth of a service's requests go unserved. From
 /// this part of failures on, each server that it keeps is used every now and
@@ -45,7 +45,11 @@
 static constexpr double FloorFailures = 0.09;
 static constexpr Duration UnusedLimit = fromMillis(1000);
 static constexpr double TestShare = 0.6;
-static constexpr double LeastKeptShare = 0.01;
+
+/// Otherwise a server that nobody of its hall has used for this long is tested
+/// once it is no more than TestSickness likely sick, whatever its share.
+static constexpr Duration TestAfter = fromSeconds(2);
+static constexpr double TestSickness = 0.5;
 
 /// Servers kept beyond the floor, for those that leave or fall sick meanwhile.
 static constexpr double ExtraKept = 0.5;
@@ -241,16 +245,19 @@
   this->Servers[Server].UsedAt = Now;
 }
 
-/// Returns the least share of a server that the floor keeps in use.
-double SpellPolicy::getKeptShare(size_t Server, bool IsTesting,
-                                 TimePoint Now) const {
+/// Returns whether a server's next request should come soon: the floor keeps it
+/// in use, or it may be well again.
+bool SpellPolicy::isTestDue(size_t Server, bool IsKept, TimePoint Now) const {
   const ServerState &State = this->Servers[Server];
-  const bool IsOwn = Now - State.EstimatedAt > EstimateLife;
-  const bool IsUnused = Now - State.UsedAt > UnusedLimit;
-  return IsTesting && IsOwn && IsUnused ? TestShare : LeastKeptShare;
+  // The daemons near a server look after it.
+  if (Now - State.EstimatedAt <= EstimateLife)
+    return false;
+  const Duration Unused = Now - State.UsedAt;
+  return (IsKept && Unused > UnusedLimit) ||
+         (Unused > TestAfter && this->getSickness(Server, Now) <= TestSickness);
 }
 
-double SpellPolicy::computeShare(size_t Server, Caution Care, double LeastShare,
+double SpellPolicy::computeShare(size_t Server, Caution Care, bool IsKept,
                                  TimePoint Now) const {
   const ServerState &State = this->Servers[Server];
   if (State.IsLeaving)
@@ -258,7 +265,8 @@
   const double Power =
       Care == Caution::Utmost ? UtmostPower : OrdinaryPower;
   double Share = std::pow(1 - this->getSickness(Server, Now), Power);
-  Share = std::max(Share, LeastShare);
+  if (this->isTestDue(Server, IsKept, Now))
+    Share = std::max(Share, TestShare);
   // Nothing that does not arrive helps the floor.
   if (Now < State.UnreachableUntil)
     Share *= 0.01;
@@ -267,14 +275,11 @@
 
 std::vector<double> SpellPolicy::getShares(Caution Care, TimePoint Now) const {
   const std::vector<bool> Kept = this->findKeptByFloor(Now);
-  const bool IsTesting = this->getFailurePart(Care, Now) >= FloorFailures;
+  const bool IsFloorNear = this->getFailurePart(Care, Now) >= FloorFailures;
   std::vector<double> Shares(this->Servers.size());
   for (size_t I = 0; I < Shares.size(); ++I)
     Shares[I] = this->computeShare(I, Care, 
-                                    Kept[I]
-                                        ? this->getKeptShare(I, IsTesting, Now)
-                                        : 0,
-                                    Now);
+                                    IsFloorNear && Kept[I], Now);
   return Shares;
 }
 
@@ -318,7 +323,7 @@
 ShareExplanation SpellPolicy::explain(size_t Server, TimePoint Now) const {
   const ServerState &State = this->Servers[Server];
   ShareExplanation Explanation;
-  Explanation.WantedShare = this->computeShare(Server, Caution::Utmost, 0, Now);
+  Explanation.WantedShare = std::pow(1 - this->getSickness(Server, Now), UtmostPower);
   Explanation.Share = this->getShare(Server, Caution::Utmost, Now);
   Explanation.OwnScore = this->getSickness(Server, Now);
   Explanation.OwnCounts = State.Counts;
