--- a/lib/Daemon/PeerLink.cpp
+++ b/lib/Daemon/PeerLink.cpp
@@ -49,7 +49,6 @@
   Value["seen"] = Json::arrayValue;
   for (const Observation &Each : Message.Seen) {
     Json::Value Pair(Json::arrayValue);
-    // A number of 64 bits does not survive every JSON reader.
     Pair.append(fmt::format("{:x}", Each.Server));
     Pair.append(static_cast<int>(Each.Outcome));
     if (Each.Load >= 0)
--- a/lib/Health/SpellPolicy.cpp
+++ b/lib/Health/SpellPolicy.cpp
@@ -24,7 +24,7 @@
 /// logged: about three in ten servers were sick, for three to nine seconds at a
 /// time.
 static constexpr double UsualSickness = 0.3;
-static constexpr Duration MemoryTime = fromSeconds(3.5);
+static constexpr Duration MemoryTime = fromSeconds(3);
 
 /// Sickness never leaves this range, so that one outcome can still move it.
 static constexpr double LeastSickness = 0.005;
@@ -34,8 +34,8 @@
 static constexpr double SuspectSickness = 0.4;
 
 /// Shares fall with this power of the probability of being well.
-static constexpr double OrdinaryPower = 4;
-static constexpr double UtmostPower = 20;
+static constexpr double OrdinaryPower = 3;
+static constexpr double UtmostPower = 9;
 
 /// The floor matters once a tenth of a service's requests go unserved. From
 /// this part of failures on, each server that it keeps is used every now and
--- a/lib/Proxy/ServiceRuntime.cpp
+++ b/lib/Proxy/ServiceRuntime.cpp
@@ -336,7 +336,7 @@
 
 /// The name that a service has in messages between daemons.
 static ServerId getServiceId(const ServiceConfig &Config) {
-  return hashText(Config.Name);
+  return static_cast<ServerId>(hashText(Config.Name));
 }
 
 HallRate ServiceRuntime::getRate(TimePoint Now) const {
--- /dev/null
+++ b/unittests/Admission/FleetRepeatBudgetTest.cpp
@@ -0,0 +1,126 @@
+//===- FleetRepeatBudgetTest.cpp - Tests of the fleet's budget of repeats -===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Whatever the daemons do, together they stay within the fleet's allowance.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Admission/FleetRepeatBudget.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <memory>
+#include <vector>
+
+using namespace canvaswick;
+
+static constexpr RepeatAllowance Allowance{0.2, fromSeconds(10), 58};
+static constexpr TimePoint Start{fromSeconds(1000)};
+
+TEST_CASE("repeats follow the daemon's own requests and its part of the rest") {
+  FleetRepeatBudget Budget(Allowance, Start);
+  Budget.configure(Allowance, 40);
+  const TimePoint Later = Start + fromSeconds(20);
+  // 58 * 0.8 / 40 = 1.16 without any request.
+  CHECK(Budget.tryTake(Later));
+  CHECK_FALSE(Budget.tryTake(Later));
+  for (int I = 0; I < 50; ++I)
+    Budget.noteRequest(Later);
+  int Taken = 0;
+  while (Budget.tryTake(Later))
+    ++Taken;
+  CHECK(Taken == 8);
+  // A window later all is forgotten.
+  CHECK(Budget.tryTake(Later + fromSeconds(11)));
+}
+
+TEST_CASE("a process that has just started takes nothing of the reserve") {
+  FleetRepeatBudget Budget(Allowance, Start);
+  CHECK_FALSE(Budget.tryTake(Start + fromSeconds(9)));
+  CHECK(Budget.tryTake(Start + fromSeconds(11)));
+}
+
+TEST_CASE("fewer daemons in view do not raise a daemon's part") {
+  FleetRepeatBudget Budget(Allowance, Start);
+  Budget.configure(Allowance, 40);
+  Budget.configure(Allowance, 3);
+  CHECK(Budget.getAllowed(Start + fromSeconds(20)) < 2);
+}
+
+namespace {
+
+/// A fleet with an oracle that has seen every request and repeat.
+struct Fleet {
+  std::vector<std::unique_ptr<FleetRepeatBudget>> Daemons;
+  std::vector<TimePoint> Requests;
+  std::vector<TimePoint> Repeats;
+
+  static size_t countWithin(const std::vector<TimePoint> &Instants,
+                            TimePoint From, TimePoint Until) {
+    return static_cast<size_t>(
+        std::count_if(Instants.begin(), Instants.end(), [&](TimePoint At) {
+          return At > From && At <= Until;
+        }));
+  }
+
+  /// The allowance counts the requests of the window or, where these are more,
+  /// those of a window that lies up to one window before.
+  bool isWithinAllowance(TimePoint Until) const {
+    const TimePoint From = Until - Allowance.Window;
+    const size_t Sent = countWithin(this->Repeats, From, Until);
+    size_t Most = 0;
+    for (int Half = 0; Half <= 2; ++Half) {
+      const Duration Shift = Allowance.Window * Half / 2;
+      Most = std::max(Most,
+                      countWithin(this->Requests, From - Shift, Until - Shift));
+    }
+    return static_cast<double>(Sent) <=
+           Allowance.Share * static_cast<double>(Most) +
+               static_cast<double>(Allowance.Reserve);
+  }
+};
+
+} // namespace
+
+TEST_CASE("a fleet stays within its allowance under restarts and any view") {
+  rc::check([] {
+    Fleet Under;
+    static constexpr size_t Count = 12;
+    for (size_t I = 0; I < Count; ++I) {
+      Under.Daemons.push_back(
+          std::make_unique<FleetRepeatBudget>(Allowance, Start));
+      Under.Daemons[I]->configure(Allowance, Count);
+    }
+    TimePoint Now = Start + fromSeconds(30);
+    const auto Steps = *rc::gen::container<std::vector<int>>(
+        400, rc::gen::inRange(0, 4000));
+    for (const int Step : Steps) {
+      const size_t Which = static_cast<size_t>(Step) % Count;
+      const int Kind = Step / static_cast<int>(Count) % 20;
+      Now += fromMillis(Step % 90);
+      if (Kind == 0) {
+        // A restart forgets what was sent.
+        Under.Daemons[Which] =
+            std::make_unique<FleetRepeatBudget>(Allowance, Now);
+        Under.Daemons[Which]->configure(Allowance, Count);
+      } else if (Kind == 1) {
+        Under.Daemons[Which]->configure(Allowance, 1 + Which);
+      } else if (Kind < 12) {
+        Under.Daemons[Which]->noteRequest(Now);
+        Under.Requests.push_back(Now);
+      } else {
+        while (Under.Daemons[Which]->tryTake(Now))
+          Under.Repeats.push_back(Now);
+      }
+      RC_ASSERT(Under.isWithinAllowance(Now));
+    }
+  });
+}
--- /dev/null
+++ b/unittests/Directory/ItemTableTest.cpp
@@ -0,0 +1,90 @@
+//===- ItemTableTest.cpp - Tests of the copy of the store -----------------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// The table only moves forward, whatever order news comes in.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Directory/ItemTable.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace canvaswick;
+
+TEST_CASE("news that is older than what is known changes nothing") {
+  ItemTable Table;
+  CHECK(Table.apply({"a", "new", 5, false}));
+  CHECK_FALSE(Table.apply({"a", "old", 4, false}));
+  CHECK_FALSE(Table.apply({"a", "", 5, true}));
+  REQUIRE(Table.find("a"));
+  CHECK(Table.find("a")->Value == "new");
+}
+
+TEST_CASE("an item that is gone does not come back by old news") {
+  ItemTable Table;
+  Table.apply({"a", "x", 3, false});
+  Table.apply({"a", "", 6, true});
+  Table.advanceTo(6);
+  CHECK(Table.find("a") == nullptr);
+  CHECK_FALSE(Table.apply({"a", "x", 3, false}));
+  CHECK(Table.find("a") == nullptr);
+}
+
+TEST_CASE("a full read removes what it does not list, but nothing newer") {
+  ItemTable Table;
+  Table.apply({"old", "x", 3, false});
+  Table.apply({"newer", "y", 12, false});
+  CHECK(Table.replaceAll({{"other", "z", 8, false}}, 10));
+  CHECK(Table.find("old") == nullptr);
+  CHECK(Table.find("newer"));
+  CHECK(Table.find("other"));
+  CHECK(Table.getAsOf() == 10);
+  CHECK_FALSE(Table.replaceAll({}, 9));
+  CHECK(Table.find("other"));
+}
+
+TEST_CASE("items are listed by prefix") {
+  ItemTable Table;
+  Table.apply({"op/config", "c", 1, false});
+  Table.apply({"servers/a", "a", 2, false});
+  Table.apply({"servers/b", "b", 3, false});
+  Table.apply({"t", "t", 4, false});
+  CHECK(Table.list("servers/").size() == 2);
+  CHECK(Table.list("op/").size() == 1);
+  CHECK(Table.list("none/").empty());
+}
+
+TEST_CASE("any order and repetition of news ends in the newest of each key") {
+  rc::check([] {
+    const auto Changes = *rc::gen::container<std::vector<int>>(
+        rc::gen::inRange(0, 8));
+    std::vector<StoreItem> News;
+    std::map<std::string, StoreItem> Newest;
+    uint64_t Revision = 0;
+    for (const int Choice : Changes) {
+      StoreItem Item{std::string(1, static_cast<char>('a' + Choice % 4)),
+                     std::to_string(Revision), ++Revision, Choice >= 6};
+      News.push_back(Item);
+      Newest[Item.Key] = Item;
+    }
+    // Removals are only safe in the store's order; other news in any.
+    std::erase_if(News, [](const StoreItem &Item) { return Item.IsGone; });
+    std::erase_if(Newest, [](const auto &Entry) { return Entry.second.IsGone; });
+    ItemTable Table;
+    for (auto Each = News.rbegin(); Each != News.rend(); ++Each)
+      Table.apply(*Each);
+    for (const StoreItem &Item : News)
+      Table.apply(Item);
+    for (const auto &[Key, Item] : Newest) {
+      RC_ASSERT(Table.find(Key));
+      RC_ASSERT(Table.find(Key)->Revision == Item.Revision);
+    }
+  });
+}
--- /dev/null
+++ b/unittests/Health/SpellPolicyTest.cpp
@@ -0,0 +1,154 @@
+//===- SpellPolicyTest.cpp - Tests of the policy for short spells ---------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// What moves the probability of a spell, what follows for the shares, and what is
+/// told to peers.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Health/SpellPolicy.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace canvaswick;
+
+static constexpr TimePoint Start{fromSeconds(100)};
+
+static SpellPolicy makePolicy(size_t Servers) {
+  PolicySetup Setup;
+  Setup.Service = "s";
+  Setup.FloorPercent = 70;
+  for (size_t I = 0; I < Servers; ++I)
+    Setup.Servers.push_back({static_cast<ServerId>(I + 1), 3});
+  return SpellPolicy(Setup);
+}
+
+/// Lets every server answer well now and then for some seconds.
+static TimePoint makeAllWell(SpellPolicy &Policy, size_t Servers) {
+  TimePoint Now = Start;
+  for (int Round = 0; Round < 20; ++Round, Now += fromMillis(250))
+    for (size_t I = 0; I < Servers; ++I)
+      Policy.recordOutcome(I, RequestOutcome::Good, Now);
+  return Now;
+}
+
+TEST_CASE("one failure takes most of a well server's traffic") {
+  SpellPolicy Policy = makePolicy(4);
+  const TimePoint Now = makeAllWell(Policy, 4);
+  const double Before = Policy.getShare(0, Caution::Utmost, Now);
+  CHECK(Before > 0.5);
+  Policy.recordOutcome(0, RequestOutcome::Failed, Now);
+  CHECK(Policy.getShare(0, Caution::Utmost, Now) < 0.1 * Before);
+  CHECK(Policy.getShare(1, Caution::Utmost, Now) == doctest::Approx(Before));
+  // What may be sent again keeps testing it.
+  CHECK(Policy.getShare(0, Caution::Ordinary, Now) >
+        Policy.getShare(0, Caution::Utmost, Now));
+}
+
+TEST_CASE("a peer's observation counts like an own outcome") {
+  SpellPolicy Own = makePolicy(3);
+  SpellPolicy Told = makePolicy(3);
+  Own.recordOutcome(1, RequestOutcome::Failed, Start);
+  Told.takeObservation(1, RequestOutcome::Failed, Start);
+  CHECK(Own.getSickness(1, Start) ==
+        doctest::Approx(Told.getSickness(1, Start)));
+  CHECK(Told.takeNews().empty());
+  CHECK(Own.takeNews().size() == 1);
+  CHECK(Own.takeNews().empty());
+}
+
+TEST_CASE("what is known loses its worth within seconds") {
+  SpellPolicy Policy = makePolicy(3);
+  for (int I = 0; I < 5; ++I)
+    Policy.recordOutcome(0, RequestOutcome::Failed, Start);
+  const double AtOnce = Policy.getSickness(0, Start);
+  CHECK(AtOnce > 0.95);
+  CHECK(Policy.getSickness(0, Start + fromSeconds(2)) < AtOnce);
+  CHECK(Policy.getSickness(0, Start + fromSeconds(30)) ==
+        doctest::Approx(Policy.getSickness(1, Start + fromSeconds(30)))
+            .epsilon(0.001));
+}
+
+TEST_CASE("a server that this daemon does not reach is left alone") {
+  SpellPolicy Policy = makePolicy(3);
+  const TimePoint Now = makeAllWell(Policy, 3);
+  Policy.takeNews();
+  Policy.recordOutcome(0, RequestOutcome::Unreachable, Now);
+  CHECK(Policy.getShare(0, Caution::Utmost, Now) < 0.01);
+  // Others may reach it.
+  CHECK(Policy.takeNews().empty());
+  Policy.recordOutcome(0, RequestOutcome::Good, Now + fromSeconds(2));
+  CHECK(Policy.getShare(0, Caution::Utmost, Now + fromSeconds(2)) > 0.3);
+}
+
+TEST_CASE("a leaving server gets nothing") {
+  SpellPolicy Policy = makePolicy(3);
+  Policy.setLeaving(0, true, Start);
+  CHECK(Policy.getShare(0, Caution::Ordinary, Start) == 0);
+  CHECK(Policy.explain(0, Start).Reason == ShareReason::Leaving);
+}
+
+TEST_CASE("while a tenth of the requests fail the floor's servers are used") {
+  SpellPolicy Policy = makePolicy(10);
+  TimePoint Now = makeAllWell(Policy, 10);
+  // Failures everywhere, at servers that nothing speaks against.
+  for (size_t I = 0; I < 10; ++I) {
+    Policy.recordOutcome(I, RequestOutcome::Failed, Now);
+    Policy.recordOutcome(I, RequestOutcome::Failed, Now);
+  }
+  // Nobody has used them for more than a second.
+  Now += fromMillis(1100);
+  size_t Used = 0;
+  for (const double Share : Policy.getShares(Caution::Utmost, Now))
+    Used += Share > 0.25 ? 1 : 0;
+  CHECK(Used >= 7);
+}
+
+TEST_CASE("another hall's word replaces what was known and is not tested") {
+  SpellPolicy Policy = makePolicy(3);
+  for (int I = 0; I < 4; ++I)
+    Policy.takeObservation(2, RequestOutcome::Failed, Start);
+  Policy.takeEstimate(2, 0.02, Start);
+  CHECK(Policy.getSickness(2, Start) == doctest::Approx(0.02));
+  CHECK(Policy.getShare(2, Caution::Utmost, Start) > 0.7);
+}
+
+TEST_CASE("evidence is taken over for the servers that are in both") {
+  SpellPolicy Old = makePolicy(3);
+  Old.recordOutcome(1, RequestOutcome::Failed, Start);
+  SpellPolicy New = makePolicy(5);
+  New.adopt(Old, Start);
+  CHECK(New.getSickness(1, Start) ==
+        doctest::Approx(Old.getSickness(1, Start)));
+  CHECK(New.getSickness(4, Start) < New.getSickness(1, Start));
+}
+
+TEST_CASE("shares stay between nothing and all, whatever is seen") {
+  rc::check([] {
+    SpellPolicy Policy = makePolicy(6);
+    TimePoint Now = Start;
+    const auto Steps = *rc::gen::container<std::vector<int>>(
+        rc::gen::inRange(0, 6 * 7 * 50));
+    for (const int Step : Steps) {
+      const auto Server = static_cast<size_t>(Step % 6);
+      const auto Outcome = static_cast<RequestOutcome>(Step / 6 % 7);
+      Now += fromMillis(Step / 42 * 20);
+      if (Step % 2 == 0)
+        Policy.recordOutcome(Server, Outcome, Now);
+      else
+        Policy.takeObservation(Server, Outcome, Now);
+      for (const Caution Care : {Caution::Ordinary, Caution::Utmost})
+        for (const double Share : Policy.getShares(Care, Now))
+          RC_ASSERT(Share >= 0 && Share <= 1);
+      RC_ASSERT(Policy.getSickness(Server, Now) > 0);
+      RC_ASSERT(Policy.getSickness(Server, Now) < 1);
+    }
+  });
+}
