--- a/include/canvaswick/Daemon/Gateway.h
+++ b/include/canvaswick/Daemon/Gateway.h
@@ -16,6 +16,8 @@
 #ifndef CANVASWICK_DAEMON_GATEWAY_H
 #define CANVASWICK_DAEMON_GATEWAY_H
 
+#include "canvaswick/Daemon/DirectoryCalls.h"
+#include "canvaswick/Daemon/PeerLink.h"
 #include "canvaswick/Directory/FleetRecords.h"
 #include "canvaswick/Metrics/Counters.h"
 #include "canvaswick/Proxy/ProxyOptions.h"
@@ -41,6 +43,14 @@
   /// Takes the daemons of the fleet, this one included.
   void setDaemons(const std::vector<DaemonRecord> &Daemons);
 
+  /// Sets who answers peers that ask for the copy of the store, and who hears
+  /// each message of a peer. Call before start.
+  void setHooks(ChangesSource Source, PeerLink::Handler Heard);
+
+  /// Says how far the copy of the store goes and whether this daemon watches
+  /// the store itself. IsNews: peers are told at once.
+  void setStoreState(uint64_t AsOf, bool IsWatching, bool IsNews);
+
   /// Changes the repeats that the fleet may send.
   void setRepeats(const RepeatAllowance &Allowance);
 
--- a/include/canvaswick/Daemon/PeerLink.h
+++ b/include/canvaswick/Daemon/PeerLink.h
@@ -40,6 +40,10 @@
   std::string Source;
   /// Hall of the source.
   std::string Hall;
+  /// How far the source's copy of the store goes, and whether it watches the
+  /// store itself and reaches it.
+  uint64_t AsOf = 0;
+  bool IsWatching = false;
   /// Whether a daemon of the receiver's hall has passed it on.
   bool IsRelayed = false;
   /// Grows with each message of a source; starts at its calendar time.
@@ -82,6 +86,12 @@
   void sendEstimates(std::vector<Estimate> Estimates,
                      std::vector<HallRate> Rates);
 
+  /// Tells the peers of this hall how far the copy of the store goes.
+  void sendWatcherNews();
+
+  /// Sets what every message says of the copy of the store.
+  void setStoreState(uint64_t AsOf, bool IsWatching);
+
   /// Returns how many daemons of this hall are known, this one included.
   size_t countNear();
 
@@ -101,6 +111,8 @@
   const Handler Handle;
   int Descriptor = -1;
   std::atomic<uint64_t> NextSequence;
+  std::atomic<uint64_t> AsOf{0};
+  std::atomic<bool> IsWatching{false};
   std::atomic<bool> Stopping{false};
   std::mutex Mutex;
   std::vector<DaemonRecord> Near;
--- a/include/canvaswick/Directory/ItemTable.h
+++ b/include/canvaswick/Directory/ItemTable.h
@@ -17,6 +17,7 @@
 #define CANVASWICK_DIRECTORY_ITEMTABLE_H
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -34,6 +35,14 @@
   bool operator==(const StoreItem &) const = default;
 };
 
+/// What changed between two revisions.
+struct ItemChanges {
+  /// Whether Items are all there are, and not only those that changed.
+  bool IsAll = false;
+  std::vector<StoreItem> Items;
+  uint64_t AsOf = 0;
+};
+
 /// Items by key. Not thread-safe.
 class ItemTable {
 public:
@@ -60,11 +69,20 @@
   /// Returns the items whose keys begin with Prefix.
   std::vector<const StoreItem *> list(const std::string &Prefix) const;
 
+  /// Returns what a table that is complete up to After must take to be as far
+  /// as this one.
+  ItemChanges getChangesAfter(uint64_t After) const;
+
   const ItemMap &getItems() const { return this->Items; }
 
 private:
+  void noteRemoval(const std::string &Key, uint64_t Revision);
+
   ItemMap Items;
   uint64_t AsOf = 0;
+  /// What was removed of late, oldest first, and the revision since when.
+  std::deque<StoreItem> Removals;
+  uint64_t RemovalsSince = 0;
 };
 
 } // namespace canvaswick
--- /dev/null
+++ b/include/canvaswick/Directory/WatchDuty.h
@@ -0,0 +1,54 @@
+//===- WatchDuty.h - Who watches the store for whom -------------*- C++ -*-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Calls to the store have a price, so two daemons of each hall watch it and the
+/// others learn from them. A daemon follows as long as it hears from enough daemons
+/// that watch and come before it in its hall's order; otherwise it watches itself.
+/// Nothing is agreed: too many watching costs calls, never correctness.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef CANVASWICK_DIRECTORY_WATCHDUTY_H
+#define CANVASWICK_DIRECTORY_WATCHDUTY_H
+
+#include "canvaswick/Support/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace canvaswick {
+
+/// Decides for one daemon. Not thread-safe.
+class WatchDuty {
+public:
+  explicit WatchDuty(std::string Self);
+
+  /// Sets the daemons of this hall.
+  void setNear(const std::vector<std::string> &Names);
+
+  /// Notes that a daemon of this hall watches and reaches the store.
+  void noteWatcher(const std::string &Name, TimePoint Now);
+
+  /// Returns whether this daemon should watch.
+  bool shouldWatch(TimePoint Now) const;
+
+private:
+  size_t getRank(const std::string &Name) const;
+
+  const std::string Self;
+  /// The hall's order, the first to watch first.
+  std::vector<std::string> Order;
+  std::map<std::string, TimePoint> Heard;
+};
+
+} // namespace canvaswick
+
+#endif // CANVASWICK_DIRECTORY_WATCHDUTY_H
--- a/include/canvaswick/Rpc/PeerCaller.h
+++ b/include/canvaswick/Rpc/PeerCaller.h
@@ -24,6 +24,7 @@
 #include "canvaswick/Support/CallSignature.h"
 
 #include <atomic>
+#include <optional>
 #include <string>
 
 namespace canvaswick {
@@ -40,6 +41,9 @@
   /// Signs with Key. Counters may be null.
   PeerCaller(CallKey Key, CounterTable *Counters);
 
+  /// Signs nothing.
+  explicit PeerCaller(CounterTable *Counters);
+
   /// Calls a method and returns its answer. Errors: Unavailable when the call
   /// was not sent, OutcomeUnknown when no answer came, Unauthorized, and
   /// whatever kind the method itself answered.
@@ -52,7 +56,7 @@
 private:
   void count(Counter Which, uint64_t Amount);
 
-  const CallKey Key;
+  std::optional<CallKey> Key;
   CounterTable *Counters;
   std::atomic<uint64_t> NextNonce;
   ConnectionPool Pool;
@@ -66,6 +70,9 @@
                std::mutex &VerifierMutex, const JsonRpcDispatcher &Dispatcher,
                CounterTable &Counters);
 
+/// Runs an arrived call that carries no signature.
+void serveOpenCall(HttpExchange &Exchange, const JsonRpcDispatcher &Dispatcher);
+
 /// Reads the whole body of a request, at most Limit bytes. Returns false if it
 /// is longer or was cut.
 bool readWholeBody(HttpExchange &Exchange, size_t Limit, std::string &Body);
--- a/lib/Daemon/Gateway.cpp
+++ b/lib/Daemon/Gateway.cpp
@@ -12,7 +12,6 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Daemon/Gateway.h"
-#include "canvaswick/Daemon/PeerLink.h"
 #include "canvaswick/Proxy/RequestProxy.h"
 #include "canvaswick/Support/Log.h"
 #include "canvaswick/Support/RoundThread.h"
@@ -39,7 +38,16 @@
 
 /// How often another hall hears of this one's servers: a few times within the
 /// shortest spells, and at a price of bytes between halls.
-static constexpr Duration EstimateInterval = fromMillis(250);
+static constexpr Duration EstimateInterval = fromMillis(400);
+
+/// How often a daemon that watches the store says so in its hall: three times
+/// within the time that others wait for it.
+static constexpr Duration WatcherInterval = fromMillis(300);
+
+/// Threads for peers that ask for the copy of the store, and how long one such
+/// call may take.
+static constexpr size_t ControlWorkers = 3;
+static constexpr Duration ControlTimeLimit = fromSeconds(3);
 
 static constexpr Duration HousekeepingInterval = fromSeconds(1);
 
@@ -51,9 +59,12 @@
   void setFleet(const FleetConfigRef &Config);
   void setDaemons(const std::vector<DaemonRecord> &Daemons);
   void setRepeats(const RepeatAllowance &Allowance);
+  void setStoreState(uint64_t AsOf, bool IsWatching, bool IsNews);
   void beginStop();
   bool finishStop(TimePoint Deadline);
 
+  ChangesSource Source;
+  PeerLink::Handler Heard;
   const DaemonConfig Config;
   DaemonRecord Self;
   CounterTable Counters;
@@ -64,6 +75,7 @@
   void housekeep();
   void sendEstimates(const FleetRuntime &Current, TimePoint Now);
   void takeMessage(const PeerMessage &Message);
+  Result<void> startControl();
   void handleReady(HttpExchange &Exchange);
   std::string formatMetrics() const;
 
@@ -74,6 +86,11 @@
   std::unique_ptr<PeerLink> Peers;
   std::unique_ptr<HttpServer> Callers;
   std::unique_ptr<HttpServer> Ready;
+  std::unique_ptr<HttpServer> Control;
+  JsonRpcDispatcher Dispatcher;
+  std::atomic<bool> IsWatching{false};
+  /// Used by the health rounds only.
+  TimePoint WatcherNewsAt{};
   /// Guards the building of a new FleetRuntime and the names.
   std::mutex BuildMutex;
   std::vector<std::string> DaemonNames;
@@ -113,6 +130,7 @@
         [this](const PeerMessage &Message) { this->takeMessage(Message); });
     BOOST_OUTCOME_TRY(this->Peers->start());
   }
+  BOOST_OUTCOME_TRY(this->startControl());
   HttpServerLimits Limits;
   Limits.Workers = static_cast<size_t>(this->Config.Workers);
   Limits.QueueLimit = CallerQueue;
@@ -130,6 +148,24 @@
   return outcome::success();
 }
 
+/// Serves peers that ask for the copy of the store.
+Result<void> Gateway::Impl::startControl() {
+  if (this->Config.Control.Port == 0 || !this->Source)
+    return outcome::success();
+  addDirectoryMethod(this->Dispatcher, this->Source);
+  HttpServerLimits Limits;
+  Limits.Workers = ControlWorkers;
+  this->Control = std::make_unique<HttpServer>(
+      Limits, [this](HttpExchange &Exchange) {
+        Exchange.Stream.setDeadline(readSteadyClock() + ControlTimeLimit);
+        if (Exchange.Request.target == CallPath)
+          serveOpenCall(Exchange, this->Dispatcher);
+        else
+          Exchange.Response.status = 404;
+      });
+  return this->Control->start(this->Config.Control);
+}
+
 /// Builds what serves Next. The caller holds BuildMutex.
 void Gateway::Impl::build(const FleetConfigRef &Next) {
   DaemonIdentity Identity;
@@ -179,6 +215,15 @@
     this->build(FleetConfigRef(&Current->getConfig()));
 }
 
+void Gateway::Impl::setStoreState(uint64_t AsOf, bool Watching, bool IsNews) {
+  this->IsWatching = Watching;
+  if (!this->Peers)
+    return;
+  this->Peers->setStoreState(AsOf, Watching);
+  if (IsNews)
+    this->Peers->sendWatcherNews();
+}
+
 void Gateway::Impl::runHealthRound() {
   const FleetRuntimeRef Current = this->Fleet.get();
   if (!Current)
@@ -193,6 +238,10 @@
   if (!this->Peers)
     return;
   this->Peers->sendObservations(std::move(Seen));
+  if (this->IsWatching && Now - this->WatcherNewsAt >= WatcherInterval) {
+    this->WatcherNewsAt = Now;
+    this->Peers->sendWatcherNews();
+  }
   this->sendEstimates(*Current, Now);
 }
 
@@ -217,6 +266,8 @@
 }
 
 void Gateway::Impl::takeMessage(const PeerMessage &Message) {
+  if (this->Heard)
+    this->Heard(Message);
   const FleetRuntimeRef Current = this->Fleet.get();
   if (!Current)
     return;
@@ -300,6 +351,8 @@
   if (this->Peers)
     this->Peers->stop();
   this->Ready->stopGracefully(readSteadyClock());
+  if (this->Control)
+    this->Control->stopGracefully(readSteadyClock());
   logInfo("daemon-stopped", "all-ended={}", AllEnded);
   return AllEnded;
 }
@@ -324,6 +377,15 @@
   this->Implementation->setRepeats(Allowance);
 }
 
+void Gateway::setHooks(ChangesSource Source, PeerLink::Handler Heard) {
+  this->Implementation->Source = std::move(Source);
+  this->Implementation->Heard = std::move(Heard);
+}
+
+void Gateway::setStoreState(uint64_t AsOf, bool IsWatching, bool IsNews) {
+  this->Implementation->setStoreState(AsOf, IsWatching, IsNews);
+}
+
 void Gateway::beginStop() { this->Implementation->beginStop(); }
 
 bool Gateway::finishStop(TimePoint Deadline) {
--- a/lib/Daemon/PeerLink.cpp
+++ b/lib/Daemon/PeerLink.cpp
@@ -45,6 +45,9 @@
   Value["hall"] = Message.Hall;
   if (Message.IsRelayed)
     Value["relayed"] = true;
+  if (Message.IsWatching)
+    Value["watching"] = true;
+  Value["as-of"] = static_cast<Json::UInt64>(Message.AsOf);
   Value["seq"] = static_cast<Json::UInt64>(Message.Sequence);
   Value["seen"] = Json::arrayValue;
   for (const Observation &Each : Message.Seen) {
@@ -122,6 +125,11 @@
   Message.Source = Value["from"].asString();
   Message.Hall = Value["hall"].asString();
   Message.Sequence = Value["seq"].asUInt64();
+  if (!Value["as-of"].isUInt64())
+    return makeError(ErrorKind::InvalidArgument, "no revision");
+  Message.AsOf = Value["as-of"].asUInt64();
+  Message.IsWatching =
+      Value["watching"].isBool() && Value["watching"].asBool();
   Message.IsRelayed = Value["relayed"].isBool() && Value["relayed"].asBool();
   for (const Json::Value &Pair : Value["seen"]) {
     Observation Seen;
@@ -234,6 +242,8 @@
   Message.Source = this->Self.Name;
   Message.Hall = this->Self.Hall;
   Message.Sequence = this->NextSequence++;
+  Message.AsOf = this->AsOf;
+  Message.IsWatching = this->IsWatching;
   return Message;
 }
 
@@ -265,6 +275,15 @@
   }
 }
 
+void PeerLink::sendWatcherNews() {
+  this->sendWithinHall(encodePeerMessage(this->makeMessage()));
+}
+
+void PeerLink::setStoreState(uint64_t Reached, bool Watching) {
+  this->AsOf = Reached;
+  this->IsWatching = Watching;
+}
+
 size_t PeerLink::countNear() {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   return this->Near.size() + 1;
--- a/lib/Directory/ItemTable.cpp
+++ b/lib/Directory/ItemTable.cpp
@@ -33,6 +33,7 @@
   if (!IsKnown)
     return false;
   this->Items.erase(Found);
+  this->noteRemoval(News.Key, News.Revision);
   return true;
 }
 
@@ -54,9 +55,38 @@
                         Entry.second.Revision <= ReadAt;
                }) > 0;
   this->AsOf = ReadAt;
+  // When what is missing now was removed is not known.
+  this->Removals.clear();
+  this->RemovalsSince = ReadAt;
   return IsChanged;
 }
 
+/// Removals that are remembered, for peers that lag behind.
+static constexpr size_t RemovalsKept = 1000;
+
+void ItemTable::noteRemoval(const std::string &Key, uint64_t Revision) {
+  this->Removals.push_back({Key, "", Revision, true});
+  if (this->Removals.size() <= RemovalsKept)
+    return;
+  this->RemovalsSince = this->Removals.front().Revision;
+  this->Removals.pop_front();
+}
+
+ItemChanges ItemTable::getChangesAfter(uint64_t After) const {
+  ItemChanges Changes;
+  Changes.AsOf = this->AsOf;
+  Changes.IsAll = After < this->RemovalsSince;
+  for (const auto &[Key, Item] : this->Items)
+    if (Changes.IsAll || Item.Revision > After)
+      Changes.Items.push_back(Item);
+  if (Changes.IsAll)
+    return Changes;
+  for (const StoreItem &Removal : this->Removals)
+    if (Removal.Revision > After)
+      Changes.Items.push_back(Removal);
+  return Changes;
+}
+
 void ItemTable::advanceTo(uint64_t Reached) {
   this->AsOf = std::max(this->AsOf, Reached);
 }
--- a/lib/Proxy/ServiceRuntime.cpp
+++ b/lib/Proxy/ServiceRuntime.cpp
@@ -27,8 +27,8 @@
 /// Part of a near server's share that one in another hall gets on the users'
 /// platform: bytes between halls have a price there, and a large answer costs
 /// more than it is worth.
-static constexpr double FarShareOfSmall = 0.08;
-static constexpr double FarShareOfLarge = 0.01;
+static constexpr double FarShareOfSmall = 0.06;
+static constexpr double FarShareOfLarge = 0.001;
 
 /// A repeatable request is sent elsewhere after this part of its objective, if
 /// that is past the service's usual time.
--- a/lib/Rpc/PeerCaller.cpp
+++ b/lib/Rpc/PeerCaller.cpp
@@ -28,7 +28,12 @@
 static constexpr Duration PeerIdleLimit = fromSeconds(60);
 
 PeerCaller::PeerCaller(CallKey Key, CounterTable *Counters)
-    : Key(std::move(Key)), Counters(Counters),
+    : PeerCaller(Counters) {
+  this->Key = std::move(Key);
+}
+
+PeerCaller::PeerCaller(CounterTable *Counters)
+    : Counters(Counters),
       NextNonce((static_cast<uint64_t>(std::random_device()()) << 32) ^
                 std::random_device()()),
       Pool(ConnectionsPerPeer) {}
@@ -63,9 +68,11 @@
     Outgoing.Method = "POST";
     Outgoing.Target = CallPath;
     Outgoing.Body = Request;
-    Outgoing.Headers.emplace(
-        CallSignatureHeader,
-        signCall(this->Key, Request, readCalendarMillis(), this->NextNonce++));
+    if (this->Key)
+      Outgoing.Headers.emplace(CallSignatureHeader,
+                               signCall(*this->Key, Request,
+                                        readCalendarMillis(),
+                                        this->NextNonce++));
     Exchange = this->Pool.exchange(Peer, Outgoing, readSteadyClock() + Timeout,
                                    -1, nullptr);
     Answer = Exchange.Body;
@@ -116,6 +123,17 @@
   });
 }
 
+void serveOpenCall(HttpExchange &Exchange,
+                   const JsonRpcDispatcher &Dispatcher) {
+  std::string Body;
+  if (!readWholeBody(Exchange, MaxCallBytes, Body)) {
+    Exchange.Response.status = 413;
+    Exchange.MustClose = true;
+    return;
+  }
+  Exchange.Response.set_content(Dispatcher.handle(Body), "application/json");
+}
+
 void serveCall(HttpExchange &Exchange, CallVerifier &Verifier,
                std::mutex &VerifierMutex, const JsonRpcDispatcher &Dispatcher,
                CounterTable &Counters) {
