Logs on standard output, through a bounded queue; lines beyond the rate are counted

Cause: the users' request asks for structured lines on standard output, bounded under load and never holding up a request; they went to standard error, written by the thread that logged. Ruled out: dropping lines by level, since the rare ones matter most and would be lost the same way when the reader stalls.

--- a/include/canvaswick/Metrics/Counters.h
+++ b/include/canvaswick/Metrics/Counters.h
@@ -62,12 +62,11 @@
   PeerDatagramsRefused,
   PeerSendFailures,
   FleetBuilds,
-  LogLinesDropped,
 };
 
 /// How many counters there are.
 inline constexpr size_t CounterCount =
-    static_cast<size_t>(Counter::LogLinesDropped) + 1;
+    static_cast<size_t>(Counter::FleetBuilds) + 1;
 
 /// Returns the name of a counter, as the metrics page prints it.
 const char *getName(Counter Which);
--- a/include/canvaswick/Support/Log.h
+++ b/include/canvaswick/Support/Log.h
@@ -1,4 +1,4 @@
-//===- Log.h - Structured log lines on standard error -----------*- C++ -*-===//
+//===- Log.h - Structured log lines on standard output ----------*- C++ -*-===//
 //
 // Part of the canvaswick project, under the Apache License v2.0.
 // See LICENSE for license information.
@@ -7,8 +7,9 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// Counters tell how often something happened; a log line tells that a state
-/// changed. A line is "time level event key=value ...", written in one call.
+/// Counters tell how often something happened; a log line tells what became of
+/// one request or that a belief changed. A line is "time level event key=value
+/// ...". The volume is bounded, and writing never waits for a reader.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -17,11 +18,32 @@
 
 #include <fmt/format.h>
 
+#include <cstdint>
 #include <string>
 #include <utility>
 
 namespace canvaswick {
 
+/// How much a process may log.
+struct LogBounds {
+  /// Lines a second, and lines that may come at once.
+  double LinesPerSecond = 400;
+  double Burst = 2000;
+  /// Lines that wait to be written.
+  size_t QueueLimit = 4096;
+};
+
+/// Starts to write lines on a thread of their own, within bounds. Before, and
+/// in programs that never call it, a line is written at once.
+void startLogWriter(const LogBounds &Bounds);
+
+/// Writes what waits and ends the thread.
+void stopLogWriter();
+
+/// Returns how many lines were dropped since the start, by the rate or because
+/// too many waited.
+uint64_t countDroppedLogLines();
+
 /// How much a line matters to the person on call.
 enum class LogLevel { Info, Warning, Error };
 
--- a/lib/Daemon/Gateway.cpp
+++ b/lib/Daemon/Gateway.cpp
@@ -327,6 +327,8 @@
 
 std::string Gateway::Impl::formatMetrics() const {
   std::string Text = this->Counters.format();
+  Text += fmt::format("canvaswick_log_lines_dropped {}\n",
+                      countDroppedLogLines());
   const FleetRuntimeRef Current = this->Fleet.get();
   if (!Current)
     return Text;
--- a/lib/Metrics/Counters.cpp
+++ b/lib/Metrics/Counters.cpp
@@ -57,7 +57,6 @@
     {Counter::PeerDatagramsRefused, "peer_datagrams_refused"},
     {Counter::PeerSendFailures, "peer_send_failures"},
     {Counter::FleetBuilds, "fleet_builds"},
-    {Counter::LogLinesDropped, "log_lines_dropped"},
 }};
 
 const char *getName(Counter Which) { return getEnumName(CounterNames, Which); }
--- a/test/session-lib.sh
+++ b/test/session-lib.sh
@@ -42,7 +42,7 @@
 startProgram() { # NAME PROGRAM ARGUMENTS...
   local Name="$1"
   shift
-  "$BIN/$@" 2>"$Work/$Name.log" &
+  "$BIN/$@" >"$Work/$Name.log" 2>&1 &
   Pids+=($!)
   echo $! >"$Work/$Name.pid"
 }
--- a/tools/canvaswickd/canvaswickd.cpp
+++ b/tools/canvaswickd/canvaswickd.cpp
@@ -56,7 +56,7 @@
       IsHurried ? 0 : static_cast<double>(Config.StopSeconds);
   const bool AllEnded =
       Server.finishStop(readSteadyClock() + fromSeconds(Seconds));
-  std::fflush(stderr);
+  stopLogWriter();
   // Threads that still hold a request end with the process.
   std::_Exit(toInt(AllEnded ? ExitCode::Success : ExitCode::CutShort));
 }
@@ -127,7 +127,7 @@
       LongestAccepting, fromSeconds(toSeconds(Grace) * AcceptingPart));
   waitForSecondStopSignal(toMillis(Accepting));
   const bool AllEnded = Server.finishStop(Deadline);
-  std::fflush(stdout);
+  stopLogWriter();
   // Threads that still wait for the store or a request end with the process.
   std::_Exit(toInt(AllEnded ? ExitCode::Success : ExitCode::CutShort));
 }
@@ -151,6 +151,7 @@
     fmt::print("{}: settings are good\n", ProgramName);
     return toInt(ExitCode::Success);
   }
+  startLogWriter({});
   if (Config.value().Source == SettingsSource::Platform)
     return runPlatformDaemon(Config.value());
   return runDaemon(Config.value());
--- a/utils/quickstart.sh
+++ b/utils/quickstart.sh
@@ -18,7 +18,7 @@
 startProgram() { # NAME PROGRAM ARGUMENTS...
   local Name="$1"
   shift
-  "$@" 2>"$Work/$Name.log" &
+  "$@" >"$Work/$Name.log" 2>&1 &
   Pids+=($!)
 }
 
