--- /dev/null
+++ b/unittests/PlatformAdapter/StoreFeedTest.cpp
@@ -0,0 +1,143 @@
+//===- StoreFeedTest.cpp - Tests of following the store -------------------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// The client, the feed and the registry against the stand-in for the store.
+///
+//===----------------------------------------------------------------------===//
+
+#include "platform/DaemonRegistry.h"
+#include "platform/RecordDecoder.h"
+#include "platform/StoreFeed.h"
+#include "platform/standin/StoreStandIn.h"
+
+#include <doctest/doctest.h>
+
+using namespace canvaswick;
+using namespace canvaswick::platform;
+
+namespace {
+
+/// A store, a client and a view of it.
+struct Bench {
+  Bench() : Client(start(Store), Counters) {}
+
+  static Endpoint start(StoreStandIn &Store) {
+    REQUIRE(Store.start());
+    return Store.getAddress();
+  }
+
+  StoreStandIn Store;
+  CounterTable Counters;
+  StoreClient Client;
+  FleetView View{{70}, fromSeconds(2)};
+  StoreFeed Feed{Client, View, [] {}};
+  DaemonRecord Self{"d1", "h", {"10.0.0.1", 80}, {"10.0.0.1", 81}};
+};
+
+} // namespace
+
+static const std::string DaemonKey = "canvaswick/daemons/d1";
+
+TEST_CASE("all pages are read and changes follow") {
+  Bench Under;
+  for (char Name = 'a'; Name <= 'h'; ++Name)
+    Under.Store.put(std::string("canvaswick/daemons/") + Name,
+                    encodeDaemon(Under.Self));
+  Under.Feed.runRound();
+  CHECK(Under.View.compile().Daemons.size() == 8);
+  CHECK(Under.Store.countCalls("/kv-range") == 3);
+  Under.Store.remove("canvaswick/daemons/c");
+  Under.Feed.runRound();
+  CHECK(Under.View.compile().Daemons.size() == 7);
+}
+
+TEST_CASE("a store that has forgotten its history is read anew") {
+  Bench Under;
+  Under.Store.put(DaemonKey, encodeDaemon(Under.Self));
+  Under.Feed.runRound();
+  Under.Store.remove(DaemonKey);
+  Under.Store.forgetHistory();
+  Under.Feed.runRound();
+  Under.Feed.runRound();
+  CHECK(Under.View.compile().Daemons.empty());
+}
+
+TEST_CASE("what changed while the store was away is learned on its return") {
+  Bench Under;
+  Under.Store.put(DaemonKey, encodeDaemon(Under.Self));
+  Under.Feed.runRound();
+  CHECK(Under.Feed.isSound());
+  Under.Store.setFaults({.IsDown = true});
+  Under.Feed.runRound();
+  CHECK_FALSE(Under.Feed.isSound());
+  CHECK(Under.View.compile().Daemons.size() == 1);
+  Under.Store.remove(DaemonKey);
+  Under.Store.setFaults({});
+  Under.Feed.runRound();
+  CHECK(Under.Feed.isSound());
+  CHECK(Under.View.compile().Daemons.empty());
+}
+
+TEST_CASE("writes are conditional, and leases take their items along") {
+  Bench Under;
+  StoreTransaction First;
+  First.Expected.emplace_back("k", 0);
+  First.Writes.push_back({"k", "one", 0});
+  Result<uint64_t> Written = Under.Client.write(First);
+  REQUIRE(Written);
+  Result<uint64_t> Again = Under.Client.write(First);
+  REQUIRE_FALSE(Again);
+  CHECK(Again.error().Kind == ErrorKind::Conflict);
+  Result<uint64_t> Lease = Under.Client.openLease(fromSeconds(5));
+  REQUIRE(Lease);
+  StoreTransaction Leased;
+  Leased.Writes.push_back({"l", "x", Lease.value()});
+  REQUIRE(Under.Client.write(Leased));
+  CHECK(Under.Client.keepLease(Lease.value()));
+  CHECK(Under.Client.endLease(Lease.value()));
+  CHECK(Under.Store.peek("l").empty());
+  Result<void> Late = Under.Client.keepLease(Lease.value());
+  REQUIRE_FALSE(Late);
+  CHECK(Late.error().Kind == ErrorKind::NotFound);
+}
+
+TEST_CASE("a daemon registers, and again when its lease has ended") {
+  Bench Under;
+  Under.Store.put("op/config", "{}");
+  Under.Feed.runRound();
+  DaemonRegistry Registry(Under.Client, Under.View, Under.Self, fromSeconds(60));
+  const TimePoint Now = readSteadyClock();
+  Registry.runRound(Now);
+  CHECK_FALSE(Under.Store.peek(DaemonKey).empty());
+  // The view has not reached the write yet: nothing is written twice.
+  Registry.runRound(Now + fromSeconds(3));
+  CHECK(Under.Store.countCalls("/kv-txn") == 1);
+  Under.Store.endLeases();
+  Under.Feed.runRound();
+  Registry.runRound(Now + fromSeconds(4));
+  CHECK_FALSE(Under.Store.peek(DaemonKey).empty());
+  CHECK(Under.Store.countCalls("/kv-txn") == 2);
+  Registry.leave();
+  CHECK(Under.Store.peek(DaemonKey).empty());
+}
+
+TEST_CASE("a write whose answer was lost is looked up first") {
+  Bench Under;
+  Under.Store.put("op/config", "{}");
+  Under.Feed.runRound();
+  DaemonRegistry Registry(Under.Client, Under.View, Under.Self, fromSeconds(60));
+  Under.Store.setFaults({.LosesAnswers = true});
+  const TimePoint Now = readSteadyClock();
+  Registry.runRound(Now);
+  CHECK_FALSE(Under.Store.peek(DaemonKey).empty());
+  Under.Store.setFaults({});
+  Under.Feed.runRound();
+  Registry.runRound(Now + fromSeconds(3));
+  CHECK(Under.Store.countCalls("/kv-txn") == 1);
+}
