--- a/include/canvaswick/Admission/FleetRepeatBudget.h
+++ b/include/canvaswick/Admission/FleetRepeatBudget.h
@@ -1,4 +1,5 @@
-//===- FleetRepeatBudget.h - Repeats that the whole fleet may send *- C++ -*-===//
+//===- FleetRepeatBudget.h - Repeats that the whole fleet may send *- C++
+//-*-===//
 //
 // Part of the canvaswick project, under the Apache License v2.0.
 // See LICENSE for license information.
@@ -8,8 +9,8 @@
 ///
 /// \file
 /// Each daemon takes a part of the fleet's allowance that, added up over all
-/// daemons, stays below it: its share grows with its own requests, and the reserve
-/// is divided by the daemons there may be.
+/// daemons, stays below it: its share grows with its own requests, and the
+/// reserve is divided by the daemons there may be.
 ///
 //===----------------------------------------------------------------------===//
 
--- a/include/canvaswick/Daemon/DirectoryCalls.h
+++ b/include/canvaswick/Daemon/DirectoryCalls.h
@@ -7,12 +7,12 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// One daemon asks another for what its copy of the store has that its own lacks:
-/// followers do after each change, and a daemon that starts while the store is away
-/// asks the daemons that its settings name. The calls carry no signature: a machine
-/// keeps nothing, so there is no place for a key that a daemon could have before it
-/// reaches the store. What is taken is checked item by item like the store's own
-/// answers, and only moves the copy forward.
+/// One daemon asks another for what its copy of the store has that its own
+/// lacks: followers do after each change, and a daemon that starts while the
+/// store is away asks the daemons that its settings name. The calls carry no
+/// signature: a machine keeps nothing, so there is no place for a key that a
+/// daemon could have before it reaches the store. What is taken is checked item
+/// by item like the store's own answers, and only moves the copy forward.
 ///
 //===----------------------------------------------------------------------===//
 
--- a/include/canvaswick/Daemon/Gateway.h
+++ b/include/canvaswick/Daemon/Gateway.h
@@ -1,4 +1,5 @@
-//===- Gateway.h - A daemon whose settings and servers are fed to it -*- C++ -*-===//
+//===- Gateway.h - A daemon whose settings and servers are fed to it -*- C++
+//-*-===//
 //
 // Part of the canvaswick project, under the Apache License v2.0.
 // See LICENSE for license information.
@@ -8,8 +9,9 @@
 ///
 /// \file
 /// Serves callers by whatever fleet it was last given, shares what it sees of
-/// backend servers with its peers, answers the balancer's checks and stops without
-/// cutting a request. Where settings and servers come from is not its concern.
+/// backend servers with its peers, answers the balancer's checks and stops
+/// without cutting a request. Where settings and servers come from is not its
+/// concern.
 ///
 //===----------------------------------------------------------------------===//
 
--- a/include/canvaswick/Daemon/PeerLink.h
+++ b/include/canvaswick/Daemon/PeerLink.h
@@ -7,12 +7,13 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// Tells the other daemons what this one saw of backend servers, within some tens
-/// of milliseconds and without an answer. A datagram that is lost costs a little
-/// evidence, nothing else. Daemons of the own hall are told each outcome. Other halls
-/// learn a few times a second what this hall thinks of its servers: one daemon
-/// there is told and passes it on, so that the bytes between halls grow with the
-/// servers and not with the daemons or the requests.
+/// Tells the other daemons what this one saw of backend servers, within some
+/// tens of milliseconds and without an answer. A datagram that is lost costs a
+/// little evidence, nothing else. Daemons of the own hall are told each
+/// outcome. Other halls learn a few times a second what this hall thinks of its
+/// servers: one daemon there is told and passes it on, so that the bytes
+/// between halls grow with the servers and not with the daemons or the
+/// requests.
 ///
 //===----------------------------------------------------------------------===//
 
--- a/include/canvaswick/Directory/FleetRecords.h
+++ b/include/canvaswick/Directory/FleetRecords.h
@@ -1,4 +1,5 @@
-//===- FleetRecords.h - What a daemon learns of its fleet from outside -*- C++ -*-===//
+//===- FleetRecords.h - What a daemon learns of its fleet from outside -*- C++
+//-*-===//
 //
 // Part of the canvaswick project, under the Apache License v2.0.
 // See LICENSE for license information.
@@ -7,8 +8,8 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// The operators' routing rules, the backend servers and the other daemons, in the
-/// product's own words, and how they make up one FleetConfig.
+/// The operators' routing rules, the backend servers and the other daemons, in
+/// the product's own words, and how they make up one FleetConfig.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -92,9 +93,10 @@
 };
 
 /// Builds what a daemon runs. Servers of unknown services are left out.
-FleetConfigRef compileFleetConfig(const RoutingRules &Rules,
-                                  const std::map<std::string, KnownServer> &Servers,
-                                  const ServiceDefaults &Defaults);
+FleetConfigRef
+compileFleetConfig(const RoutingRules &Rules,
+                   const std::map<std::string, KnownServer> &Servers,
+                   const ServiceDefaults &Defaults);
 
 } // namespace canvaswick
 
--- a/include/canvaswick/Directory/ItemTable.h
+++ b/include/canvaswick/Directory/ItemTable.h
@@ -1,4 +1,5 @@
-//===- ItemTable.h - A copy of the store that only moves forward -*- C++ -*-===//
+//===- ItemTable.h - A copy of the store that only moves forward -*- C++
+//-*-===//
 //
 // Part of the canvaswick project, under the Apache License v2.0.
 // See LICENSE for license information.
@@ -7,9 +8,9 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// The items that the platform's store holds for this fleet, as far as this daemon
-/// knows. News may come from the store or from another daemon, twice or in any
-/// order; what is older than what is known changes nothing.
+/// The items that the platform's store holds for this fleet, as far as this
+/// daemon knows. News may come from the store or from another daemon, twice or
+/// in any order; what is older than what is known changes nothing.
 ///
 //===----------------------------------------------------------------------===//
 
--- a/include/canvaswick/Directory/WatchDuty.h
+++ b/include/canvaswick/Directory/WatchDuty.h
@@ -7,10 +7,11 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// Calls to the store have a price, so two daemons of each hall watch it and the
-/// others learn from them. A daemon follows as long as it hears from enough daemons
-/// that watch and come before it in its hall's order; otherwise it watches itself.
-/// Nothing is agreed: too many watching costs calls, never correctness.
+/// Calls to the store have a price, so two daemons of each hall watch it and
+/// the others learn from them. A daemon follows as long as it hears from enough
+/// daemons that watch and come before it in its hall's order; otherwise it
+/// watches itself. Nothing is agreed: too many watching costs calls, never
+/// correctness.
 ///
 //===----------------------------------------------------------------------===//
 
--- a/include/canvaswick/Health/SpellPolicy.h
+++ b/include/canvaswick/Health/SpellPolicy.h
@@ -1,4 +1,5 @@
-//===- SpellPolicy.h - Sick spells of some seconds, judged by all daemons *- C++ -*-===//
+//===- SpellPolicy.h - Sick spells of some seconds, judged by all daemons *- C++
+//-*-===//
 //
 // Part of the canvaswick project, under the Apache License v2.0.
 // See LICENSE for license information.
@@ -7,10 +8,11 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// Backend servers that fall sick for a few seconds at a time and get well again by
-/// themselves. Each daemon keeps, for each server, the probability that it is in
-/// such a spell: it drifts towards the usual share of sick servers as time passes
-/// and moves with every outcome, its own and those that other daemons tell it.
+/// Backend servers that fall sick for a few seconds at a time and get well
+/// again by themselves. Each daemon keeps, for each server, the probability
+/// that it is in such a spell: it drifts towards the usual share of sick
+/// servers as time passes and moves with every outcome, its own and those that
+/// other daemons tell it.
 ///
 //===----------------------------------------------------------------------===//
 
--- a/include/canvaswick/Proxy/ProxyOptions.h
+++ b/include/canvaswick/Proxy/ProxyOptions.h
@@ -1,4 +1,5 @@
-//===- ProxyOptions.h - How a proxy speaks and what it holds back -*- C++ -*-===//
+//===- ProxyOptions.h - How a proxy speaks and what it holds back -*- C++
+//-*-===//
 //
 // Part of the canvaswick project, under the Apache License v2.0.
 // See LICENSE for license information.
@@ -7,9 +8,9 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// The names of the headers between callers, the proxy and backend servers, and the
-/// bounds of what the proxy keeps in memory. The defaults are the product's own
-/// interface; an adapter gives others.
+/// The names of the headers between callers, the proxy and backend servers, and
+/// the bounds of what the proxy keeps in memory. The defaults are the product's
+/// own interface; an adapter gives others.
 ///
 //===----------------------------------------------------------------------===//
 
--- a/include/canvaswick/Support/RoundThread.h
+++ b/include/canvaswick/Support/RoundThread.h
@@ -1,4 +1,5 @@
-//===- RoundThread.h - A thread that does one thing again and again -*- C++ -*-===//
+//===- RoundThread.h - A thread that does one thing again and again -*- C++
+//-*-===//
 //
 // Part of the canvaswick project, under the Apache License v2.0.
 // See LICENSE for license information.
@@ -7,8 +8,8 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// The background work of a daemon: each kind has a thread of its own that runs a
-/// round, waits and runs the next.
+/// The background work of a daemon: each kind has a thread of its own that runs
+/// a round, waits and runs the next.
 ///
 //===----------------------------------------------------------------------===//
 
--- a/lib/Daemon/Gateway.cpp
+++ b/lib/Daemon/Gateway.cpp
@@ -7,7 +7,8 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// The lock order, outermost first: BuildMutex; FleetRuntimeSlot; ServiceRuntime.
+/// The lock order, outermost first: BuildMutex; FleetRuntimeSlot;
+/// ServiceRuntime.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -120,9 +121,10 @@
 Result<void> Gateway::Impl::start() {
   HttpServerLimits ReadyLimits;
   ReadyLimits.Workers = ReadyWorkers;
-  this->Ready = std::make_unique<HttpServer>(
-      ReadyLimits,
-      [this](HttpExchange &Exchange) { this->handleReady(Exchange); });
+  this->Ready =
+      std::make_unique<HttpServer>(ReadyLimits, [this](HttpExchange &Exchange) {
+        this->handleReady(Exchange);
+      });
   BOOST_OUTCOME_TRY(this->Ready->start(this->Config.Ready));
   if (this->Config.PeerPort != 0) {
     this->Peers = std::make_unique<PeerLink>(
@@ -155,8 +157,8 @@
   addDirectoryMethod(this->Dispatcher, this->Source);
   HttpServerLimits Limits;
   Limits.Workers = ControlWorkers;
-  this->Control = std::make_unique<HttpServer>(
-      Limits, [this](HttpExchange &Exchange) {
+  this->Control =
+      std::make_unique<HttpServer>(Limits, [this](HttpExchange &Exchange) {
         Exchange.Stream.setDeadline(readSteadyClock() + ControlTimeLimit);
         if (Exchange.Request.target == CallPath)
           serveOpenCall(Exchange, this->Dispatcher);
@@ -198,6 +200,7 @@
   if (this->Peers)
     this->Peers->setPeers(Daemons);
   std::vector<std::string> Names;
+  Names.reserve(Daemons.size());
   for (const DaemonRecord &Daemon : Daemons)
     Names.push_back(Daemon.Name);
   std::lock_guard<std::mutex> Lock(this->BuildMutex);
@@ -319,16 +322,16 @@
         "canvaswick_latency_ms{{service=\"{}\",quantile=\"{}\"}} {:.3f}\n",
         Name, Part, getQuantile(Histogram, Part));
   for (const ServerStatus &Status : Service.describe(Now))
-    Text += fmt::format(
-        "canvaswick_share{{service=\"{}\",server=\"{}\"}} {:.3f}\n", Name,
-        Status.Name, Status.Explanation.Share);
+    Text +=
+        fmt::format("canvaswick_share{{service=\"{}\",server=\"{}\"}} {:.3f}\n",
+                    Name, Status.Name, Status.Explanation.Share);
   return Text;
 }
 
 std::string Gateway::Impl::formatMetrics() const {
   std::string Text = this->Counters.format();
-  Text += fmt::format("canvaswick_log_lines_dropped {}\n",
-                      countDroppedLogLines());
+  Text +=
+      fmt::format("canvaswick_log_lines_dropped {}\n", countDroppedLogLines());
   const FleetRuntimeRef Current = this->Fleet.get();
   if (!Current)
     return Text;
--- a/lib/Daemon/PeerLink.cpp
+++ b/lib/Daemon/PeerLink.cpp
@@ -101,8 +101,7 @@
 }
 
 static bool decodeObservation(const Json::Value &Pair, Observation &Seen) {
-  if (!Pair.isArray() || Pair.size() < 2 || Pair.size() > 3 ||
-      !Pair[1].isInt())
+  if (!Pair.isArray() || Pair.size() < 2 || Pair.size() > 3 || !Pair[1].isInt())
     return false;
   if (Pair.size() == 3 && (!Pair[2].isInt() || Pair[2].asInt() < 0))
     return false;
@@ -128,8 +127,7 @@
   if (!Value["as-of"].isUInt64())
     return makeError(ErrorKind::InvalidArgument, "no revision");
   Message.AsOf = Value["as-of"].asUInt64();
-  Message.IsWatching =
-      Value["watching"].isBool() && Value["watching"].asBool();
+  Message.IsWatching = Value["watching"].isBool() && Value["watching"].asBool();
   Message.IsRelayed = Value["relayed"].isBool() && Value["relayed"].asBool();
   for (const Json::Value &Pair : Value["seen"]) {
     Observation Seen;
--- a/lib/Directory/FleetRecords.cpp
+++ b/lib/Directory/FleetRecords.cpp
@@ -7,8 +7,8 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// The result depends on nothing but its arguments, so that services that did not
-/// change compare equal and keep their state.
+/// The result depends on nothing but its arguments, so that services that did
+/// not change compare equal and keep their state.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -62,7 +62,8 @@
   Config.Slots = std::max(1, Record.Slots);
   Config.Connections =
       static_cast<int>(std::max<int64_t>(1, Rule.MaxConnections));
-  Config.State = Record.IsDraining ? ServerState::Draining : ServerState::Active;
+  Config.State =
+      Record.IsDraining ? ServerState::Draining : ServerState::Active;
   Config.WarmAt = Known.LearnedAt + Record.WarmupLeft;
   return Config;
 }
--- a/lib/Directory/ItemTable.cpp
+++ b/lib/Directory/ItemTable.cpp
@@ -7,8 +7,8 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// An item that is gone needs no mark: whatever is not newer than the revision up
-/// to which the table is complete is already in it.
+/// An item that is gone needs no mark: whatever is not newer than the revision
+/// up to which the table is complete is already in it.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -37,7 +37,8 @@
   return true;
 }
 
-bool ItemTable::replaceAll(const std::vector<StoreItem> &Given, uint64_t ReadAt) {
+bool ItemTable::replaceAll(const std::vector<StoreItem> &Given,
+                           uint64_t ReadAt) {
   if (ReadAt < this->AsOf)
     return false;
   bool IsChanged = false;
--- a/lib/Health/SpellPolicy.cpp
+++ b/lib/Health/SpellPolicy.cpp
@@ -1,4 +1,5 @@
-//===- SpellPolicy.cpp - Sick spells of some seconds, judged by all daemons -===//
+//===- SpellPolicy.cpp - Sick spells of some seconds, judged by all daemons
+//-===//
 //
 // Part of the canvaswick project, under the Apache License v2.0.
 // See LICENSE for license information.
@@ -262,8 +263,7 @@
   const ServerState &State = this->Servers[Server];
   if (State.IsLeaving)
     return 0;
-  const double Power =
-      Care == Caution::Utmost ? UtmostPower : OrdinaryPower;
+  const double Power = Care == Caution::Utmost ? UtmostPower : OrdinaryPower;
   double Share = std::pow(1 - this->getSickness(Server, Now), Power);
   if (this->isTestDue(Server, IsKept, Now))
     Share = std::max(Share, TestShare);
@@ -278,8 +278,7 @@
   const bool IsFloorNear = this->getFailurePart(Care, Now) >= FloorFailures;
   std::vector<double> Shares(this->Servers.size());
   for (size_t I = 0; I < Shares.size(); ++I)
-    Shares[I] = this->computeShare(I, Care, 
-                                    IsFloorNear && Kept[I], Now);
+    Shares[I] = this->computeShare(I, Care, IsFloorNear && Kept[I], Now);
   return Shares;
 }
 
@@ -323,7 +322,8 @@
 ShareExplanation SpellPolicy::explain(size_t Server, TimePoint Now) const {
   const ServerState &State = this->Servers[Server];
   ShareExplanation Explanation;
-  Explanation.WantedShare = std::pow(1 - this->getSickness(Server, Now), UtmostPower);
+  Explanation.WantedShare =
+      std::pow(1 - this->getSickness(Server, Now), UtmostPower);
   Explanation.Share = this->getShare(Server, Caution::Utmost, Now);
   Explanation.OwnScore = this->getSickness(Server, Now);
   Explanation.OwnCounts = State.Counts;
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -197,8 +197,8 @@
                               Sink](const httplib::Response &Response) {
     Stream.endHead();
     State.IsBodyless = isBodyless(Response.status);
-    State.IsUnframed = !State.IsBodyless &&
-                       !isFramed(Response, Outgoing.MayEndWithConnection);
+    State.IsUnframed =
+        !State.IsBodyless && !isFramed(Response, Outgoing.MayEndWithConnection);
     if (State.IsUnframed)
       return false;
     State.HeadTaken = true;
@@ -238,8 +238,7 @@
 
 /// Returns whether an answer ends before its connection does.
 static bool hasOwnEnd(const httplib::Response &Response) {
-  return isBodyless(Response.status) ||
-         Response.has_header("Content-Length") ||
+  return isBodyless(Response.status) || Response.has_header("Content-Length") ||
          Response.has_header("Transfer-Encoding");
 }
 
--- a/lib/Proxy/AnswerRelay.cpp
+++ b/lib/Proxy/AnswerRelay.cpp
@@ -95,8 +95,8 @@
   int Running = 0;
   int Waiting = 0;
   if (std::sscanf(Text.c_str(), "%d,%d", &Running, &Waiting) == 2)
-    this->Load = std::clamp(Running, 0, MostLoad) +
-                 std::clamp(Waiting, 0, MostLoad);
+    this->Load =
+        std::clamp(Running, 0, MostLoad) + std::clamp(Waiting, 0, MostLoad);
 }
 
 bool AnswerRelay::continuesAnswer(const httplib::Response &Response) const {
@@ -114,11 +114,10 @@
   if (this->HeadWritten)
     return this->continuesAnswer(Response) ? AnswerVerdict::Relayed
                                            : AnswerVerdict::Mismatch;
-  const bool IsMarked =
-      Response.has_header(this->Names.NotRun) &&
-      (this->Names.NotRunValue.empty() ||
-       Response.get_header_value(this->Names.NotRun) ==
-           this->Names.NotRunValue);
+  const bool IsMarked = Response.has_header(this->Names.NotRun) &&
+                        (this->Names.NotRunValue.empty() ||
+                         Response.get_header_value(this->Names.NotRun) ==
+                             this->Names.NotRunValue);
   if (IsMarked)
     return AnswerVerdict::NotRun;
   if (!this->Names.ExpectedInstance.empty() &&
@@ -167,13 +166,13 @@
   this->Length = std::strtoull(Length.c_str(), nullptr, 10);
   this->Validator = Response.get_header_value("ETag");
   this->IsBodyless = Response.status == 204 || Response.status == 304 ||
-                          this->Exchange.Request.method == "HEAD";
+                     this->Exchange.Request.method == "HEAD";
   this->IsChunked = !this->IsBodyless && !this->HasLength;
   this->IsHolding = this->Rules.HeldBytes > 0 && !this->IsBodyless &&
                     this->Length <= this->Rules.HeldBytes;
-  this->Head = fmt::format("HTTP/1.1 {} {}\r\n", Response.status,
-                           Response.reason.empty() ? "Unnamed"
-                                                   : Response.reason);
+  this->Head =
+      fmt::format("HTTP/1.1 {} {}\r\n", Response.status,
+                  Response.reason.empty() ? "Unnamed" : Response.reason);
   for (const auto &[Name, Value] : Response.headers)
     if (!isConnectionHeader(Name, Response.headers) &&
         (this->Names.PassesCallerId ||
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -272,8 +272,7 @@
     Request.Outcome = RunOutcome::NotKnown;
     break;
   }
-  if (Relay.getStatus() >= 500 ||
-      Relay.getVerdict() == AnswerVerdict::Failed) {
+  if (Relay.getStatus() >= 500 || Relay.getVerdict() == AnswerVerdict::Failed) {
     this->Counters.add(Counter::UpstreamFailures);
     return RequestOutcome::Failed;
   }
--- a/lib/Proxy/RequestProxy.cpp
+++ b/lib/Proxy/RequestProxy.cpp
@@ -412,14 +412,13 @@
           "id={} route={} service={} version={} status={} outcome={} reason={} "
           "ms={} left-ms={} tries={}",
           Request.CallerId, Request.Route->Name,
-          Request.Service->getConfig().Name,
-          Request.Fleet->getConfig().Version,
+          Request.Service->getConfig().Name, Request.Fleet->getConfig().Version,
           IsRelayed ? Relay.getStatus() : Request.Exchange.Response.status,
           IsRelayed ? "relayed"
                     : (Request.WasCanceled ? "caller-left"
                                            : getName(Request.Outcome)),
-          *Request.Reason ? Request.Reason : "-",
-          toMillis(Now - Request.Began), toMillis(Request.Deadline - Now),
+          *Request.Reason ? Request.Reason : "-", toMillis(Now - Request.Began),
+          toMillis(Request.Deadline - Now),
           Request.Trail.empty() ? "-" : Request.Trail);
 }
 
--- a/lib/Proxy/ServiceRuntime.cpp
+++ b/lib/Proxy/ServiceRuntime.cpp
@@ -52,7 +52,8 @@
                fromMillis(this->Config.ColdStartMs)),
       Latency(fromMillis(this->Config.SlowAfterMs)),
       Retries(this->Config.RetryPercent),
-      FleetRepeats(this->makeRepeats(Identity, Previous)), InFlight(this->Config.MaxInFlight),
+      FleetRepeats(this->makeRepeats(Identity, Previous)),
+      InFlight(this->Config.MaxInFlight),
       Random(makeSeed(this->Config.Name, Identity.Name, Now)),
       LeavingByList(this->Subset.Servers.size(), false),
       IsLeaving(this->Subset.Servers.size(), false),
@@ -77,7 +78,8 @@
 }
 
 /// Returns for each server its index in Other, or -1.
-std::vector<int> ServiceRuntime::matchServers(const ServiceRuntime &Other) const {
+std::vector<int>
+ServiceRuntime::matchServers(const ServiceRuntime &Other) const {
   std::map<std::string, int> Known;
   for (size_t I = 0; I < Other.countServers(); ++I)
     Known[Other.getServer(I).Name] = static_cast<int>(I);
@@ -185,8 +187,8 @@
   if (this->IsLeaving[Server] && !IsLeaving)
     this->Selector.restartColdStart(Server, Now);
   this->IsLeaving[Server] = IsLeaving;
-  std::visit(
-      [&](auto &Own) { Own.setLeaving(Server, IsLeaving, Now); }, this->Policy);
+  std::visit([&](auto &Own) { Own.setLeaving(Server, IsLeaving, Now); },
+             this->Policy);
 }
 
 Refusal ServiceRuntime::admit(Duration Left, TimePoint Now, Duration &Wait) {
@@ -319,8 +321,7 @@
   return {};
 }
 
-std::vector<Estimate>
-ServiceRuntime::getNearEstimates(TimePoint Now) const {
+std::vector<Estimate> ServiceRuntime::getNearEstimates(TimePoint Now) const {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   std::vector<Estimate> Estimates;
   const auto *Spells = std::get_if<SpellPolicy>(&this->Policy);
--- a/lib/Routing/ServerSelector.cpp
+++ b/lib/Routing/ServerSelector.cpp
@@ -89,8 +89,8 @@
   const ServerState &State = this->Servers[Server];
   if (State.InFlight >= State.Config.Limit)
     return 0;
-  double Weight = Shares[Server] * State.Config.Slots *
-                  this->getReadiness(Server, Now);
+  double Weight =
+      Shares[Server] * State.Config.Slots * this->getReadiness(Server, Now);
   if (!State.Config.IsNear)
     Weight *= Rules.FarShare;
   if (Rules.HasFreshLoad)
--- a/lib/Settings/DaemonConfig.cpp
+++ b/lib/Settings/DaemonConfig.cpp
@@ -60,8 +60,7 @@
   Config.FloorPercent =
       static_cast<int>(std::lround(Decimal(SettingKey::FloorShare) * 100));
   Config.Repeats.Share = Decimal(SettingKey::RepeatShare);
-  Config.Repeats.Window =
-      fromSeconds(Decimal(SettingKey::RepeatWindowSeconds));
+  Config.Repeats.Window = fromSeconds(Decimal(SettingKey::RepeatWindowSeconds));
   Config.Repeats.Reserve = Tree.lookupInteger(Node, SettingKey::RepeatReserve);
   Config.Lease = fromSeconds(Decimal(SettingKey::LeaseSeconds));
   Config.Drain = fromSeconds(Decimal(SettingKey::DrainSeconds));
@@ -77,8 +76,8 @@
       buildNode(Document.Sections[0], SettingLevel::Daemon, "daemon", Path));
   // A node with no parent resolves to its own values and the defaults.
   const SettingsTree Tree;
-  const auto Source = static_cast<SettingsSource>(
-      Tree.lookupInteger(Node, SettingKey::Source));
+  const auto Source =
+      static_cast<SettingsSource>(Tree.lookupInteger(Node, SettingKey::Source));
   std::span<const SettingKey> Required = RequiredKeys;
   if (Source == SettingsSource::Platform)
     Required = RequiredKeysOnPlatform;
--- a/lib/Support/Log.cpp
+++ b/lib/Support/Log.cpp
@@ -8,9 +8,9 @@
 ///
 /// \file
 /// One line an event: time, level, event, then fields as name=value. A daemon's
-/// lines go through a bounded queue to a thread that writes them, so that a reader
-/// that stalls never holds up a request; what does not fit is counted, and the
-/// count is logged.
+/// lines go through a bounded queue to a thread that writes them, so that a
+/// reader that stalls never holds up a request; what does not fit is counted,
+/// and the count is logged.
 ///
 //===----------------------------------------------------------------------===//
 
--- a/tools/canvaswickd/canvaswickd.cpp
+++ b/tools/canvaswickd/canvaswickd.cpp
@@ -123,8 +123,8 @@
   const Duration Grace = serveUntilStopped(Server, Config);
   const TimePoint Deadline = readSteadyClock() + Grace - ExitMargin;
   Server.beginStop();
-  const Duration Accepting = std::min(
-      LongestAccepting, fromSeconds(toSeconds(Grace) * AcceptingPart));
+  const Duration Accepting =
+      std::min(LongestAccepting, fromSeconds(toSeconds(Grace) * AcceptingPart));
   waitForSecondStopSignal(toMillis(Accepting));
   const bool AllEnded = Server.finishStop(Deadline);
   stopLogWriter();
--- a/unittests/Admission/FleetRepeatBudgetTest.cpp
+++ b/unittests/Admission/FleetRepeatBudgetTest.cpp
@@ -66,9 +66,8 @@
   static size_t countWithin(const std::vector<TimePoint> &Instants,
                             TimePoint From, TimePoint Until) {
     return static_cast<size_t>(
-        std::count_if(Instants.begin(), Instants.end(), [&](TimePoint At) {
-          return At > From && At <= Until;
-        }));
+        std::count_if(Instants.begin(), Instants.end(),
+                      [&](TimePoint At) { return At > From && At <= Until; }));
   }
 
   /// The allowance counts the requests of the window or, where these are more,
@@ -100,8 +99,8 @@
       Under.Daemons[I]->configure(Allowance, Count);
     }
     TimePoint Now = Start + fromSeconds(30);
-    const auto Steps = *rc::gen::container<std::vector<int>>(
-        400, rc::gen::inRange(0, 4000));
+    const auto Steps =
+        *rc::gen::container<std::vector<int>>(400, rc::gen::inRange(0, 4000));
     for (const int Step : Steps) {
       const size_t Which = static_cast<size_t>(Step) % Count;
       const int Kind = Step / static_cast<int>(Count) % 20;
--- a/unittests/Directory/ItemTableTest.cpp
+++ b/unittests/Directory/ItemTableTest.cpp
@@ -63,8 +63,8 @@
 
 TEST_CASE("any order and repetition of news ends in the newest of each key") {
   rc::check([] {
-    const auto Changes = *rc::gen::container<std::vector<int>>(
-        rc::gen::inRange(0, 8));
+    const auto Changes =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 8));
     std::vector<StoreItem> News;
     std::map<std::string, StoreItem> Newest;
     uint64_t Revision = 0;
@@ -76,7 +76,8 @@
     }
     // Removals are only safe in the store's order; other news in any.
     std::erase_if(News, [](const StoreItem &Item) { return Item.IsGone; });
-    std::erase_if(Newest, [](const auto &Entry) { return Entry.second.IsGone; });
+    std::erase_if(Newest,
+                  [](const auto &Entry) { return Entry.second.IsGone; });
     ItemTable Table;
     for (auto Each = News.rbegin(); Each != News.rend(); ++Each)
       Table.apply(*Each);
--- a/unittests/Directory/WatchDutyTest.cpp
+++ b/unittests/Directory/WatchDutyTest.cpp
@@ -45,6 +45,7 @@
 
 TEST_CASE("two daemons of a hall watch, and two others if they fall silent") {
   std::vector<std::string> Names;
+  Names.reserve(12);
   for (int I = 0; I < 12; ++I)
     Names.push_back(fmt::format("d{}", I));
   std::vector<WatchDuty> Duties;
--- a/unittests/Health/SpellPolicyTest.cpp
+++ b/unittests/Health/SpellPolicyTest.cpp
@@ -7,8 +7,8 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// What moves the probability of a spell, what follows for the shares, and what is
-/// told to peers.
+/// What moves the probability of a spell, what follows for the shares, and what
+/// is told to peers.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -134,8 +134,8 @@
   rc::check([] {
     SpellPolicy Policy = makePolicy(6);
     TimePoint Now = Start;
-    const auto Steps = *rc::gen::container<std::vector<int>>(
-        rc::gen::inRange(0, 6 * 7 * 50));
+    const auto Steps =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 6 * 7 * 50));
     for (const int Step : Steps) {
       const auto Server = static_cast<size_t>(Step % 6);
       const auto Outcome = static_cast<RequestOutcome>(Step / 6 % 7);
--- a/unittests/PlatformAdapter/FleetViewTest.cpp
+++ b/unittests/PlatformAdapter/FleetViewTest.cpp
@@ -7,8 +7,8 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// Configuration only moves forward; servers that leave are dropped at once, and those
-/// that may only have lapsed are kept a little.
+/// Configuration only moves forward; servers that leave are dropped at once,
+/// and those that may only have lapsed are kept a little.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -112,9 +112,9 @@
 TEST_CASE("a peer's copy is taken like the store's own answer") {
   FleetView Ahead({70}, fromSeconds(2));
   fill(Ahead);
-  Ahead.applyEvents({{"servers/i-1", "", 12, true},
-                     {"op/config", makeRules(5), 13, false}},
-                    13, Start);
+  Ahead.applyEvents(
+      {{"servers/i-1", "", 12, true}, {"op/config", makeRules(5), 13, false}},
+      13, Start);
   FleetView Behind({70}, fromSeconds(2));
   fill(Behind);
   CHECK(Behind.applyChanges(Ahead.getChangesAfter(Behind.getAsOf()), Start));
--- a/unittests/PlatformAdapter/PlatformDaemonTest.cpp
+++ b/unittests/PlatformAdapter/PlatformDaemonTest.cpp
@@ -7,8 +7,8 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// A daemon between real sockets: the stand-in for the store, two backend servers that
-/// speak the platform's headers, and a caller.
+/// A daemon between real sockets: the stand-in for the store, two backend
+/// servers that speak the platform's headers, and a caller.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -50,9 +50,8 @@
 public:
   explicit Upstream(std::string Id) : Id(std::move(Id)) {
     this->Server = std::make_unique<HttpServer>(
-        HttpServerLimits{}, [this](HttpExchange &Exchange) {
-          this->handle(Exchange);
-        });
+        HttpServerLimits{},
+        [this](HttpExchange &Exchange) { this->handle(Exchange); });
     REQUIRE(this->Server->start({"127.0.0.1", 0}));
   }
 
@@ -169,9 +168,7 @@
   }
 
   void writeConfig(uint64_t Version, const std::string &Prefix = "/x/") {
-    this->Store.put(
-        "op/config",
-        fmt::format(R"({{"version": {}, "limits": {{}},
+    this->Store.put("op/config", fmt::format(R"({{"version": {}, "limits": {{}},
         "clusters": [{{"name": "s", "healthPath": "/healthz",
                        "maxConns": 300}}],
         "listeners": [{{"host": "a.example", "rules": [
@@ -182,7 +179,7 @@
             "match": {{"pathPrefix": "/pay/"}},
             "action": {{"service": "s", "timeoutS": 2,
                         "attempts": 2}}}}]}}]}})",
-                    Version, Prefix));
+                                             Version, Prefix));
   }
 
   void addServers(const std::string &State = "ready") {
@@ -289,9 +286,8 @@
 }
 
 TEST_CASE("what may have run is never promised not to have, nor run again") {
-  for (const Behaviour Does :
-       {Behaviour::Fail, Behaviour::UnmarkedRefusal, Behaviour::Cut,
-        Behaviour::Foreign}) {
+  for (const Behaviour Does : {Behaviour::Fail, Behaviour::UnmarkedRefusal,
+                               Behaviour::Cut, Behaviour::Foreign}) {
     Bench Under;
     Under.settle();
     Under.setBoth(Does);
--- a/unittests/PlatformAdapter/StoreFeedTest.cpp
+++ b/unittests/PlatformAdapter/StoreFeedTest.cpp
@@ -11,9 +11,9 @@
 ///
 //===----------------------------------------------------------------------===//
 
+#include "platform/StoreFeed.h"
 #include "platform/DaemonRegistry.h"
 #include "platform/RecordDecoder.h"
-#include "platform/StoreFeed.h"
 #include "platform/standin/StoreStandIn.h"
 
 #include <doctest/doctest.h>
@@ -111,7 +111,8 @@
   Bench Under;
   Under.Store.put("op/config", "{}");
   Under.Feed.runRound();
-  DaemonRegistry Registry(Under.Client, Under.View, Under.Self, fromSeconds(60));
+  DaemonRegistry Registry(Under.Client, Under.View, Under.Self,
+                          fromSeconds(60));
   const TimePoint Now = readSteadyClock();
   Registry.runRound(Now);
   CHECK_FALSE(Under.Store.peek(DaemonKey).empty());
@@ -131,7 +132,8 @@
   Bench Under;
   Under.Store.put("op/config", "{}");
   Under.Feed.runRound();
-  DaemonRegistry Registry(Under.Client, Under.View, Under.Self, fromSeconds(60));
+  DaemonRegistry Registry(Under.Client, Under.View, Under.Self,
+                          fromSeconds(60));
   Under.Store.setFaults({.LosesAnswers = true});
   const TimePoint Now = readSteadyClock();
   Registry.runRound(Now);
--- a/unittests/Support/LogTest.cpp
+++ b/unittests/Support/LogTest.cpp
@@ -7,8 +7,8 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// Volume stays within its bounds, what is dropped is counted, and writing waits for
-/// nobody.
+/// Volume stays within its bounds, what is dropped is counted, and writing
+/// waits for nobody.
 ///
 //===----------------------------------------------------------------------===//
 
