The operators' bounds for callers are in force: head, body, idle time

Cause: the daemon kept its own bounds for the head and idle time whatever the configuration said. Test: 'the operators' bounds for callers are kept'; with the bounds not put in force it failed on the head (see the check on 431).

--- a/include/canvaswick/Http/HttpServer.h
+++ b/include/canvaswick/Http/HttpServer.h
@@ -76,6 +76,11 @@
   /// Binds and starts to accept. Fails with Io if the address is taken.
   Result<void> start(const Endpoint &Address);
 
+  /// Changes what one head may be, from the next request on, and how long a
+  /// connection may be idle.
+  void setCallerBounds(size_t MaxHeadBytes, Duration HeadTime,
+                       Duration IdleLimit);
+
   /// Answers close their connections from now on. New connections are taken
   /// until stopGracefully.
   void beginClosing();
@@ -108,6 +113,8 @@
 
   const HttpServerLimits Limits;
   const ExchangeHandler Handler;
+  std::atomic<size_t> MaxHeadBytes;
+  std::atomic<int64_t> HeadMicros;
   HttpServerCounters Counters;
   std::atomic<size_t> Connections{0};
   std::atomic<size_t> InFlight{0};
--- a/include/canvaswick/Http/IdleParker.h
+++ b/include/canvaswick/Http/IdleParker.h
@@ -40,6 +40,9 @@
   IdleParker(const IdleParker &) = delete;
   IdleParker &operator=(const IdleParker &) = delete;
 
+  /// Changes how long a connection may be without input.
+  void setIdleLimit(Duration Limit) { this->IdleMicros = Limit.count(); }
+
   /// Takes a connection.
   void park(std::unique_ptr<SocketStream> Stream);
 
@@ -59,7 +62,7 @@
   void closeExpired(TimePoint Now);
   std::unique_ptr<SocketStream> take(int Descriptor);
 
-  const Duration IdleLimit;
+  std::atomic<int64_t> IdleMicros;
   const StreamHandler Ready;
   const StreamHandler Expired;
   int Epoll;
--- a/lib/Daemon/Gateway.cpp
+++ b/lib/Daemon/Gateway.cpp
@@ -76,6 +76,7 @@
   void housekeep();
   void sendEstimates(const FleetRuntime &Current, TimePoint Now);
   void takeMessage(const PeerMessage &Message);
+  void boundCallers(const CallerLimits &Given);
   Result<void> startControl();
   void handleReady(HttpExchange &Exchange);
   std::string formatMetrics() const;
@@ -168,6 +169,19 @@
   return this->Control->start(this->Config.Control);
 }
 
+/// Puts the operators' bounds for callers in force; where they set none, the
+/// daemon's own hold.
+void Gateway::Impl::boundCallers(const CallerLimits &Given) {
+  const HttpServerLimits Own;
+  const auto OwnIdle =
+      fromSeconds(static_cast<double>(this->Config.IdleSeconds));
+  this->Callers->setCallerBounds(
+      Given.MaxHeadBytes > 0 ? static_cast<size_t>(Given.MaxHeadBytes)
+                             : Own.MaxHeadBytes,
+      Given.HeadMs > 0 ? fromMillis(Given.HeadMs) : Own.HeadTime,
+      Given.IdleMs > 0 ? fromMillis(Given.IdleMs) : OwnIdle);
+}
+
 /// Builds what serves Next. The caller holds BuildMutex.
 void Gateway::Impl::build(const FleetConfigRef &Next) {
   DaemonIdentity Identity;
@@ -187,6 +201,7 @@
   for (const ServiceRuntimeRef &Service : Runtime->getServices())
     Service->setRepeats(this->Repeats, Count);
   Runtime->boundConnections(this->Upstreams);
+  this->boundCallers(Next->Limits);
   this->Fleet.set(Runtime);
   this->Counters.add(Counter::FleetBuilds);
 }
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -67,6 +67,7 @@
 
 HttpServer::HttpServer(HttpServerLimits Limits, ExchangeHandler Handler)
     : Limits(Limits), Handler(std::move(Handler)),
+      MaxHeadBytes(Limits.MaxHeadBytes), HeadMicros(Limits.HeadTime.count()),
       Pool(Limits.Workers, Limits.QueueLimit) {
   this->new_task_queue = [] { return new InlineTaskQueue; };
   this->set_socket_options(setServerSocketOptions);
@@ -129,6 +130,13 @@
 
 size_t HttpServer::countConnections() const { return this->Connections; }
 
+void HttpServer::setCallerBounds(size_t MostHeadBytes, Duration HeadTime,
+                                 Duration IdleLimit) {
+  this->MaxHeadBytes = MostHeadBytes;
+  this->HeadMicros = HeadTime.count();
+  this->Parker->setIdleLimit(IdleLimit);
+}
+
 void HttpServer::beginClosing() { this->Stopping = true; }
 
 bool HttpServer::stopGracefully(TimePoint Deadline) {
@@ -228,8 +236,8 @@
   Context.Stream = &Stream;
   CurrentContext = &Context;
   Stream.muteWrites(false);
-  Stream.beginHead(this->Limits.MaxHeadBytes);
-  Stream.setDeadline(readSteadyClock() + this->Limits.HeadTime);
+  Stream.beginHead(this->MaxHeadBytes);
+  Stream.setDeadline(readSteadyClock() + Duration(this->HeadMicros));
   Stream.watchHangUp(-1);
   const auto Setup = [&Context](httplib::Request &Request) {
     Context.Request = &Request;
--- a/lib/Http/IdleParker.cpp
+++ b/lib/Http/IdleParker.cpp
@@ -29,7 +29,7 @@
 
 IdleParker::IdleParker(Duration IdleLimit, StreamHandler Ready,
                        StreamHandler Expired)
-    : IdleLimit(IdleLimit), Ready(std::move(Ready)),
+    : IdleMicros(IdleLimit.count()), Ready(std::move(Ready)),
       Expired(std::move(Expired)), Epoll(::epoll_create1(EPOLL_CLOEXEC)),
       Wake(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
   epoll_event Event{};
@@ -69,12 +69,13 @@
 }
 
 void IdleParker::closeExpired(TimePoint Now) {
+  const Duration IdleLimit(this->IdleMicros);
   std::vector<int> Expired;
   {
     std::lock_guard<std::mutex> Lock(this->Mutex);
     for (const auto &[Descriptor, Connection] : this->Connections) {
       const Duration Limit =
-          Connection.Stream->isLingering() ? LingerLimit : this->IdleLimit;
+          Connection.Stream->isLingering() ? LingerLimit : IdleLimit;
       if (Now - Connection.Since > Limit)
         Expired.push_back(Descriptor);
     }
--- a/unittests/PlatformAdapter/PlatformDaemonTest.cpp
+++ b/unittests/PlatformAdapter/PlatformDaemonTest.cpp
@@ -168,7 +168,7 @@
   }
 
   void writeConfig(uint64_t Version, const std::string &Prefix = "/x/") {
-    this->Store.put("op/config", fmt::format(R"({{"version": {}, "limits": {{}},
+    this->Store.put("op/config", fmt::format(R"({{"version": {}, "limits": {},
         "clusters": [{{"name": "s", "healthPath": "/healthz",
                        "maxConns": 300}}],
         "listeners": [{{"host": "a.example", "rules": [
@@ -179,7 +179,7 @@
             "match": {{"pathPrefix": "/pay/"}},
             "action": {{"service": "s", "timeoutS": 2,
                         "attempts": 2}}}}]}}]}})",
-                                             Version, Prefix));
+                                             Version, this->Limits, Prefix));
   }
 
   void addServers(const std::string &State = "ready") {
@@ -231,6 +231,7 @@
   int countRuns() const { return this->One.Runs + this->Two.Runs; }
   void setBoth(Behaviour Does) { this->One.Does = this->Two.Does = Does; }
 
+  std::string Limits = "{}";
   StoreStandIn Store;
   Upstream One{"i-1"};
   Upstream Two{"i-2"};
@@ -352,6 +353,18 @@
   CHECK(Under.ask("GET", "/x/1").Status == 404);
 }
 
+TEST_CASE("the operators' bounds for callers are kept") {
+  Bench Under;
+  Under.settle();
+  Under.Limits = R"({"maxHeaderBytes": 400, "maxBodyBytes": 10,
+                     "headerTimeoutS": 3, "idleTimeoutS": 0.5})";
+  Under.writeConfig(5, "/y/");
+  Under.waitFor([&] { return Under.ask("GET", "/y/1").Status == 200; });
+  CHECK(Under.ask("POST", "/pay/1", "short").Status == 200);
+  CHECK(Under.ask("POST", "/pay/1", "longer than ten bytes").Status == 413);
+  CHECK(Under.ask("GET", "/y/" + std::string(500, 'a')).Status == 431);
+}
+
 TEST_CASE("the store may be away while requests are served") {
   Bench Under;
   Under.settle();
