--- a/include/canvaswick/Health/SpellPolicy.h
+++ b/include/canvaswick/Health/SpellPolicy.h
@@ -58,6 +58,8 @@
 
 /// What a request has to lose at a sick server.
 enum class Caution : uint8_t {
+  /// It may be sent again, and sending it far away costs more than a failure.
+  Least,
   /// It may be sent again, so it may test a server.
   Ordinary,
   /// A failure after it was sent is final.
--- a/lib/Health/SpellPolicy.cpp
+++ b/lib/Health/SpellPolicy.cpp
@@ -35,6 +35,7 @@
 static constexpr double SuspectSickness = 0.4;
 
 /// Shares fall with this power of the probability of being well.
+static constexpr double LeastPower = 1;
 static constexpr double OrdinaryPower = 3;
 static constexpr double UtmostPower = 9;
 
@@ -239,7 +240,7 @@
   }
   const double Failures = Bad / All;
   // What may be sent again goes unserved only if it fails twice.
-  return Care == Caution::Ordinary ? Failures * Failures : Failures;
+  return Care == Caution::Utmost ? Failures : Failures * Failures;
 }
 
 void SpellPolicy::noteUse(size_t Server, TimePoint Now) {
@@ -258,12 +259,25 @@
          (Unused > TestAfter && this->getSickness(Server, Now) <= TestSickness);
 }
 
+static double getPower(Caution Care) {
+  switch (Care) {
+  case Caution::Least:
+    return LeastPower;
+  case Caution::Ordinary:
+    return OrdinaryPower;
+  case Caution::Utmost:
+    return UtmostPower;
+  }
+  assert(false && "caution without a power");
+  return UtmostPower;
+}
+
 double SpellPolicy::computeShare(size_t Server, Caution Care, bool IsKept,
                                  TimePoint Now) const {
   const ServerState &State = this->Servers[Server];
   if (State.IsLeaving)
     return 0;
-  const double Power = Care == Caution::Utmost ? UtmostPower : OrdinaryPower;
+  const double Power = getPower(Care);
   double Share = std::pow(1 - this->getSickness(Server, Now), Power);
   if (this->isTestDue(Server, IsKept, Now))
     Share = std::max(Share, TestShare);
--- a/lib/Proxy/ServiceRuntime.cpp
+++ b/lib/Proxy/ServiceRuntime.cpp
@@ -111,9 +111,17 @@
   return Budget;
 }
 
+/// A large answer from another hall costs more than it is worth: it takes more
+/// to turn away from the servers of the own one.
+static Caution chooseCaution(const AttemptNeeds &Needs) {
+  if (Needs.Class == RouteClass::Download)
+    return Needs.IsLast ? Caution::Utmost : Caution::Least;
+  return Needs.IsLast ? Caution::Utmost : Caution::Ordinary;
+}
+
 std::vector<double> ServiceRuntime::getShares(const AttemptNeeds &Needs,
                                               TimePoint Now) const {
-  const Caution Care = Needs.IsLast ? Caution::Utmost : Caution::Ordinary;
+  const Caution Care = chooseCaution(Needs);
   if (const auto *Spells = std::get_if<SpellPolicy>(&this->Policy))
     return Spells->getShares(Care, Now);
   const auto &Pooled = std::get<PooledPolicy>(this->Policy);
--- a/unittests/Health/SpellPolicyTest.cpp
+++ b/unittests/Health/SpellPolicyTest.cpp
@@ -47,7 +47,9 @@
   Policy.recordOutcome(0, RequestOutcome::Failed, Now);
   CHECK(Policy.getShare(0, Caution::Utmost, Now) < 0.1 * Before);
   CHECK(Policy.getShare(1, Caution::Utmost, Now) == doctest::Approx(Before));
-  // What may be sent again keeps testing it.
+  // What may be sent again keeps testing it, most of all what is dear far away.
+  CHECK(Policy.getShare(0, Caution::Least, Now) >
+        Policy.getShare(0, Caution::Ordinary, Now));
   CHECK(Policy.getShare(0, Caution::Ordinary, Now) >
         Policy.getShare(0, Caution::Utmost, Now));
 }
@@ -144,7 +146,8 @@
         Policy.recordOutcome(Server, Outcome, Now);
       else
         Policy.takeObservation(Server, Outcome, Now);
-      for (const Caution Care : {Caution::Ordinary, Caution::Utmost})
+      for (const Caution Care :
+           {Caution::Least, Caution::Ordinary, Caution::Utmost})
         for (const double Share : Policy.getShares(Care, Now))
           RC_ASSERT(Share >= 0 && Share <= 1);
       RC_ASSERT(Policy.getSickness(Server, Now) > 0);
