Read by a newcomer: the spell policy's constants by what they belong to

The constants of SpellPolicy.cpp stood in the order they were found in: the floor, the tests of unused servers and the model were mixed, and two comments told of tests that only one caution or only the floor brought about. They are grouped now, the bare factors have names, update takes the index it worked out by pointers before, and header titles fit on their line. Behaviour unchanged.

--- a/include/canvaswick/Admission/FleetRepeatBudget.h
+++ b/include/canvaswick/Admission/FleetRepeatBudget.h
@@ -1,5 +1,4 @@
-//===- FleetRepeatBudget.h - Repeats that the whole fleet may send *- C++
-//-*-===//
+//===- FleetRepeatBudget.h - The repeats of a whole fleet -------*- C++ -*-===//
 //
 // Part of the canvaswick project, under the Apache License v2.0.
 // See LICENSE for license information.
--- a/include/canvaswick/Daemon/Gateway.h
+++ b/include/canvaswick/Daemon/Gateway.h
@@ -1,5 +1,4 @@
-//===- Gateway.h - A daemon whose settings and servers are fed to it -*- C++
-//-*-===//
+//===- Gateway.h - A daemon fed from outside --------------------*- C++ -*-===//
 //
 // Part of the canvaswick project, under the Apache License v2.0.
 // See LICENSE for license information.
--- a/include/canvaswick/Directory/FleetRecords.h
+++ b/include/canvaswick/Directory/FleetRecords.h
@@ -1,5 +1,4 @@
-//===- FleetRecords.h - What a daemon learns of its fleet from outside -*- C++
-//-*-===//
+//===- FleetRecords.h - What a daemon learns of its fleet -------*- C++ -*-===//
 //
 // Part of the canvaswick project, under the Apache License v2.0.
 // See LICENSE for license information.
--- a/include/canvaswick/Directory/ItemTable.h
+++ b/include/canvaswick/Directory/ItemTable.h
@@ -1,5 +1,4 @@
-//===- ItemTable.h - A copy of the store that only moves forward -*- C++
-//-*-===//
+//===- ItemTable.h - A copy of the store ------------------------*- C++ -*-===//
 //
 // Part of the canvaswick project, under the Apache License v2.0.
 // See LICENSE for license information.
--- a/include/canvaswick/Health/SpellPolicy.h
+++ b/include/canvaswick/Health/SpellPolicy.h
@@ -1,5 +1,4 @@
-//===- SpellPolicy.h - Sick spells of some seconds, judged by all daemons *- C++
-//-*-===//
+//===- SpellPolicy.h - Sick spells of some seconds --------------*- C++ -*-===//
 //
 // Part of the canvaswick project, under the Apache License v2.0.
 // See LICENSE for license information.
@@ -58,7 +57,7 @@
 
 /// What a request has to lose at a sick server.
 enum class Caution : uint8_t {
-  /// It may be sent again, so it may test a server.
+  /// It may be sent again: it goes unserved only if that fails too.
   Ordinary,
   /// A failure after it was sent is final.
   Utmost,
@@ -84,7 +83,7 @@
   /// Returns the index of a server, or -1.
   int findServer(ServerId Id) const;
 
-  /// Returns this hall's rate.
+  /// Returns this hall's rate. Its Service is left for the caller to name.
   HallRate getRate(TimePoint Now) const;
 
   /// Takes another hall's rate.
@@ -93,16 +92,19 @@
   /// Notes that a request was sent to a server.
   void noteUse(size_t Server, TimePoint Now);
 
+  /// Marks a server as leaving or not.
   void setLeaving(size_t Server, bool IsLeaving, TimePoint Now);
 
-  /// Recomputes nothing by itself: shares follow the time they are asked at.
+  /// Does nothing: shares follow the time they are asked at. Here because all
+  /// policies are moved on alike.
   void advance(TimePoint Now);
 
   /// Returns the part of its fair share that a server gets from requests of
   /// this caution.
   double getShare(size_t Server, Caution Care, TimePoint Now) const;
 
-  /// Returns the shares of all servers at once, with the floor applied.
+  /// Returns the shares of all servers at once. Those that the floor keeps are
+  /// tested while it is near.
   std::vector<double> getShares(Caution Care, TimePoint Now) const;
 
   /// Returns the probability that a server is in a spell.
@@ -133,7 +135,7 @@
     OutcomeCounts Counts;
   };
 
-  void update(ServerState &State, RequestOutcome Outcome, TimePoint Now);
+  void update(size_t Server, RequestOutcome Outcome, TimePoint Now);
   void noteRecent(size_t Server, RequestOutcome Outcome, TimePoint Now);
   void noteReach(ServerState &State, RequestOutcome Outcome, TimePoint Now);
   std::vector<bool> findKeptByFloor(TimePoint Now) const;
--- a/include/canvaswick/Proxy/ProxyOptions.h
+++ b/include/canvaswick/Proxy/ProxyOptions.h
@@ -1,5 +1,4 @@
-//===- ProxyOptions.h - How a proxy speaks and what it holds back -*- C++
-//-*-===//
+//===- ProxyOptions.h - How a proxy speaks and holds back -------*- C++ -*-===//
 //
 // Part of the canvaswick project, under the Apache License v2.0.
 // See LICENSE for license information.
--- a/include/canvaswick/Support/RoundThread.h
+++ b/include/canvaswick/Support/RoundThread.h
@@ -1,5 +1,4 @@
-//===- RoundThread.h - A thread that does one thing again and again -*- C++
-//-*-===//
+//===- RoundThread.h - A thread that works in rounds ------------*- C++ -*-===//
 //
 // Part of the canvaswick project, under the Apache License v2.0.
 // See LICENSE for license information.
--- a/lib/Health/SpellPolicy.cpp
+++ b/lib/Health/SpellPolicy.cpp
@@ -1,5 +1,4 @@
-//===- SpellPolicy.cpp - Sick spells of some seconds, judged by all daemons
-//-===//
+//===- SpellPolicy.cpp - Sick spells of some seconds ----------------------===//
 //
 // Part of the canvaswick project, under the Apache License v2.0.
 // See LICENSE for license information.
@@ -8,7 +7,8 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// A hidden Markov model of two states for each server, filtered forward.
+/// A hidden Markov model of two states for each server, filtered forward. Its
+/// probability gives the share; tests of unused servers and the floor raise it.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -20,6 +20,8 @@
 
 namespace canvaswick {
 
+//===-- The model of spells -----------------------------------------------===//
+
 /// Part of the servers that are in a spell at any time, and how fast what is
 /// known of one loses its worth. From a bench day on which every outcome was
 /// logged: about three in ten servers were sick, for three to nine seconds at a
@@ -31,52 +33,70 @@
 static constexpr double LeastSickness = 0.005;
 static constexpr double MostSickness = 0.995;
 
-/// A server at least this likely sick is named as suspect.
-static constexpr double SuspectSickness = 0.4;
+//===-- Shares by sickness ------------------------------------------------===//
 
 /// Shares fall with this power of the probability of being well.
 static constexpr double OrdinaryPower = 3;
 static constexpr double UtmostPower = 9;
 
-/// The floor matters once a tenth of a service's requests go unserved. From
-/// this part of failures on, each server that it keeps is used every now and
-/// then: one that nobody of its hall has used for UnusedLimit gets TestShare,
-/// as much as a well one, and its next request soon. The floor is judged over
-/// two seconds.
-static constexpr double FloorFailures = 0.09;
-static constexpr Duration UnusedLimit = fromMillis(1000);
-static constexpr double TestShare = 0.6;
+/// A server at least this likely sick is named as suspect.
+static constexpr double SuspectSickness = 0.4;
 
-/// Otherwise a server that nobody of its hall has used for this long is tested
-/// once it is no more than TestSickness likely sick, whatever its share.
-static constexpr Duration TestAfter = fromSeconds(2);
-static constexpr double TestSickness = 0.5;
+//===-- Whether the floor is near -----------------------------------------===//
 
-/// Servers kept beyond the floor, for those that leave or fall sick meanwhile.
-static constexpr double ExtraKept = 0.5;
-
-/// Without word from another hall for this long, its servers are looked after
-/// as if they were near.
-static constexpr Duration EstimateLife = fromSeconds(2);
+/// The floor matters once a tenth of a service's requests go unserved; from
+/// this part of failures on it is taken to be near.
+static constexpr double FloorFailures = 0.09;
 
-/// Half-life of the count of recent outcomes.
+/// Half-life of the count of recent outcomes. It gives them the weight of about
+/// two seconds, over which the floor is judged.
 static constexpr Duration RecentHalfLife = fromSeconds(1.4);
 
 /// A server up to this likely sick is one that nothing speaks against.
 static constexpr double TrustedSickness = 0.25;
 
-/// How long another hall's rate counts.
-static constexpr Duration RateLife = fromSeconds(2);
-
 /// Outcomes that are imagined to have gone well, so that a quiet service's
 /// first failure is not taken for a rate.
 static constexpr double ImaginedGood = 10;
 
+/// How long another hall's rate counts.
+static constexpr Duration RateLife = fromSeconds(2);
+
+/// A HallRate counts in tenths of a request.
+static constexpr int RateParts = 10;
+
+//===-- Tests of servers that nobody uses ---------------------------------===//
+
+/// Share of a server whose test is due: about as much as a well one, so that
+/// its next request comes soon.
+static constexpr double TestShare = 0.6;
+
+/// While the floor is near, a server that it keeps is tested once nobody of its
+/// hall has used it for this long.
+static constexpr Duration UnusedLimit = fromMillis(1000);
+
+/// Servers kept beyond the floor, for those that leave or fall sick meanwhile.
+static constexpr double ExtraKept = 0.5;
+
+/// At any time, a server that nobody of its hall has used for TestAfter is
+/// tested once it is no more than TestSickness likely sick.
+static constexpr Duration TestAfter = fromSeconds(2);
+static constexpr double TestSickness = 0.5;
+
+/// Without word from another hall for this long, its servers are tested as if
+/// they were near.
+static constexpr Duration EstimateLife = fromSeconds(2);
+
+//===-- Servers that are not reached --------------------------------------===//
+
 /// How long a server is left alone after no connection to it came about.
-/// Doubles with each failure in a row up to the longest.
+/// Doubles with each failure in a row, MostDoublings times at most.
 static constexpr Duration FirstUnreachable = fromMillis(1000);
 static constexpr int MostDoublings = 2;
 
+/// Part that is left of its share meanwhile.
+static constexpr double UnreachablePart = 0.01;
+
 namespace {
 
 /// How likely an outcome is at a sick and at a well server.
@@ -128,9 +148,8 @@
   return UsualSickness + (State.Sickness - UsualSickness) * Kept;
 }
 
-void SpellPolicy::update(ServerState &State, RequestOutcome Outcome,
-                         TimePoint Now) {
-  const auto Server = static_cast<size_t>(&State - this->Servers.data());
+void SpellPolicy::update(size_t Server, RequestOutcome Outcome, TimePoint Now) {
+  ServerState &State = this->Servers[Server];
   const double Before = this->getSickness(Server, Now);
   const Likelihood Seen = getLikelihood(Outcome);
   const double Sick = Before * Seen.Sick;
@@ -174,7 +193,7 @@
   State.Counts.add(Outcome);
   this->noteReach(State, Outcome, Now);
   this->noteRecent(Server, Outcome, Now);
-  this->update(State, Outcome, Now);
+  this->update(Server, Outcome, Now);
   // What this daemon does not reach, others may.
   if (Outcome != RequestOutcome::Unreachable)
     this->News.push_back({State.Config.Id, Outcome, Load});
@@ -184,7 +203,11 @@
                                   TimePoint Now) {
   this->noteRecent(Server, Outcome, Now);
   this->noteUse(Server, Now);
-  this->update(this->Servers[Server], Outcome, Now);
+  this->update(Server, Outcome, Now);
+}
+
+void SpellPolicy::noteUse(size_t Server, TimePoint Now) {
+  this->Servers[Server].UsedAt = Now;
 }
 
 void SpellPolicy::takeEstimate(size_t Server, double Sickness, TimePoint Now) {
@@ -228,26 +251,24 @@
   return Kept;
 }
 
+/// Returns what part of the requests of this caution goes unserved at servers
+/// that nothing speaks against, over all halls that told of theirs.
 double SpellPolicy::getFailurePart(Caution Care, TimePoint Now) const {
   double All = this->RecentAll.get(Now, RecentHalfLife) + ImaginedGood;
   double Bad = this->RecentBad.get(Now, RecentHalfLife);
   for (const auto &[Hall, Rate] : this->OtherRates) {
     if (Now - Rate.second > RateLife)
       continue;
-    All += Rate.first.All / 10.0;
-    Bad += Rate.first.Bad / 10.0;
+    All += Rate.first.All / static_cast<double>(RateParts);
+    Bad += Rate.first.Bad / static_cast<double>(RateParts);
   }
   const double Failures = Bad / All;
   // What may be sent again goes unserved only if it fails twice.
   return Care == Caution::Ordinary ? Failures * Failures : Failures;
 }
 
-void SpellPolicy::noteUse(size_t Server, TimePoint Now) {
-  this->Servers[Server].UsedAt = Now;
-}
-
-/// Returns whether a server's next request should come soon: the floor keeps it
-/// in use, or it may be well again.
+/// Returns whether a server's next request should come soon: nobody of its hall
+/// uses it, and either the floor keeps it in use or it may be well again.
 bool SpellPolicy::isTestDue(size_t Server, bool IsKept, TimePoint Now) const {
   const ServerState &State = this->Servers[Server];
   // The daemons near a server look after it.
@@ -258,6 +279,7 @@
          (Unused > TestAfter && this->getSickness(Server, Now) <= TestSickness);
 }
 
+/// Returns one server's share. IsKept: the floor is near and keeps it in use.
 double SpellPolicy::computeShare(size_t Server, Caution Care, bool IsKept,
                                  TimePoint Now) const {
   const ServerState &State = this->Servers[Server];
@@ -269,7 +291,7 @@
     Share = std::max(Share, TestShare);
   // Nothing that does not arrive helps the floor.
   if (Now < State.UnreachableUntil)
-    Share *= 0.01;
+    Share *= UnreachablePart;
   return Share;
 }
 
@@ -288,7 +310,8 @@
 
 HallRate SpellPolicy::getRate(TimePoint Now) const {
   const auto Tenths = [Now](const DecayingCount &Count) {
-    return static_cast<int>(std::lround(10 * Count.get(Now, RecentHalfLife)));
+    return static_cast<int>(
+        std::lround(RateParts * Count.get(Now, RecentHalfLife)));
   };
   return {0, Tenths(this->RecentAll), Tenths(this->RecentBad)};
 }
@@ -330,6 +353,7 @@
   Explanation.Since = State.At;
   if (State.IsLeaving)
     Explanation.Reason = ShareReason::Leaving;
+  // Any test raises a share, also one that is not the floor's doing.
   else if (Explanation.Share > Explanation.WantedShare)
     Explanation.Reason = ShareReason::KeptByFloor;
   else if (Explanation.OwnScore >= SuspectSickness)
