RequestProxy: bodies and claims in files of their own, long steps split

handle held three refusals, judge a whole second switch, buildOutgoing the list of the headers we replace, and two functions read a body nearly alike. The declared but never written addServerHeaders has its body now, and the private functions stand by the file that has them. Behaviour unchanged.

--- a/include/canvaswick/Proxy/RequestProxy.h
+++ b/include/canvaswick/Proxy/RequestProxy.h
@@ -65,38 +65,52 @@
 private:
   struct Flow;
 
-  void refuse(HttpExchange &Exchange, int Status, RunOutcome Outcome,
-              const char *Reason, Duration Wait);
-  std::string formatRetryAfter(Duration Wait) const;
+  // RequestProxy.cpp: the steps, and final answers.
+  bool findRoute(Flow &Request);
   ServiceRuntimeRef chooseService(const FleetRuntime &Runtime,
                                   const RouteConfig &Route);
-  bool readChunkedBody(Flow &Request, uint64_t Limit);
-  void refuseUnserved(Flow &Request);
-  void refuseBody(Flow &Request, int Status, const char *Reason);
-  void logEnd(const Flow &Request, const AnswerRelay &Relay, TimePoint Now);
-  TimePoint chooseAttemptDeadline(Flow &Request, const AnswerRelay &Relay,
-                                  TimePoint Now, bool &IsPatience) const;
-  void addServerHeaders(Flow &Request, const ServerConfig &Server,
-                        const std::string &RequestId,
-                        OutgoingRequest &Outgoing) const;
   bool admitOrganisation(Flow &Request);
+  void serve(Flow &Request);
+  void finish(Flow &Request, AnswerRelay &Relay);
+  void logEnd(const Flow &Request, const AnswerRelay &Relay, TimePoint Now);
+  void refuse(HttpExchange &Exchange, int Status, RunOutcome Outcome,
+              const char *Reason, Duration Wait);
+  void refuseUnadmitted(Flow &Request, Refusal Refused, Duration Wait);
+  void refuseUnserved(Flow &Request);
+  std::string formatRetryAfter(Duration Wait) const;
+
+  // RequestBody.cpp.
   bool readBody(Flow &Request);
+  bool collectBody(Flow &Request, uint64_t Limit);
+  void refuseBody(Flow &Request, int Status, const char *Reason);
+  void streamBody(Flow &Request, OutgoingRequest &Outgoing) const;
+
+  // RequestClaims.cpp.
   bool claim(Flow &Request);
+  ClaimVerdict beginClaim(Flow &Request);
   void answerFromClaim(Flow &Request, const ClaimVerdict &Verdict);
-  void serve(Flow &Request);
+  void settleClaim(Flow &Request, const AnswerRelay &Relay);
+
+  // RequestAttempts.cpp.
+  size_t getMaxAttempts(const Flow &Request) const;
   void runAttempts(Flow &Request, AnswerRelay &Relay);
+  bool mayTryAgain(Flow &Request, const AnswerRelay &Relay);
   RequestOutcome tryOnce(Flow &Request, AnswerRelay &Relay,
                          const Attempt &Current);
+  RelayRules makeRelayRules(const Flow &Request) const;
+  TimePoint chooseAttemptDeadline(Flow &Request, const AnswerRelay &Relay,
+                                  TimePoint Now, bool &IsPatience) const;
   OutgoingRequest buildOutgoing(Flow &Request, const AnswerRelay &Relay,
                                 const ServerConfig &Server,
                                 const std::string &RequestId) const;
-  void streamBody(Flow &Request, OutgoingRequest &Outgoing) const;
-  size_t getMaxAttempts(const Flow &Request) const;
+  void addServerHeaders(Flow &Request, const ServerConfig &Server,
+                        const std::string &RequestId,
+                        OutgoingRequest &Outgoing) const;
   RequestOutcome judge(Flow &Request, const AnswerRelay &Relay,
                        const ExchangeResult &Result);
-  bool mayTryAgain(Flow &Request, const AnswerRelay &Relay);
-  void finish(Flow &Request, AnswerRelay &Relay);
-  void settleClaim(Flow &Request, const AnswerRelay &Relay);
+  RequestOutcome judgeAnswer(Flow &Request, const AnswerRelay &Relay);
+  static void addToTrail(Flow &Request, const Attempt &Ended,
+                         RequestOutcome Outcome, Duration Took);
 
   const std::string DaemonName;
   const FleetRuntimeSlot &Fleet;
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -36,6 +36,15 @@
   return Asked > 0 ? std::min(Asked, MaxAttempts) : MaxAttempts;
 }
 
+/// Notes what came of an attempt for the log.
+void RequestProxy::addToTrail(Flow &Request, const Attempt &Ended,
+                              RequestOutcome Outcome, Duration Took) {
+  Request.Trail +=
+      fmt::format("{}{}:{}:{}ms:share={:.3f}", Request.Trail.empty() ? "" : ",",
+                  Request.Service->getServer(Ended.Server).Name,
+                  getName(Outcome), toMillis(Took), Ended.Share);
+}
+
 void RequestProxy::runAttempts(Flow &Request, AnswerRelay &Relay) {
   AttemptNeeds Needs;
   Needs.Class = Request.Route->Class;
@@ -62,10 +71,7 @@
     Current.Load = Relay.getLoad();
     const TimePoint End = readSteadyClock();
     Request.Service->end(Current, Outcome, End);
-    Request.Trail += fmt::format(
-        "{}{}:{}:{}ms:share={:.3f}", Request.Trail.empty() ? "" : ",",
-        Request.Service->getServer(Current.Server).Name, getName(Outcome),
-        toMillis(End - Now), Current.Share);
+    addToTrail(Request, Current, Outcome, End - Now);
     Needs.Tried.push_back(Current.Server);
     if (Outcome == RequestOutcome::Unreachable)
       ++Unreachable;
@@ -79,38 +85,51 @@
   }
 }
 
+/// Returns whether a header of the caller is replaced by one of ours, or is for
+/// this daemon only. The four in capitals are the HTTP library's own notes.
+static bool isOwnHeader(const std::string &Name, const HeaderDialect &Names) {
+  return Name == "REMOTE_ADDR" || Name == "REMOTE_PORT" ||
+         Name == "LOCAL_ADDR" || Name == "LOCAL_PORT" ||
+         equalsIgnoringCase(Name, Names.Deadline) ||
+         equalsIgnoringCase(Name, Names.RequestId) ||
+         equalsIgnoringCase(Name, Names.ExpectedInstance) ||
+         ::strcasecmp(Name.c_str(), "Expect") == 0;
+}
+
+/// Adds what a server should know of the request besides the caller's headers.
+void RequestProxy::addServerHeaders(Flow &Request, const ServerConfig &Server,
+                                    const std::string &RequestId,
+                                    OutgoingRequest &Outgoing) const {
+  const HeaderDialect &Names = this->Options.Headers;
+  const Duration Left = Request.Deadline - readSteadyClock();
+  Outgoing.Headers.emplace(
+      Names.Deadline, fmt::format("{}", std::max<int64_t>(1, toMillis(Left))));
+  if (!RequestId.empty())
+    Outgoing.Headers.emplace(Names.RequestId, RequestId);
+  if (!Names.ExpectedInstance.empty() && !Server.Instance.empty())
+    Outgoing.Headers.emplace(Names.ExpectedInstance, Server.Instance);
+  Outgoing.Headers.emplace("Via", "1.1 " + this->DaemonName);
+  Outgoing.Headers.emplace("X-Forwarded-For",
+                           Request.Exchange.Request.remote_addr);
+}
+
 OutgoingRequest
 RequestProxy::buildOutgoing(Flow &Request, const AnswerRelay &Relay,
                             const ServerConfig &Server,
                             const std::string &RequestId) const {
-  const HeaderDialect &Names = this->Options.Headers;
   const httplib::Request &Caller = Request.Exchange.Request;
   OutgoingRequest Outgoing;
   Outgoing.Method = Caller.method;
   Outgoing.Target = Caller.target;
-  for (const auto &[Name, Value] : Caller.headers) {
-    const bool IsOurs = Name == "REMOTE_ADDR" || Name == "REMOTE_PORT" ||
-                        Name == "LOCAL_ADDR" || Name == "LOCAL_PORT" ||
-                        equalsIgnoringCase(Name, Names.Deadline) ||
-                        equalsIgnoringCase(Name, Names.RequestId) ||
-                        equalsIgnoringCase(Name, Names.ExpectedInstance) ||
-                        ::strcasecmp(Name.c_str(), "Expect") == 0;
-    if (!IsOurs && !isConnectionHeader(Name, Caller.headers))
+  for (const auto &[Name, Value] : Caller.headers)
+    if (!isOwnHeader(Name, this->Options.Headers) &&
+        !isConnectionHeader(Name, Caller.headers))
       Outgoing.Headers.emplace(Name, Value);
-  }
-  const Duration Left = Request.Deadline - readSteadyClock();
-  Outgoing.Headers.emplace(
-      Names.Deadline, fmt::format("{}", std::max<int64_t>(1, toMillis(Left))));
-  if (!RequestId.empty())
-    Outgoing.Headers.emplace(Names.RequestId, RequestId);
-  if (!Names.ExpectedInstance.empty() && !Server.Instance.empty())
-    Outgoing.Headers.emplace(Names.ExpectedInstance, Server.Instance);
+  this->addServerHeaders(Request, Server, RequestId, Outgoing);
   Outgoing.ConnectLimit = fromMillis(this->Options.ConnectMs);
   Outgoing.WantsFreshConnection =
       this->Options.HasFreshConnections && !mayRepeat(*Request.Route);
   Outgoing.MayEndWithConnection = this->Options.HeldAnswerBytes > 0;
-  Outgoing.Headers.emplace("Via", "1.1 " + this->DaemonName);
-  Outgoing.Headers.emplace("X-Forwarded-For", Caller.remote_addr);
   Relay.addResumeHeaders(Outgoing.Headers);
   Outgoing.StallLimit = fromMillis(Request.Service->getConfig().StallMs);
   if (Request.HasOwnDeadline)
@@ -121,29 +140,6 @@
   return Outgoing;
 }
 
-/// Passes the caller's body on while it arrives.
-void RequestProxy::streamBody(Flow &Request, OutgoingRequest &Outgoing) const {
-  const httplib::Request &Caller = Request.Exchange.Request;
-  const uint64_t Limit =
-      static_cast<uint64_t>(Request.Service->getConfig().MaxBodyBytes);
-  Outgoing.BodyIsChunked = Caller.has_header("Transfer-Encoding");
-  Outgoing.BodyLength = getBodyLength(Caller);
-  Outgoing.BodyProvider = [&Request, Limit](size_t, size_t,
-                                            httplib::DataSink &Sink) {
-    Request.WasBodySent = true;
-    uint64_t Sent = 0;
-    const bool IsRead =
-        (*Request.Exchange.Body)([&](const char *Data, size_t Size) {
-          Sent += Size;
-          return Sent <= Limit && Sink.write(Data, Size);
-        });
-    Request.IsBodyBroken = !IsRead;
-    if (IsRead && Sink.done)
-      Sink.done();
-    return IsRead;
-  };
-}
-
 /// Returns until when an attempt may take. A repeatable request that is slow
 /// is sent elsewhere while that can still help.
 TimePoint RequestProxy::chooseAttemptDeadline(Flow &Request,
@@ -167,21 +163,25 @@
   return std::min(Until, Request.Deadline);
 }
 
-RequestOutcome RequestProxy::tryOnce(Flow &Request, AnswerRelay &Relay,
-                                     const Attempt &Current) {
-  const std::string RequestId =
-      this->Options.Headers.PassesCallerId
-          ? Request.CallerId
-          : fmt::format("{}-{}", this->DaemonName, this->NextRequest++);
-  const bool IsRepeatable = mayRepeat(*Request.Route);
+/// Returns what may be held back, set aside or kept of an attempt's answer.
+RelayRules RequestProxy::makeRelayRules(const Flow &Request) const {
   RelayRules Rules;
   // The second server's own words are worth more than a general failure.
   Rules.MaySetAsideFailure =
-      IsRepeatable && Request.IsBodyWhole && Request.Tries == 0;
+      mayRepeat(*Request.Route) && Request.IsBodyWhole && Request.Tries == 0;
   Rules.HeldBytes = this->Options.HeldAnswerBytes;
   Rules.KeepBytes = Request.HasClaim ? KeptAnswerBytes : 0;
   Rules.GoesOnWithoutCaller = Request.HasClaim;
-  Relay.setRules(Rules);
+  return Rules;
+}
+
+RequestOutcome RequestProxy::tryOnce(Flow &Request, AnswerRelay &Relay,
+                                     const Attempt &Current) {
+  const std::string RequestId =
+      this->Options.Headers.PassesCallerId
+          ? Request.CallerId
+          : fmt::format("{}-{}", this->DaemonName, this->NextRequest++);
+  Relay.setRules(this->makeRelayRules(Request));
   Relay.beginAttempt(RequestId);
   const AnswerSink Sink{[&Relay](const httplib::Response &Response) {
                           return Relay.takeHead(Response);
@@ -215,6 +215,33 @@
                                                           : Outcome;
 }
 
+/// Judges a whole answer.
+RequestOutcome RequestProxy::judgeAnswer(Flow &Request,
+                                         const AnswerRelay &Relay) {
+  switch (Relay.getVerdict()) {
+  case AnswerVerdict::NotRun:
+    this->Counters.add(Counter::UpstreamSheds);
+    // Another server has taken over the address: this one is not there.
+    return Relay.getStatus() == MisdirectedStatus ? RequestOutcome::Unreachable
+                                                  : RequestOutcome::Shed;
+  case AnswerVerdict::Relayed:
+    Request.IsAnswered = true;
+    Request.WasFailed = Relay.getStatus() >= 500;
+    break;
+  case AnswerVerdict::None:
+  case AnswerVerdict::Failed:
+  case AnswerVerdict::Foreign:
+  case AnswerVerdict::Mismatch:
+    Request.Outcome = RunOutcome::NotKnown;
+    break;
+  }
+  if (Relay.getStatus() >= 500 || Relay.getVerdict() == AnswerVerdict::Failed) {
+    this->Counters.add(Counter::UpstreamFailures);
+    return RequestOutcome::Failed;
+  }
+  return RequestOutcome::Good;
+}
+
 /// Turns the end of an exchange into evidence about the server, and into what
 /// the caller may be told.
 RequestOutcome RequestProxy::judge(Flow &Request, const AnswerRelay &Relay,
@@ -255,28 +282,7 @@
     this->Counters.add(Counter::UpstreamFailures);
     return RequestOutcome::Failed;
   }
-  switch (Relay.getVerdict()) {
-  case AnswerVerdict::NotRun:
-    this->Counters.add(Counter::UpstreamSheds);
-    // Another server has taken over the address: this one is not there.
-    return Relay.getStatus() == MisdirectedStatus ? RequestOutcome::Unreachable
-                                                  : RequestOutcome::Shed;
-  case AnswerVerdict::Relayed:
-    Request.IsAnswered = true;
-    Request.WasFailed = Relay.getStatus() >= 500;
-    break;
-  case AnswerVerdict::None:
-  case AnswerVerdict::Failed:
-  case AnswerVerdict::Foreign:
-  case AnswerVerdict::Mismatch:
-    Request.Outcome = RunOutcome::NotKnown;
-    break;
-  }
-  if (Relay.getStatus() >= 500 || Relay.getVerdict() == AnswerVerdict::Failed) {
-    this->Counters.add(Counter::UpstreamFailures);
-    return RequestOutcome::Failed;
-  }
-  return RequestOutcome::Good;
+  return this->judgeAnswer(Request, Relay);
 }
 
 /// Decides whether another server may be tried after a failure.
--- a/lib/Proxy/RequestFlow.h
+++ b/lib/Proxy/RequestFlow.h
@@ -20,6 +20,9 @@
 
 namespace canvaswick {
 
+/// A refusal that does not say when to come back.
+inline constexpr Duration NoWait = Duration::zero();
+
 /// One request on its way.
 struct RequestProxy::Flow {
   explicit Flow(HttpExchange &Exchange) : Exchange(Exchange) {}
--- a/lib/Proxy/RequestProxy.cpp
+++ b/lib/Proxy/RequestProxy.cpp
@@ -7,14 +7,14 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// The steps in order; each either goes on or gives the final answer.
+/// The steps in order; each either goes on or gives the final answer. What
+/// concerns bodies, claims and tries stands in files of its own.
 ///
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Proxy/RequestProxy.h"
 #include "RequestFlow.h"
 #include "canvaswick/Support/EnumNames.h"
-#include "canvaswick/Support/Hash.h"
 #include "canvaswick/Support/Log.h"
 
 #include <fmt/format.h>
@@ -35,18 +35,9 @@
   return getEnumName(RunOutcomeNames, Outcome);
 }
 
-/// Bodies up to this length are kept, so that the request can be tried again.
-static constexpr size_t KeptBodyBytes = 64 * 1024;
-
-/// A keyed request's body is kept up to this length, to tell it from another.
-static constexpr size_t KeyedBodyBytes = 1 << 20;
-
 /// A caller that takes no byte for this long has left.
 static constexpr Duration CallerStallLimit = fromSeconds(30);
 
-static constexpr Duration RunningWait = fromSeconds(2);
-static constexpr Duration NoWait = Duration::zero();
-
 RequestProxy::RequestProxy(std::string DaemonName,
                            const FleetRuntimeSlot &Fleet,
                            ConnectionPool &Upstreams, CounterTable &Counters,
@@ -83,6 +74,7 @@
                        "text/plain");
 }
 
+/// Returns until when a request must be answered. IsOwn: the caller said so.
 static TimePoint computeDeadline(const std::string &Asked,
                                  const RouteConfig &Route,
                                  const ServiceConfig &Service, TimePoint Now,
@@ -95,29 +87,23 @@
   return Now + fromMillis(std::max<int64_t>(0, Millis));
 }
 
-void RequestProxy::handle(HttpExchange &Exchange) {
-  this->Counters.add(Counter::Requests);
-  Flow Request(Exchange);
-  Request.Began = readSteadyClock();
-  Exchange.Stream.setDeadline(TimePoint::max());
-  Exchange.Stream.setStallLimit(CallerStallLimit);
-  Request.CallerId =
-      Exchange.Request.get_header_value(this->Options.Headers.RequestId);
-  Request.Fleet = this->Fleet.get();
+/// Finds the route of a request. Returns false if the request was refused.
+bool RequestProxy::findRoute(Flow &Request) {
+  HttpExchange &Exchange = Request.Exchange;
   if (!Request.Fleet) {
     this->refuse(Exchange, 503, RunOutcome::NotRun, "no-settings",
                  fromMillis(this->Options.RefusedWaitMs));
     logInfo("request", "id={} outcome=not-run reason=no-settings",
             Request.CallerId);
     Exchange.MustClose = true;
-    return;
+    return false;
   }
   const std::string &Target = Exchange.Request.target;
   if (isAmbiguousPath(getPathOfTarget(Target))) {
     this->Counters.add(Counter::RefusedUnknownRoute);
     this->refuse(Exchange, 400, RunOutcome::NotRun, "ambiguous-path", NoWait);
     Exchange.MustClose = true;
-    return;
+    return false;
   }
   Request.Route = Request.Fleet->getRoutes().find(
       Exchange.Request.get_header_value("Host"), Target);
@@ -128,8 +114,22 @@
     logInfo("request", "id={} version={} outcome=not-run reason=unknown-route",
             Request.CallerId, Request.Fleet->getConfig().Version);
     Exchange.MustClose = true;
-    return;
+    return false;
   }
+  return true;
+}
+
+void RequestProxy::handle(HttpExchange &Exchange) {
+  this->Counters.add(Counter::Requests);
+  Flow Request(Exchange);
+  Request.Began = readSteadyClock();
+  Exchange.Stream.setDeadline(TimePoint::max());
+  Exchange.Stream.setStallLimit(CallerStallLimit);
+  Request.CallerId =
+      Exchange.Request.get_header_value(this->Options.Headers.RequestId);
+  Request.Fleet = this->Fleet.get();
+  if (!this->findRoute(Request))
+    return;
   Request.Service = this->chooseService(*Request.Fleet, *Request.Route);
   Request.Deadline = computeDeadline(
       Exchange.Request.get_header_value(this->Options.Headers.Deadline),
@@ -194,21 +194,27 @@
   return Counter::RefusedServiceBusy;
 }
 
+/// Gives the final answer of a request that its service does not admit.
+void RequestProxy::refuseUnadmitted(Flow &Request, Refusal Refused,
+                                    Duration Wait) {
+  this->Counters.add(getCounter(Refused));
+  const int Status = Refused == Refusal::DeadlineTooShort ? 504 : 503;
+  this->refuse(Request.Exchange, Status, RunOutcome::NotRun, getName(Refused),
+               Wait);
+  Request.Exchange.MustClose = true;
+  Request.Service->getMetrics().add(AnswerKind::Refused, NoWait, NoWait,
+                                    Request.Began);
+  logInfo("request", "id={} route={} outcome=not-run reason={} left-ms={}",
+          Request.CallerId, Request.Route->Name, getName(Refused),
+          toMillis(Request.Deadline - Request.Began));
+}
+
 void RequestProxy::serve(Flow &Request) {
   Duration Wait = fromMillis(this->Options.RefusedWaitMs);
   const Refusal Refused = Request.Service->admit(
       Request.Deadline - Request.Began, Request.Began, Wait);
   if (Refused != Refusal::None) {
-    this->Counters.add(getCounter(Refused));
-    const int Status = Refused == Refusal::DeadlineTooShort ? 504 : 503;
-    this->refuse(Request.Exchange, Status, RunOutcome::NotRun, getName(Refused),
-                 Wait);
-    Request.Exchange.MustClose = true;
-    Request.Service->getMetrics().add(AnswerKind::Refused, NoWait, NoWait,
-                                      Request.Began);
-    logInfo("request", "id={} route={} outcome=not-run reason={} left-ms={}",
-            Request.CallerId, Request.Route->Name, getName(Refused),
-            toMillis(Request.Deadline - Request.Began));
+    this->refuseUnadmitted(Request, Refused, Wait);
     return;
   }
   RelayRules Rules;
@@ -220,174 +226,6 @@
   this->finish(Request, Relay);
 }
 
-static bool hasBody(const httplib::Request &Request) {
-  return Request.has_header("Transfer-Encoding") ||
-         (Request.has_header("Content-Length") &&
-          Request.get_header_value("Content-Length") != "0");
-}
-
-/// Keeps a short body; a long one stays on the wire and is streamed.
-bool RequestProxy::readBody(Flow &Request) {
-  const httplib::Request &Caller = Request.Exchange.Request;
-  if (!mayRepeat(*Request.Route))
-    Request.Key = Caller.get_header_value(IdempotencyHeader);
-  if (!hasBody(Caller) || !Request.Exchange.Body)
-    return true;
-  const auto Limit =
-      static_cast<uint64_t>(Request.Service->getConfig().MaxBodyBytes);
-  const bool IsChunked = Caller.has_header("Transfer-Encoding");
-  if (!IsChunked && getBodyLength(Caller) > Limit) {
-    this->refuseBody(Request, 413, "body-too-long");
-    return false;
-  }
-  if (IsChunked && this->Options.CollectedBodyBytes > 0)
-    return this->readChunkedBody(
-        Request, std::min<uint64_t>(Limit, this->Options.CollectedBodyBytes));
-  const size_t Keep = Request.Key.empty() ? KeptBodyBytes : KeyedBodyBytes;
-  if (IsChunked || getBodyLength(Caller) > Keep) {
-    Request.IsBodyWhole = false;
-    return true;
-  }
-  Request.Exchange.Stream.setDeadline(Request.Deadline);
-  const bool IsRead =
-      (*Request.Exchange.Body)([&Request](const char *Data, size_t Size) {
-        Request.Body.append(Data, Size);
-        return true;
-      });
-  Request.Exchange.Stream.setDeadline(TimePoint::max());
-  if (IsRead)
-    return true;
-  this->refuseBody(Request, 408, "body-cut");
-  return false;
-}
-
-void RequestProxy::refuseBody(Flow &Request, int Status, const char *Reason) {
-  this->refuse(Request.Exchange, Status, RunOutcome::NotRun, Reason, NoWait);
-  Request.Exchange.MustClose = true;
-  Request.IsAnswered = true;
-  Request.Reason = Reason;
-}
-
-/// Collects a body of unknown length, so that it can be sent again.
-bool RequestProxy::readChunkedBody(Flow &Request, uint64_t Limit) {
-  bool IsTooLong = false;
-  Request.Exchange.Stream.setDeadline(Request.Deadline);
-  const bool IsRead =
-      (*Request.Exchange.Body)([&](const char *Data, size_t Size) {
-        IsTooLong = Request.Body.size() + Size > Limit;
-        if (!IsTooLong)
-          Request.Body.append(Data, Size);
-        return !IsTooLong;
-      });
-  Request.Exchange.Stream.setDeadline(TimePoint::max());
-  if (IsRead)
-    return true;
-  this->refuseBody(Request, IsTooLong ? 413 : 408,
-                   IsTooLong ? "body-too-long" : "body-cut");
-  return false;
-}
-
-static std::string makeFingerprint(const httplib::Request &Request,
-                                   const std::string &Body) {
-  const std::string Length = Request.get_header_value("Content-Length");
-  return digestText(Request.method + "\n" + Request.target + "\n" + Length +
-                    "\n" + Body)
-      .substr(0, 32);
-}
-
-/// Asks for the right to run a keyed request of the class once.
-bool RequestProxy::claim(Flow &Request) {
-  if (Request.Key.empty())
-    return true;
-  if (!Request.IsBodyWhole &&
-      Request.Exchange.Request.has_header("Transfer-Encoding")) {
-    this->refuse(Request.Exchange, 411, RunOutcome::NotRun,
-                 "keyed-body-needs-length", NoWait);
-    Request.Exchange.MustClose = true;
-    Request.IsAnswered = true;
-    return false;
-  }
-  ClaimVerdict Verdict;
-  if (this->Claims) {
-    // The stored key says nothing about the caller to who reads the store.
-    Request.ClaimKey = digestText(Request.Service->getConfig().Name + "\n" +
-                                  Request.Organisation + "\n" + Request.Key)
-                           .substr(0, 32);
-    Verdict = this->Claims->begin(
-        Request.ClaimKey,
-        makeFingerprint(Request.Exchange.Request, Request.Body),
-        Request.Deadline);
-  }
-  if (Verdict.Kind == ClaimKind::Granted) {
-    this->Counters.add(Counter::ClaimsGranted);
-    Request.Claim = Verdict.Claim;
-    Request.HasClaim = true;
-    return true;
-  }
-  Request.IsAnswered = true;
-  if (!Request.IsBodyWhole)
-    Request.Exchange.MustClose = true;
-  this->answerFromClaim(Request, Verdict);
-  return false;
-}
-
-void RequestProxy::answerFromClaim(Flow &Request, const ClaimVerdict &Verdict) {
-  HttpExchange &Exchange = Request.Exchange;
-  const bool IsRefused = Verdict.Kind == ClaimKind::Unavailable ||
-                         Verdict.Kind == ClaimKind::Different;
-  this->Counters.add(IsRefused ? Counter::ClaimsRefused
-                               : Counter::ClaimsRepeated);
-  switch (Verdict.Kind) {
-  case ClaimKind::Granted:
-    return;
-  case ClaimKind::FirstAnswer:
-    if (!Verdict.Answer.HasBody) {
-      this->refuse(Exchange, 409, RunOutcome::Ran, "answer-not-kept", NoWait);
-      return;
-    }
-    Exchange.Response.status = Verdict.Answer.Status;
-    Exchange.Response.set_header(OutcomeHeader, getName(RunOutcome::Ran));
-    Exchange.Response.set_header(ReasonHeader, "first-answer");
-    Exchange.Response.set_content(Verdict.Answer.Body,
-                                  Verdict.Answer.ContentType);
-    return;
-  case ClaimKind::StillRunning:
-    this->refuse(Exchange, 409, RunOutcome::NotKnown, "still-running",
-                 RunningWait);
-    return;
-  case ClaimKind::NotKnown:
-    this->refuse(Exchange, 409, RunOutcome::NotKnown, "outcome-not-known",
-                 NoWait);
-    return;
-  case ClaimKind::Different:
-    this->refuse(Exchange, 422, RunOutcome::NotRun, "key-used-differently",
-                 NoWait);
-    return;
-  case ClaimKind::Unavailable:
-    this->refuse(Exchange, 503, RunOutcome::NotRun, "claims-unavailable",
-                 RunningWait);
-    return;
-  }
-}
-
-void RequestProxy::settleClaim(Flow &Request, const AnswerRelay &Relay) {
-  if (!Request.HasClaim)
-    return;
-  FirstAnswer Answer;
-  ClaimEnd End = ClaimEnd::NotKnown;
-  const KeptAnswer &Kept = Relay.getKept();
-  if (Request.IsAnswered) {
-    End = ClaimEnd::Ran;
-    Answer.Status = Kept.Status;
-    Answer.ContentType = Kept.ContentType;
-    Answer.Body = Kept.Body;
-    Answer.HasBody = Relay.hasWholeCopy();
-  } else if (Request.Outcome == RunOutcome::NotRun) {
-    End = ClaimEnd::NotRun;
-  }
-  this->Claims->finish(Request.ClaimKey, Request.Claim, End, Answer);
-}
-
 /// Gives the final answer of a request that no server has answered.
 void RequestProxy::refuseUnserved(Flow &Request) {
   const Duration Wait = fromMillis(this->Options.RefusedWaitMs);
