Gateway: the answers to the balancer's checks in a file of their own

Checks and metrics stood between the exchange with peers and the stop, and start set up three servers in a row. CheckAnswers has the former, startCallers the callers' server. Behaviour unchanged.

--- /dev/null
+++ b/lib/Daemon/CheckAnswers.cpp
@@ -0,0 +1,77 @@
+//===- CheckAnswers.cpp - Answers to the balancer's checks ----------------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Short texts; the metrics are in the common text format, one value a line.
+///
+//===----------------------------------------------------------------------===//
+
+#include "CheckAnswers.h"
+#include "canvaswick/Support/Log.h"
+
+#include <fmt/format.h>
+
+namespace canvaswick {
+
+/// Who does not take an answer within this time has left.
+static constexpr Duration CheckTimeLimit = fromSeconds(10);
+
+static std::string formatServiceMetrics(ServiceRuntime &Service,
+                                        TimePoint Now) {
+  const std::string &Name = Service.getConfig().Name;
+  const LatencyHistogram &Histogram = Service.getMetrics().getHistogram();
+  std::string Text;
+  for (const double Part : {0.5, 0.9, 0.99})
+    Text += fmt::format(
+        "canvaswick_latency_ms{{service=\"{}\",quantile=\"{}\"}} {:.3f}\n",
+        Name, Part, getQuantile(Histogram, Part));
+  for (const ServerStatus &Status : Service.describe(Now))
+    Text +=
+        fmt::format("canvaswick_share{{service=\"{}\",server=\"{}\"}} {:.3f}\n",
+                    Name, Status.Name, Status.Explanation.Share);
+  return Text;
+}
+
+static std::string formatMetrics(const CounterTable &Counters,
+                                 const FleetRuntime *Current) {
+  std::string Text = Counters.format();
+  Text +=
+      fmt::format("canvaswick_log_lines_dropped {}\n", countDroppedLogLines());
+  if (!Current)
+    return Text;
+  Text += fmt::format("canvaswick_config_version {}\n",
+                      Current->getConfig().Version);
+  for (const ServiceRuntimeRef &Service : Current->getServices())
+    Text += formatServiceMetrics(*Service, readSteadyClock());
+  return Text;
+}
+
+void answerCheck(HttpExchange &Exchange, bool IsStopping,
+                 const CounterTable &Counters, const FleetRuntime *Current) {
+  const std::string &Target = Exchange.Request.target;
+  Exchange.Stream.setDeadline(readSteadyClock() + CheckTimeLimit);
+  if (Target == "/ready") {
+    const bool IsReady = !IsStopping && Current;
+    Exchange.Response.status = IsReady ? 200 : 503;
+    Exchange.Response.set_content(IsReady ? "ready\n" : "not ready\n",
+                                  "text/plain");
+    return;
+  }
+  if (Target == "/live") {
+    Exchange.Response.set_content("live\n", "text/plain");
+    return;
+  }
+  if (Target == "/metrics") {
+    Exchange.Response.set_content(formatMetrics(Counters, Current),
+                                  "text/plain");
+    return;
+  }
+  Exchange.Response.status = 404;
+}
+
+} // namespace canvaswick
--- /dev/null
+++ b/lib/Daemon/CheckAnswers.h
@@ -0,0 +1,31 @@
+//===- CheckAnswers.h - Answers to the balancer's checks --------*- C++ -*-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// What a gateway answers on its ready address: whether it is ready, whether it
+/// lives, and its metrics. Private to this library.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef CANVASWICK_LIB_DAEMON_CHECKANSWERS_H
+#define CANVASWICK_LIB_DAEMON_CHECKANSWERS_H
+
+#include "canvaswick/Http/HttpServer.h"
+#include "canvaswick/Metrics/Counters.h"
+#include "canvaswick/Proxy/FleetRuntime.h"
+
+namespace canvaswick {
+
+/// Answers one check. Current is what the daemon serves by, null before its
+/// first settings.
+void answerCheck(HttpExchange &Exchange, bool IsStopping,
+                 const CounterTable &Counters, const FleetRuntime *Current);
+
+} // namespace canvaswick
+
+#endif // CANVASWICK_LIB_DAEMON_CHECKANSWERS_H
--- a/lib/Daemon/Gateway.cpp
+++ b/lib/Daemon/Gateway.cpp
@@ -7,18 +7,17 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// The lock order, outermost first: BuildMutex; FleetRuntimeSlot;
-/// ServiceRuntime.
+/// Puts together what a daemon serves with, and moves it on in rounds. The lock
+/// order, outermost first: BuildMutex; FleetRuntimeSlot; ServiceRuntime.
 ///
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Daemon/Gateway.h"
+#include "CheckAnswers.h"
 #include "canvaswick/Proxy/RequestProxy.h"
 #include "canvaswick/Support/Log.h"
 #include "canvaswick/Support/RoundThread.h"
 
-#include <fmt/format.h>
-
 #include <random>
 
 namespace canvaswick {
@@ -50,6 +49,7 @@
 static constexpr size_t ControlWorkers = 3;
 static constexpr Duration ControlTimeLimit = fromSeconds(3);
 
+/// How often idle connections and organisations are looked for.
 static constexpr Duration HousekeepingInterval = fromSeconds(1);
 
 class Gateway::Impl {
@@ -77,9 +77,8 @@
   void sendEstimates(const FleetRuntime &Current, TimePoint Now);
   void takeMessage(const PeerMessage &Message);
   void boundCallers(const CallerLimits &Given);
+  Result<void> startCallers();
   Result<void> startControl();
-  void handleReady(HttpExchange &Exchange);
-  std::string formatMetrics() const;
 
   const TimePoint Started = readSteadyClock();
   FleetRuntimeSlot Fleet;
@@ -124,7 +123,8 @@
   ReadyLimits.Workers = ReadyWorkers;
   this->Ready =
       std::make_unique<HttpServer>(ReadyLimits, [this](HttpExchange &Exchange) {
-        this->handleReady(Exchange);
+        answerCheck(Exchange, this->IsStopping, this->Counters,
+                    this->Fleet.get().get());
       });
   BOOST_OUTCOME_TRY(this->Ready->start(this->Config.Ready));
   if (this->Config.PeerPort != 0) {
@@ -134,14 +134,7 @@
     BOOST_OUTCOME_TRY(this->Peers->start());
   }
   BOOST_OUTCOME_TRY(this->startControl());
-  HttpServerLimits Limits;
-  Limits.Workers = static_cast<size_t>(this->Config.Workers);
-  Limits.QueueLimit = CallerQueue;
-  Limits.MaxConnections = static_cast<size_t>(this->Config.MaxConnections);
-  Limits.IdleLimit = fromSeconds(static_cast<double>(this->Config.IdleSeconds));
-  this->Callers = std::make_unique<HttpServer>(
-      Limits, [this](HttpExchange &Exchange) { this->Proxy.handle(Exchange); });
-  BOOST_OUTCOME_TRY(this->Callers->start(this->Config.Callers));
+  BOOST_OUTCOME_TRY(this->startCallers());
   this->HealthRounds.start(HealthInterval, [this] { this->runHealthRound(); });
   this->HousekeepingRounds.start(HousekeepingInterval,
                                  [this] { this->housekeep(); });
@@ -151,6 +144,18 @@
   return outcome::success();
 }
 
+/// Serves callers.
+Result<void> Gateway::Impl::startCallers() {
+  HttpServerLimits Limits;
+  Limits.Workers = static_cast<size_t>(this->Config.Workers);
+  Limits.QueueLimit = CallerQueue;
+  Limits.MaxConnections = static_cast<size_t>(this->Config.MaxConnections);
+  Limits.IdleLimit = fromSeconds(static_cast<double>(this->Config.IdleSeconds));
+  this->Callers = std::make_unique<HttpServer>(
+      Limits, [this](HttpExchange &Exchange) { this->Proxy.handle(Exchange); });
+  return this->Callers->start(this->Config.Callers);
+}
+
 /// Serves peers that ask for the copy of the store.
 Result<void> Gateway::Impl::startControl() {
   if (this->Config.Control.Port == 0 || !this->Source)
@@ -242,6 +247,7 @@
     this->Peers->sendWatcherNews();
 }
 
+/// Looks for late requests and tells peers what was seen since the last round.
 void Gateway::Impl::runHealthRound() {
   const FleetRuntimeRef Current = this->Fleet.get();
   if (!Current)
@@ -283,6 +289,7 @@
   this->Peers->sendEstimates(std::move(Estimates), std::move(Rates));
 }
 
+/// Takes what a peer saw, on its link's thread.
 void Gateway::Impl::takeMessage(const PeerMessage &Message) {
   if (this->Heard)
     this->Heard(Message);
@@ -306,57 +313,6 @@
   this->Proxy.forgetIdle(Now);
 }
 
-void Gateway::Impl::handleReady(HttpExchange &Exchange) {
-  const std::string &Target = Exchange.Request.target;
-  Exchange.Stream.setDeadline(readSteadyClock() + fromSeconds(10));
-  if (Target == "/ready") {
-    const bool IsReady = !this->IsStopping && this->Fleet.get() != nullptr;
-    Exchange.Response.status = IsReady ? 200 : 503;
-    Exchange.Response.set_content(IsReady ? "ready\n" : "not ready\n",
-                                  "text/plain");
-    return;
-  }
-  if (Target == "/live") {
-    Exchange.Response.set_content("live\n", "text/plain");
-    return;
-  }
-  if (Target == "/metrics") {
-    Exchange.Response.set_content(this->formatMetrics(), "text/plain");
-    return;
-  }
-  Exchange.Response.status = 404;
-}
-
-static std::string formatServiceMetrics(ServiceRuntime &Service,
-                                        TimePoint Now) {
-  const std::string &Name = Service.getConfig().Name;
-  const LatencyHistogram &Histogram = Service.getMetrics().getHistogram();
-  std::string Text;
-  for (const double Part : {0.5, 0.9, 0.99})
-    Text += fmt::format(
-        "canvaswick_latency_ms{{service=\"{}\",quantile=\"{}\"}} {:.3f}\n",
-        Name, Part, getQuantile(Histogram, Part));
-  for (const ServerStatus &Status : Service.describe(Now))
-    Text +=
-        fmt::format("canvaswick_share{{service=\"{}\",server=\"{}\"}} {:.3f}\n",
-                    Name, Status.Name, Status.Explanation.Share);
-  return Text;
-}
-
-std::string Gateway::Impl::formatMetrics() const {
-  std::string Text = this->Counters.format();
-  Text +=
-      fmt::format("canvaswick_log_lines_dropped {}\n", countDroppedLogLines());
-  const FleetRuntimeRef Current = this->Fleet.get();
-  if (!Current)
-    return Text;
-  Text += fmt::format("canvaswick_config_version {}\n",
-                      Current->getConfig().Version);
-  for (const ServiceRuntimeRef &Service : Current->getServices())
-    Text += formatServiceMetrics(*Service, readSteadyClock());
-  return Text;
-}
-
 void Gateway::Impl::beginStop() {
   this->IsStopping = true;
   this->Proxy.beginStop();
