Parts of the fleet's repeats are rounded in order, not each down

Ruled out: the servers (other requests of the same second were served) and the retry's own failure (one try in the lines).

--- a/include/canvaswick/Admission/FleetRepeatBudget.h
+++ b/include/canvaswick/Admission/FleetRepeatBudget.h
@@ -35,9 +35,10 @@
   /// has sent is not known, so the reserve is held back for one window.
   FleetRepeatBudget(RepeatAllowance Allowance, TimePoint Started);
 
-  /// Changes the allowance, and sets how many daemons there may be. The most
-  /// daemons that were ever set count.
-  void configure(const RepeatAllowance &Allowance, size_t Daemons);
+  /// Changes the allowance, and sets how many daemons there may be and which of
+  /// them, counted from 0, this one is. The most daemons that were ever set
+  /// count.
+  void configure(const RepeatAllowance &Allowance, size_t Daemons, size_t Rank);
 
   /// Notes the first try of a request.
   void noteRequest(TimePoint Now);
@@ -48,7 +49,8 @@
   /// Returns whether tryTake would succeed.
   bool hasRoom(TimePoint Now);
 
-  /// Returns how many repeats may be in the window that ends at Now.
+  /// Returns, before rounding, how many repeats may be in the window that ends
+  /// at Now.
   double getAllowed(TimePoint Now);
 
 private:
@@ -57,6 +59,8 @@
   RepeatAllowance Allowance;
   const TimePoint Started;
   size_t Daemons = 1;
+  /// What this daemon may round up by, from 0 to 1.
+  double Rounding = 0;
   std::deque<TimePoint> Requests;
   std::deque<TimePoint> Repeats;
 };
--- a/include/canvaswick/Proxy/ServiceRuntime.h
+++ b/include/canvaswick/Proxy/ServiceRuntime.h
@@ -162,8 +162,10 @@
   /// Returns what an operator may know.
   std::vector<ServerStatus> describe(TimePoint Now) const;
 
-  /// Sets the fleet's allowance of repeats and how many daemons share it.
-  void setRepeats(const RepeatAllowance &Allowance, size_t Daemons);
+  /// Sets the fleet's allowance of repeats, how many daemons share it and which
+  /// of them this one is.
+  void setRepeats(const RepeatAllowance &Allowance, size_t Daemons,
+                  size_t Rank);
 
   const ServiceConfig &getConfig() const { return this->Config; }
   const ServerSubset &getSubset() const { return this->Subset; }
--- a/lib/Admission/FleetRepeatBudget.cpp
+++ b/lib/Admission/FleetRepeatBudget.cpp
@@ -26,9 +26,14 @@
                                      TimePoint Started)
     : Allowance(Allowance), Started(Started) {}
 
-void FleetRepeatBudget::configure(const RepeatAllowance &Given, size_t Count) {
+/// Parts of one or two repeats lose much when each is rounded down. Daemons in
+/// order round up by ever more, so that their parts add up nearly as they are.
+void FleetRepeatBudget::configure(const RepeatAllowance &Given, size_t Count,
+                                  size_t Rank) {
   this->Allowance = Given;
   this->Daemons = std::max(this->Daemons, Count);
+  this->Rounding = static_cast<double>(std::min(Rank, this->Daemons - 1)) /
+                   static_cast<double>(this->Daemons);
 }
 
 static void dropBefore(std::deque<TimePoint> &Instants, TimePoint Limit) {
@@ -59,7 +64,7 @@
 }
 
 bool FleetRepeatBudget::hasRoom(TimePoint Now) {
-  const double Allowed = this->getAllowed(Now);
+  const double Allowed = this->getAllowed(Now) + this->Rounding;
   return static_cast<double>(this->Repeats.size() + 1) <= Allowed;
 }
 
--- a/lib/Daemon/Gateway.cpp
+++ b/lib/Daemon/Gateway.cpp
@@ -200,11 +200,17 @@
   const FleetRuntimeRef Previous = this->Fleet.get();
   const FleetRuntimeRef Runtime(
       new FleetRuntime(Next, Identity, Previous.get(), readSteadyClock()));
+  // Names come in order.
+  const auto Rank = static_cast<size_t>(std::find(this->DaemonNames.begin(),
+                                                  this->DaemonNames.end(),
+                                                  this->Config.Name) -
+                                        this->DaemonNames.begin());
+  // A daemon that sees few others must not take their parts too.
   const size_t Count =
       std::max(this->DaemonNames.size(),
                static_cast<size_t>(this->Config.ExpectedDaemons));
   for (const ServiceRuntimeRef &Service : Runtime->getServices())
-    Service->setRepeats(this->Repeats, Count);
+    Service->setRepeats(this->Repeats, Count, Rank);
   Runtime->boundConnections(this->Upstreams);
   this->boundCallers(Next->Limits);
   this->Fleet.set(Runtime);
--- a/lib/Proxy/ServiceRuntime.cpp
+++ b/lib/Proxy/ServiceRuntime.cpp
@@ -292,10 +292,10 @@
 }
 
 void ServiceRuntime::setRepeats(const RepeatAllowance &Allowance,
-                                size_t Daemons) {
+                                size_t Daemons, size_t Rank) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   if (this->FleetRepeats)
-    this->FleetRepeats->configure(Allowance, Daemons);
+    this->FleetRepeats->configure(Allowance, Daemons, Rank);
 }
 
 Duration ServiceRuntime::getPatience(Duration Objective) const {
--- a/unittests/Admission/FleetRepeatBudgetTest.cpp
+++ b/unittests/Admission/FleetRepeatBudgetTest.cpp
@@ -27,7 +27,7 @@
 
 TEST_CASE("repeats follow the daemon's own requests and its part of the rest") {
   FleetRepeatBudget Budget(Allowance, Start);
-  Budget.configure(Allowance, 40);
+  Budget.configure(Allowance, 40, 0);
   const TimePoint Later = Start + fromSeconds(20);
   // 58 * 0.8 / 40 = 1.16 without any request.
   CHECK(Budget.tryTake(Later));
@@ -50,8 +50,8 @@
 
 TEST_CASE("fewer daemons in view do not raise a daemon's part") {
   FleetRepeatBudget Budget(Allowance, Start);
-  Budget.configure(Allowance, 40);
-  Budget.configure(Allowance, 3);
+  Budget.configure(Allowance, 40, 0);
+  Budget.configure(Allowance, 3, 0);
   CHECK(Budget.getAllowed(Start + fromSeconds(20)) < 2);
 }
 
@@ -96,7 +96,7 @@
     for (size_t I = 0; I < Count; ++I) {
       Under.Daemons.push_back(
           std::make_unique<FleetRepeatBudget>(Allowance, Start));
-      Under.Daemons[I]->configure(Allowance, Count);
+      Under.Daemons[I]->configure(Allowance, Count, I);
     }
     TimePoint Now = Start + fromSeconds(30);
     const auto Steps =
@@ -109,9 +109,9 @@
         // A restart forgets what was sent.
         Under.Daemons[Which] =
             std::make_unique<FleetRepeatBudget>(Allowance, Now);
-        Under.Daemons[Which]->configure(Allowance, Count);
+        Under.Daemons[Which]->configure(Allowance, Count, Which);
       } else if (Kind == 1) {
-        Under.Daemons[Which]->configure(Allowance, 1 + Which);
+        Under.Daemons[Which]->configure(Allowance, 1 + Which, Which);
       } else if (Kind < 12) {
         Under.Daemons[Which]->noteRequest(Now);
         Under.Requests.push_back(Now);
@@ -123,3 +123,20 @@
     }
   });
 }
+
+TEST_CASE("parts of daemons in order add up nearly as they are") {
+  static constexpr size_t Count = 36;
+  const TimePoint Later = Start + fromSeconds(20);
+  size_t Taken = 0;
+  for (size_t I = 0; I < Count; ++I) {
+    FleetRepeatBudget Budget(Allowance, Start);
+    Budget.configure(Allowance, Count, I);
+    for (int J = 0; J < 7; ++J)
+      Budget.noteRequest(Later);
+    while (Budget.tryTake(Later))
+      ++Taken;
+  }
+  // 36 * (0.2 * 7 + 58 / 36) * 0.8 = 86.7; rounded down each, 72.
+  CHECK(Taken >= 84);
+  CHECK(Taken <= 88);
+}
