--- a/include/canvaswick/Settings/SettingTable.h
+++ b/include/canvaswick/Settings/SettingTable.h
@@ -107,6 +107,11 @@
 /// A decimal setting is kept as a whole number of these parts of one.
 inline constexpr int64_t DecimalParts = 1000;
 
+/// Returns the number that a decimal setting of so many parts stands for.
+inline double toDecimal(int64_t Parts) {
+  return static_cast<double>(Parts) / static_cast<double>(DecimalParts);
+}
+
 /// A checked value: a whole number (also the index of a choice) or a text.
 using SettingValue = std::variant<int64_t, std::string>;
 
--- a/lib/Settings/DaemonConfig.cpp
+++ b/lib/Settings/DaemonConfig.cpp
@@ -44,10 +44,6 @@
   return outcome::success();
 }
 
-static double toDecimal(int64_t Parts) {
-  return static_cast<double>(Parts) / static_cast<double>(DecimalParts);
-}
-
 /// Reads the keys that only a daemon on the users' platform has.
 static void readPlatformKeys(const SettingsTree &Tree, const SettingNode &Node,
                              DaemonConfig &Config) {
--- a/lib/Settings/SettingTable.cpp
+++ b/lib/Settings/SettingTable.cpp
@@ -207,10 +207,6 @@
   return Best;
 }
 
-static double toDecimal(int64_t Parts) {
-  return static_cast<double>(Parts) / static_cast<double>(DecimalParts);
-}
-
 static std::vector<std::string> splitChoices(const SettingSpec &Spec) {
   std::vector<std::string> Names;
   std::istringstream Stream(Spec.Choices);
