--- /dev/null
+++ b/lib/Health/AdoptStates.h
@@ -0,0 +1,44 @@
+//===- AdoptStates.h - Servers in two versions of a service -----*- C++ -*-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// What the policies share when a new version of a service takes over the
+/// evidence of the one before. Private to this library.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef CANVASWICK_LIB_HEALTH_ADOPTSTATES_H
+#define CANVASWICK_LIB_HEALTH_ADOPTSTATES_H
+
+#include "canvaswick/Health/HealthPolicy.h"
+
+#include <map>
+#include <vector>
+
+namespace canvaswick {
+
+/// Takes over the state of each server that is in both, all but its Config, and
+/// calls Adopted with its new and its old index.
+template <typename StateT, typename VisitorT>
+void adoptStates(std::vector<StateT> &Own, const std::vector<StateT> &Old,
+                 const std::map<ServerId, size_t> &IndexOfOld,
+                 const VisitorT &Adopted) {
+  for (size_t I = 0; I < Own.size(); ++I) {
+    const auto Found = IndexOfOld.find(Own[I].Config.Id);
+    if (Found == IndexOfOld.end())
+      continue;
+    const PolicyServer Config = Own[I].Config;
+    Own[I] = Old[Found->second];
+    Own[I].Config = Config;
+    Adopted(I, Found->second);
+  }
+}
+
+} // namespace canvaswick
+
+#endif // CANVASWICK_LIB_HEALTH_ADOPTSTATES_H
--- a/lib/Health/PooledPolicy.cpp
+++ b/lib/Health/PooledPolicy.cpp
@@ -13,6 +13,7 @@
 ///
 //===----------------------------------------------------------------------===//
 
+#include "AdoptStates.h"
 #include "canvaswick/Health/HealthPolicy.h"
 
 #include <algorithm>
@@ -284,16 +285,11 @@
   this->ReportSequence = Other.ReportSequence;
   this->LastReport = Other.LastReport;
   this->HasUnreportedBad = Other.HasUnreportedBad;
-  for (size_t I = 0; I < this->Servers.size(); ++I) {
-    const auto Found = Other.IndexOfServer.find(this->Servers[I].Config.Id);
-    if (Found == Other.IndexOfServer.end())
-      continue;
-    const PolicyServer Config = this->Servers[I].Config;
-    this->Servers[I] = Other.Servers[Found->second];
-    this->Servers[I].Config = Config;
-    this->Servers[I].IsLeaving = false;
-    this->Own.adopt(I, Other.Own, Found->second);
-  }
+  adoptStates(this->Servers, Other.Servers, Other.IndexOfServer,
+              [&](size_t Server, size_t Old) {
+                this->Servers[Server].IsLeaving = false;
+                this->Own.adopt(Server, Other.Own, Old);
+              });
   this->updateShares(Now);
 }
 
--- a/lib/Health/SpellPolicy.cpp
+++ b/lib/Health/SpellPolicy.cpp
@@ -13,6 +13,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Health/SpellPolicy.h"
+#include "AdoptStates.h"
 
 #include <algorithm>
 #include <cassert>
@@ -332,14 +333,8 @@
   this->RecentAll = Other.RecentAll;
   this->RecentBad = Other.RecentBad;
   this->OtherRates = Other.OtherRates;
-  for (size_t I = 0; I < this->Servers.size(); ++I) {
-    const auto Found = Other.IndexOfServer.find(this->Servers[I].Config.Id);
-    if (Found == Other.IndexOfServer.end())
-      continue;
-    const PolicyServer Config = this->Servers[I].Config;
-    this->Servers[I] = Other.Servers[Found->second];
-    this->Servers[I].Config = Config;
-  }
+  adoptStates(this->Servers, Other.Servers, Other.IndexOfServer,
+              [](size_t, size_t) {});
 }
 
 ShareExplanation SpellPolicy::explain(size_t Server, TimePoint Now) const {
