--- a/unittests/PlatformAdapter/PlatformDaemonTest.cpp
+++ b/unittests/PlatformAdapter/PlatformDaemonTest.cpp
@@ -43,8 +43,13 @@
   Foreign,
   /// Ends an answer without a length with its connection.
   Unframed,
+  /// Serves after SlowTime, which is longer than a daemon's patience.
+  Slow,
 };
 
+/// Past the 0.6 s after which a repeatable request goes elsewhere.
+constexpr std::chrono::milliseconds SlowTime(1100);
+
 /// One backend server that speaks the platform's headers.
 class Upstream {
 public:
@@ -117,6 +122,9 @@
     case Behaviour::Unframed:
       this->writeRaw(Exchange, "Connection: close\r\n");
       return;
+    case Behaviour::Slow:
+      std::this_thread::sleep_for(SlowTime);
+      return;
     case Behaviour::Serve:
     case Behaviour::Decline:
       return;
@@ -385,3 +393,21 @@
   CHECK(getHeader(Late, "Connection") == "close");
   CHECK(Under.Daemon->finishStop(readSteadyClock() + fromSeconds(3)));
 }
+
+TEST_CASE("a slow server is left for another, but not once a stop has begun") {
+  Bench Under;
+  Under.settle();
+  Under.setBoth(Behaviour::Slow);
+  int Arrivals = 2;
+  SUBCASE("no stop") {}
+  SUBCASE("a stop begins meanwhile") { Arrivals = 1; }
+  ExchangeResult Result;
+  std::thread Caller([&] { Result = Under.ask("GET", "/x/1"); });
+  Under.waitFor([&] { return Under.One.Arrivals + Under.Two.Arrivals == 1; });
+  if (Arrivals == 1)
+    Under.Daemon->beginStop();
+  Caller.join();
+  CHECK(Under.One.Arrivals + Under.Two.Arrivals == Arrivals);
+  if (Arrivals == 1)
+    CHECK(Result.Status == 200);
+}
