--- a/include/canvaswick/Daemon/Gateway.h
+++ b/include/canvaswick/Daemon/Gateway.h
@@ -20,6 +20,7 @@
 #include "canvaswick/Daemon/DirectoryCalls.h"
 #include "canvaswick/Daemon/PeerLink.h"
 #include "canvaswick/Directory/FleetRecords.h"
+#include "canvaswick/Directory/WatchDuty.h"
 #include "canvaswick/Metrics/Counters.h"
 #include "canvaswick/Proxy/ProxyOptions.h"
 #include "canvaswick/Settings/DaemonConfig.h"
@@ -48,9 +49,9 @@
   /// each message of a peer. Call before start.
   void setHooks(ChangesSource Source, PeerLink::Handler Heard);
 
-  /// Says how far the copy of the store goes and whether this daemon watches
-  /// the store itself. IsNews: peers are told at once.
-  void setStoreState(uint64_t AsOf, bool IsWatching, bool IsNews);
+  /// Says where this daemon stands with the store. IsNews: peers are told at
+  /// once.
+  void setStoreState(const StoreState &State, bool IsNews);
 
   /// Changes the repeats that the fleet may send.
   void setRepeats(const RepeatAllowance &Allowance);
--- a/include/canvaswick/Directory/WatchDuty.h
+++ b/include/canvaswick/Directory/WatchDuty.h
@@ -27,6 +27,17 @@
 
 namespace canvaswick {
 
+/// Where a daemon stands with the store.
+struct StoreState {
+  /// The revision up to which its copy is complete.
+  uint64_t AsOf = 0;
+  /// Whether it watches the store itself and, as far as it knows, reaches it.
+  bool IsWatching = false;
+  /// When the store last answered a read or a watch of its own; none yet:
+  /// TimePoint{}.
+  TimePoint HeardAt{};
+};
+
 /// Decides for one daemon. Not thread-safe.
 class WatchDuty {
 public:
--- a/lib/Daemon/CheckAnswers.cpp
+++ b/lib/Daemon/CheckAnswers.cpp
@@ -37,9 +37,22 @@
   return Text;
 }
 
+/// A daemon that watches and whose store is silent shows here alone: its copy
+/// stands still, as it does when nothing changes.
+static std::string formatStoreState(const StoreState &Store, TimePoint Now) {
+  const bool IsHeard = Store.HeardAt != TimePoint{};
+  return fmt::format("canvaswick_store_as_of {}\n"
+                     "canvaswick_store_watching {}\n"
+                     "canvaswick_store_heard_ms {}\n",
+                     Store.AsOf, Store.IsWatching ? 1 : 0,
+                     IsHeard ? toMillis(Now - Store.HeardAt) : -1);
+}
+
 static std::string formatMetrics(const CounterTable &Counters,
+                                 const StoreState &Store,
                                  const FleetRuntime *Current) {
   std::string Text = Counters.format();
+  Text += formatStoreState(Store, readSteadyClock());
   Text +=
       fmt::format("canvaswick_log_lines_dropped {}\n", countDroppedLogLines());
   if (!Current)
@@ -52,17 +65,19 @@
 }
 
 void answerMetrics(HttpExchange &Exchange, const CounterTable &Counters,
-                   const FleetRuntime *Current) {
+                   const StoreState &Store, const FleetRuntime *Current) {
   Exchange.Stream.setDeadline(readSteadyClock() + CheckTimeLimit);
   if (Exchange.Request.target != "/metrics") {
     Exchange.Response.status = 404;
     return;
   }
-  Exchange.Response.set_content(formatMetrics(Counters, Current), "text/plain");
+  Exchange.Response.set_content(formatMetrics(Counters, Store, Current),
+                                "text/plain");
 }
 
 void answerCheck(HttpExchange &Exchange, bool IsStopping,
-                 const CounterTable &Counters, const FleetRuntime *Current) {
+                 const CounterTable &Counters, const StoreState &Store,
+                 const FleetRuntime *Current) {
   const std::string &Target = Exchange.Request.target;
   Exchange.Stream.setDeadline(readSteadyClock() + CheckTimeLimit);
   if (Target == "/ready") {
@@ -76,7 +91,7 @@
     Exchange.Response.set_content("live\n", "text/plain");
     return;
   }
-  answerMetrics(Exchange, Counters, Current);
+  answerMetrics(Exchange, Counters, Store, Current);
 }
 
 } // namespace canvaswick
--- a/lib/Daemon/CheckAnswers.h
+++ b/lib/Daemon/CheckAnswers.h
@@ -16,6 +16,7 @@
 #ifndef CANVASWICK_LIB_DAEMON_CHECKANSWERS_H
 #define CANVASWICK_LIB_DAEMON_CHECKANSWERS_H
 
+#include "canvaswick/Directory/WatchDuty.h"
 #include "canvaswick/Http/HttpServer.h"
 #include "canvaswick/Metrics/Counters.h"
 #include "canvaswick/Proxy/FleetRuntime.h"
@@ -25,11 +26,12 @@
 /// Answers one check. Current is what the daemon serves by, null before its
 /// first settings.
 void answerCheck(HttpExchange &Exchange, bool IsStopping,
-                 const CounterTable &Counters, const FleetRuntime *Current);
+                 const CounterTable &Counters, const StoreState &Store,
+                 const FleetRuntime *Current);
 
 /// Answers who reads metrics, and nobody else.
 void answerMetrics(HttpExchange &Exchange, const CounterTable &Counters,
-                   const FleetRuntime *Current);
+                   const StoreState &Store, const FleetRuntime *Current);
 
 } // namespace canvaswick
 
--- a/lib/Daemon/Gateway.cpp
+++ b/lib/Daemon/Gateway.cpp
@@ -65,7 +65,7 @@
   void setFleet(const FleetConfigRef &Config);
   void setDaemons(const std::vector<DaemonRecord> &Daemons);
   void setRepeats(const RepeatAllowance &Allowance);
-  void setStoreState(uint64_t AsOf, bool IsWatching, bool IsNews);
+  void setStoreState(const StoreState &State, bool IsNews);
   void beginStop();
   bool finishStop(TimePoint Deadline);
 
@@ -80,6 +80,7 @@
   void giveRepeats(const FleetRuntime &Runtime);
   void runHealthRound();
   void housekeep();
+  StoreState getStoreState();
   Result<void> startPeers();
   Result<void> startReady();
   void startMetrics();
@@ -101,6 +102,9 @@
   /// Guards the building of a new FleetRuntime and the names.
   std::mutex BuildMutex;
   std::vector<std::string> DaemonNames;
+  /// Guards Store; held for no call.
+  std::mutex StoreMutex;
+  StoreState Store;
   RepeatAllowance Repeats;
   std::atomic<bool> IsStopping{false};
   std::atomic<bool> IsStopped{false};
@@ -147,7 +151,7 @@
   this->Ready =
       std::make_unique<HttpServer>(Limits, [this](HttpExchange &Exchange) {
         answerCheck(Exchange, this->IsStopping, this->Counters,
-                    this->Fleet.get().get());
+                    this->getStoreState(), this->Fleet.get().get());
       });
   return this->Ready->start(this->Config.Ready);
 }
@@ -161,7 +165,8 @@
   Limits.Workers = MetricsWorkers;
   this->Metrics =
       std::make_unique<HttpServer>(Limits, [this](HttpExchange &Exchange) {
-        answerMetrics(Exchange, this->Counters, this->Fleet.get().get());
+        answerMetrics(Exchange, this->Counters, this->getStoreState(),
+                      this->Fleet.get().get());
       });
   const Result<void> Started = this->Metrics->start(this->Config.Metrics);
   if (Started)
@@ -292,9 +297,18 @@
     this->build(FleetConfigRef(&Current->getConfig()));
 }
 
-void Gateway::Impl::setStoreState(uint64_t AsOf, bool IsWatching, bool IsNews) {
+void Gateway::Impl::setStoreState(const StoreState &State, bool IsNews) {
+  {
+    std::lock_guard<std::mutex> Lock(this->StoreMutex);
+    this->Store = State;
+  }
   if (this->Peers)
-    this->Peers->setStoreState(AsOf, IsWatching, IsNews);
+    this->Peers->setStoreState(State.AsOf, State.IsWatching, IsNews);
+}
+
+StoreState Gateway::Impl::getStoreState() {
+  std::lock_guard<std::mutex> Lock(this->StoreMutex);
+  return this->Store;
 }
 
 /// Looks for late requests and tells peers what was seen since the last round.
@@ -370,8 +384,8 @@
   this->Implementation->Heard = std::move(Heard);
 }
 
-void Gateway::setStoreState(uint64_t AsOf, bool IsWatching, bool IsNews) {
-  this->Implementation->setStoreState(AsOf, IsWatching, IsNews);
+void Gateway::setStoreState(const StoreState &State, bool IsNews) {
+  this->Implementation->setStoreState(State, IsNews);
 }
 
 void Gateway::beginStop() { this->Implementation->beginStop(); }
--- a/unittests/PlatformAdapter/PlatformDaemonTest.cpp
+++ b/unittests/PlatformAdapter/PlatformDaemonTest.cpp
@@ -316,6 +316,19 @@
   }
 }
 
+TEST_CASE("metrics tell how far the copy of the store goes and how old it is") {
+  Bench Under;
+  Under.settle();
+  const auto Shows = [&](const std::string &Line) {
+    return Under.readMetrics().find("canvaswick_store_" + Line) !=
+           std::string::npos;
+  };
+  const uint64_t Revision = Under.Store.put("elsewhere", "x");
+  Under.waitFor([&] { return Shows(fmt::format("as_of {}\n", Revision)); });
+  CHECK(Shows("watching 1\n"));
+  CHECK_FALSE(Shows("heard_ms -1\n"));
+}
+
 TEST_CASE("a daemon that is dropped while peers speak to it ends cleanly") {
   // Found by a sanitizer, or by a crash: threads reached members already gone.
   Bench Under;
