--- a/include/canvaswick/StandIn/RelayStandIn.h
+++ b/include/canvaswick/StandIn/RelayStandIn.h
@@ -44,6 +44,10 @@
   void stop();
   uint16_t getPort() const { return this->Port; }
 
+  /// Lets the connections that are open now carry nothing more, without an end;
+  /// later ones work.
+  void silenceOpenConnections();
+
   /// The faults in force; change them at any time.
   RelayFaults &getFaults() { return this->Faults; }
 
@@ -51,12 +55,14 @@
   struct Connection {
     int Near = -1;
     int Far = -1;
+    std::atomic<bool> IsSilent{false};
     std::thread Forward;
     std::thread Backward;
   };
 
   void acceptLoop();
-  void pump(int From, int To, const std::atomic<bool> &Cut);
+  void pump(int From, int To, const std::atomic<bool> &Cut,
+            const std::atomic<bool> &IsSilent);
 
   const Endpoint Target;
   RelayFaults Faults;
--- a/lib/StandIn/RelayStandIn.cpp
+++ b/lib/StandIn/RelayStandIn.cpp
@@ -67,23 +67,26 @@
     Connection &Added = this->Connections.emplace_back();
     Added.Near = Near;
     Added.Far = Far;
-    Added.Forward = std::thread(
-        [this, Near, Far] { this->pump(Near, Far, this->Faults.CutForward); });
-    Added.Backward = std::thread(
-        [this, Near, Far] { this->pump(Far, Near, this->Faults.CutBackward); });
+    Added.Forward = std::thread([this, Near, Far, &Added] {
+      this->pump(Near, Far, this->Faults.CutForward, Added.IsSilent);
+    });
+    Added.Backward = std::thread([this, Near, Far, &Added] {
+      this->pump(Far, Near, this->Faults.CutBackward, Added.IsSilent);
+    });
   }
 }
 
 /// Moves bytes one way until either side ends.
-void RelayStandIn::pump(int From, int To, const std::atomic<bool> &Cut) {
+void RelayStandIn::pump(int From, int To, const std::atomic<bool> &Cut,
+                        const std::atomic<bool> &IsSilent) {
   char Data[16384];
   while (!this->Stopping) {
-    if (Cut) {
+    if (Cut || IsSilent) {
       std::this_thread::sleep_for(std::chrono::milliseconds(PollMillis));
       continue;
     }
     pollfd Poll{From, POLLIN, 0};
-    if (::poll(&Poll, 1, PollMillis) <= 0 || Cut)
+    if (::poll(&Poll, 1, PollMillis) <= 0 || Cut || IsSilent)
       continue;
     const ssize_t Count = ::recv(From, Data, sizeof(Data), MSG_DONTWAIT);
     if (Count == 0)
@@ -107,6 +110,12 @@
   ::shutdown(To, SHUT_WR);
 }
 
+void RelayStandIn::silenceOpenConnections() {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  for (Connection &Each : this->Connections)
+    Each.IsSilent = true;
+}
+
 void RelayStandIn::stop() {
   if (this->Stopping.exchange(true))
     return;
--- /dev/null
+++ b/unittests/StoreSilence/StoreSilenceTest.cpp
@@ -0,0 +1,121 @@
+//===- StoreSilenceTest.cpp - A store that says nothing, without an error -===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// The failure. Operators changed a route, and the store acknowledged it. Two
+/// seconds later daemons of two halls still served by the version before, and
+/// went on to for another second, though the store answered other calls.
+///
+/// The order of events. Each hall's two watchers had a watch out. The store
+/// stopped to answer them: their connections stayed open, no call failed. The
+/// change was acknowledged. The watchers said several times a second that they
+/// watch and reach the store, so nobody else of their halls asked it.
+///
+/// The cause. A watch waited up to 25 seconds and was taken for quiet all that
+/// time; that a watcher was to be relied on followed from its last call,
+/// however long ago that was. Evidence: between the fault and the end of their
+/// wait the watchers' counts of calls to the store stood still, no daemon
+/// logged an error or a later version, and the watches ended after 25 seconds
+/// exactly.
+///
+//===----------------------------------------------------------------------===//
+
+#include "PlatformAdapter/PlatformBench.h"
+#include "canvaswick/StandIn/RelayStandIn.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <memory>
+#include <vector>
+
+using namespace canvaswick;
+using namespace canvaswick::platform;
+
+namespace {
+
+/// A daemon that reaches the store through a relay of its own.
+struct Member {
+  Member(const DaemonConfig &Given, const Endpoint &Store)
+      : Config(Given), WayToStore(Store) {
+    REQUIRE(this->WayToStore.start({"127.0.0.1", 0}));
+    this->Config.Control = {"127.0.0.1", Surroundings::findFreePort()};
+    this->Config.PeerPort = Surroundings::findFreePort();
+    this->Config.Platform = {"127.0.0.1", this->WayToStore.getPort()};
+    this->Daemon = std::make_unique<PlatformDaemon>(this->Config);
+    REQUIRE(this->Daemon->start());
+  }
+
+  DaemonConfig Config;
+  RelayStandIn WayToStore;
+  std::unique_ptr<PlatformDaemon> Daemon;
+};
+
+/// Daemons of one hall in their surroundings.
+struct Hall : Surroundings {
+  explicit Hall(int Count) {
+    for (int I = 0; I < Count; ++I)
+      this->Members.push_back(std::make_unique<Member>(
+          this->makeDaemonConfig(fmt::format("d{}", I)),
+          this->Store.getAddress()));
+  }
+
+  bool serves(const Member &Each, const std::string &Target) {
+    return this->askAt(Each.Config.Callers, "GET", Target).Status == 200;
+  }
+
+  bool isWatching(const Member &Each) {
+    return this->get(Each.Config.Ready, "/metrics")
+               .Body.find("canvaswick_store_watching 1\n") != std::string::npos;
+  }
+
+  std::vector<Member *> listWatchers() {
+    std::vector<Member *> Watchers;
+    for (const std::unique_ptr<Member> &Each : this->Members)
+      if (this->isWatching(*Each))
+        Watchers.push_back(Each.get());
+    return Watchers;
+  }
+
+  /// Starts with a configuration, two servers and two that watch.
+  void settle() {
+    this->writeConfig(2);
+    this->addServers();
+    for (const std::unique_ptr<Member> &Each : this->Members)
+      this->waitFor([&] { return this->serves(*Each, "/x/1"); });
+    const size_t Wanted = std::min<size_t>(2, this->Members.size());
+    this->waitFor([&] { return this->listWatchers().size() == Wanted; });
+  }
+
+  std::vector<std::unique_ptr<Member>> Members;
+};
+
+} // namespace
+
+TEST_CASE("a change reaches daemons whose watchers the store leaves waiting") {
+  Hall Under(4);
+  Under.settle();
+  const std::vector<Member *> Watchers = Under.listWatchers();
+  for (Member *Each : Watchers) {
+    Each->WayToStore.getFaults().CutForward = true;
+    Each->WayToStore.getFaults().CutBackward = true;
+  }
+  Under.writeConfig(3, "/y/");
+  for (const std::unique_ptr<Member> &Each : Under.Members)
+    if (std::find(Watchers.begin(), Watchers.end(), Each.get()) ==
+        Watchers.end())
+      Under.waitFor([&] { return Under.serves(*Each, "/y/1"); });
+}
+
+TEST_CASE("a change is learned though the watch's connection went silent") {
+  Hall Under(1);
+  Under.settle();
+  Under.Members[0]->WayToStore.silenceOpenConnections();
+  Under.writeConfig(3, "/y/");
+  Under.waitFor([&] { return Under.serves(*Under.Members[0], "/y/1"); });
+}
