--- a/include/canvaswick/Daemon/PeerLink.h
+++ b/include/canvaswick/Daemon/PeerLink.h
@@ -22,6 +22,7 @@
 
 #include "canvaswick/Daemon/PeerMessage.h"
 #include "canvaswick/Directory/FleetRecords.h"
+#include "canvaswick/Directory/WatchDuty.h"
 #include "canvaswick/Metrics/Counters.h"
 
 #include <atomic>
@@ -66,8 +67,9 @@
   /// Tells the peers of this hall, for those that have just started.
   void sendNearEstimates(std::vector<Estimate> Estimates);
 
-  /// Tells the peers of this hall how far the copy of the store goes.
-  void sendWatcherNews();
+  /// Tells the peers of this hall how far the copy of the store goes and, if
+  /// this daemon watches, how long ago the store answered.
+  void sendWatcherNews(TimePoint Now);
 
   /// Asks some peers, drawn anew each time, for the right to a repeat. AsksFar:
   /// one of another hall too.
@@ -76,8 +78,8 @@
   /// Gives a right to the peer that asked for it.
   void lendRepeat(const std::string &Daemon, const RepeatLoan &Loan);
 
-  /// Sets what every message says of the copy of the store.
-  void setStoreState(uint64_t AsOf, bool IsWatching);
+  /// Sets what messages say of the store.
+  void setStoreState(const StoreState &State);
 
   /// Returns how many daemons of this hall are known, this one included.
   size_t countNear();
@@ -100,10 +102,9 @@
   const Handler Handle;
   int Descriptor = -1;
   std::atomic<uint64_t> NextSequence;
-  std::atomic<uint64_t> AsOf{0};
-  std::atomic<bool> IsWatching{false};
   std::atomic<bool> IsStopping{false};
   std::mutex Mutex;
+  StoreState Store;
   std::vector<DaemonRecord> Near;
   /// Daemons of each other hall.
   std::map<std::string, std::vector<DaemonRecord>> Far;
--- a/include/canvaswick/Daemon/PeerMessage.h
+++ b/include/canvaswick/Daemon/PeerMessage.h
@@ -16,6 +16,7 @@
 
 #include "canvaswick/Health/SpellPolicy.h"
 #include "canvaswick/Support/Error.h"
+#include "canvaswick/Support/Time.h"
 
 #include <cstdint>
 #include <optional>
@@ -39,10 +40,12 @@
   std::string Source;
   /// Hall of the source.
   std::string Hall;
-  /// How far the source's copy of the store goes, and whether it watches the
-  /// store itself and reaches it.
+  /// How far the source's copy of the store goes.
   uint64_t AsOf = 0;
-  bool IsWatching = false;
+  /// How long ago the store last answered the source, in whole milliseconds, if
+  /// the source watches the store itself. That it watches proves nothing: the
+  /// store may have been silent ever since.
+  std::optional<Duration> StoreHeardAgo;
   /// Whether a daemon of the receiver's hall has passed it on.
   bool IsRelayed = false;
   /// Grows with each message of a source; starts at its calendar time.
--- a/include/canvaswick/Directory/WatchDuty.h
+++ b/include/canvaswick/Directory/WatchDuty.h
@@ -8,10 +8,10 @@
 ///
 /// \file
 /// Calls to the store have a price, so two daemons of each hall watch it and
-/// the others learn from them. A daemon follows as long as it hears from enough
-/// daemons that watch and come before it in its hall's order; otherwise it
-/// watches itself. Nothing is agreed: too many watching costs calls, never
-/// correctness.
+/// the others learn from them. A daemon follows as long as enough daemons that
+/// come before it in its hall's order have heard from the store themselves of
+/// late; otherwise it watches itself. Nothing is agreed: too many watching
+/// costs calls, never correctness.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -46,8 +46,9 @@
   /// Sets the daemons of this hall.
   void setNear(const std::vector<std::string> &Names);
 
-  /// Notes that a daemon of this hall watches and reaches the store.
-  void noteWatcher(const std::string &Name, TimePoint Now);
+  /// Notes that a daemon of this hall watches, and when the store last answered
+  /// it.
+  void noteWatcher(const std::string &Name, TimePoint HeardAt);
 
   /// Returns whether this daemon should watch.
   bool shouldWatch(TimePoint Now) const;
@@ -58,7 +59,8 @@
   const std::string Self;
   /// The hall's order, the first to watch first.
   std::vector<std::string> Order;
-  std::map<std::string, TimePoint> Heard;
+  /// When the store last answered those that watch.
+  std::map<std::string, TimePoint> HeardAt;
 };
 
 } // namespace canvaswick
--- a/include/canvaswick/Rpc/PeerCaller.h
+++ b/include/canvaswick/Rpc/PeerCaller.h
@@ -53,6 +53,9 @@
   /// Closes connections that are no longer used.
   void closeIdle(TimePoint Now);
 
+  /// Makes the next calls on new connections.
+  void closeIdleConnections();
+
 private:
   void count(Counter Which, uint64_t Amount);
 
--- a/lib/Daemon/Gateway.cpp
+++ b/lib/Daemon/Gateway.cpp
@@ -303,7 +303,7 @@
     this->Store = State;
   }
   if (this->Peers)
-    this->Peers->setStoreState(State.AsOf, State.IsWatching, IsNews);
+    this->Peers->setStoreState(State, IsNews, readSteadyClock());
 }
 
 StoreState Gateway::Impl::getStoreState() {
--- a/lib/Daemon/PeerExchange.cpp
+++ b/lib/Daemon/PeerExchange.cpp
@@ -26,8 +26,9 @@
 /// before the balancer, which asks once a second, has sent it much.
 static constexpr Duration NewcomerInterval = fromMillis(500);
 
-/// How often a daemon that watches the store says so in its hall: three times
-/// within the time that others wait for it.
+/// How often a daemon that watches the store says again when it last heard from
+/// it: once more at least while others still count on what it said before, in
+/// case that message was lost.
 static constexpr Duration WatcherInterval = fromMillis(300);
 
 /// Time that a daemon gives to one message of a peer, on the long run. Together
@@ -64,11 +65,12 @@
   this->Link.setPeers(Daemons);
 }
 
-void PeerExchange::setStoreState(uint64_t AsOf, bool Watching, bool IsNews) {
-  this->IsWatching = Watching;
-  this->Link.setStoreState(AsOf, Watching);
+void PeerExchange::setStoreState(const StoreState &State, bool IsNews,
+                                 TimePoint Now) {
+  this->IsWatching = State.IsWatching;
+  this->Link.setStoreState(State);
   if (IsNews)
-    this->Link.sendWatcherNews();
+    this->Link.sendWatcherNews(Now);
 }
 
 /// Takes the right to one message now. The caller holds NewsMutex.
@@ -128,7 +130,7 @@
   this->repeatInFlight(Current, Now);
   if (this->IsWatching && Now - this->WatcherNewsAt >= WatcherInterval) {
     this->WatcherNewsAt = Now;
-    this->Link.sendWatcherNews();
+    this->Link.sendWatcherNews(Now);
   }
   if (this->Switches.isOn(Mechanism::HallEstimates) &&
       this->isMyTurn(EstimateInterval, Interval))
--- a/lib/Daemon/PeerExchange.h
+++ b/lib/Daemon/PeerExchange.h
@@ -46,9 +46,9 @@
   /// Takes the daemons of the fleet, this one included or not.
   void setPeers(const std::vector<DaemonRecord> &Daemons);
 
-  /// Says how far the copy of the store goes and whether this daemon watches
-  /// the store itself. IsNews: peers are told at once.
-  void setStoreState(uint64_t AsOf, bool IsWatching, bool IsNews);
+  /// Says where this daemon stands with the store. IsNews: peers are told at
+  /// once.
+  void setStoreState(const StoreState &State, bool IsNews, TimePoint Now);
 
   /// Tells peers what has not been told yet and, when it is due, what this
   /// daemon thinks of servers. Interval is the time between two rounds,
--- a/lib/Daemon/PeerLink.cpp
+++ b/lib/Daemon/PeerLink.cpp
@@ -130,13 +130,14 @@
     this->sendTo(Peers[this->Random() % Peers.size()].Peer, Text);
 }
 
+/// Called without the mutex.
 PeerMessage PeerLink::makeMessage() {
   PeerMessage Message;
   Message.Source = this->Self.Name;
   Message.Hall = this->Self.Hall;
   Message.Sequence = this->NextSequence++;
-  Message.AsOf = this->AsOf;
-  Message.IsWatching = this->IsWatching;
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  Message.AsOf = this->Store.AsOf;
   return Message;
 }
 
@@ -184,8 +185,15 @@
   }
 }
 
-void PeerLink::sendWatcherNews() {
-  this->sendWithinHall(encodePeerMessage(this->makeMessage()));
+void PeerLink::sendWatcherNews(TimePoint Now) {
+  PeerMessage Message = this->makeMessage();
+  {
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    if (this->Store.IsWatching)
+      Message.StoreHeardAgo =
+          std::max(Duration::zero(), Now - this->Store.HeardAt);
+  }
+  this->sendWithinHall(encodePeerMessage(Message));
 }
 
 /// Draws whom to ask for a repeat. The caller holds the mutex.
@@ -228,9 +236,9 @@
     SendToAsker(Peers);
 }
 
-void PeerLink::setStoreState(uint64_t Reached, bool Watching) {
-  this->AsOf = Reached;
-  this->IsWatching = Watching;
+void PeerLink::setStoreState(const StoreState &State) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->Store = State;
 }
 
 size_t PeerLink::countNear() {
--- a/lib/Daemon/PeerMessage.cpp
+++ b/lib/Daemon/PeerMessage.cpp
@@ -24,6 +24,10 @@
 /// A probability in thousandths is no more than one.
 static constexpr int MostPerMille = 1000;
 
+/// A day: a daemon that has not heard from the store for longer is refused like
+/// any other message of a wrong shape.
+static constexpr uint64_t MostHeardMillis = 24 * 3600 * 1000;
+
 static Json::Value encodeLoans(const std::vector<RepeatLoan> &Loans) {
   Json::Value Rows(Json::arrayValue);
   for (const RepeatLoan &Each : Loans) {
@@ -53,8 +57,9 @@
   Value["hall"] = Message.Hall;
   if (Message.IsRelayed)
     Value["relayed"] = true;
-  if (Message.IsWatching)
-    Value["watching"] = true;
+  if (Message.StoreHeardAgo)
+    Value["heard-ms"] =
+        static_cast<Json::UInt64>(toMillis(*Message.StoreHeardAgo));
   Value["as-of"] = static_cast<Json::UInt64>(Message.AsOf);
   Value["seq"] = static_cast<Json::UInt64>(Message.Sequence);
   Value["seen"] = Json::arrayValue;
@@ -189,6 +194,16 @@
   return decodeList(List, Decode, What, All);
 }
 
+/// Decodes an age that a message need not have.
+static Result<std::optional<Duration>> decodeHeardAgo(const Json::Value &Age) {
+  if (Age.isNull())
+    return std::optional<Duration>();
+  if (!Age.isUInt64() || Age.asUInt64() > MostHeardMillis)
+    return makeError(ErrorKind::InvalidArgument, "not an age");
+  return std::optional<Duration>(
+      fromMillis(static_cast<int64_t>(Age.asUInt64())));
+}
+
 Result<PeerMessage> decodePeerMessage(const std::string &Text) {
   Json::Value Value;
   if (!parseJson(Text, Value) || !Value.isObject() ||
@@ -202,7 +217,7 @@
   if (!Value["as-of"].isUInt64())
     return makeError(ErrorKind::InvalidArgument, "no revision");
   Message.AsOf = Value["as-of"].asUInt64();
-  Message.IsWatching = Value["watching"].isBool() && Value["watching"].asBool();
+  BOOST_OUTCOME_TRY(Message.StoreHeardAgo, decodeHeardAgo(Value["heard-ms"]));
   Message.IsRelayed = Value["relayed"].isBool() && Value["relayed"].asBool();
   BOOST_OUTCOME_TRY(decodeList(Value["seen"], decodeObservation,
                                "not an observation", Message.Seen));
--- a/lib/Directory/WatchDuty.cpp
+++ b/lib/Directory/WatchDuty.cpp
@@ -22,9 +22,15 @@
 /// without noticing for some seconds.
 static constexpr size_t WatchersPerHall = 2;
 
-/// A watcher that was not heard for this long does not count; it speaks three
-/// times in it. Changes must be in force within two seconds.
-static constexpr Duration WatcherLife = fromMillis(950);
+/// A watcher does not count once the store has not answered it for this long,
+/// whatever it says of itself: a store that leaves a watch waiting looks like
+/// one that has no news. A watch that is well answers every 0.6 s at most, 0.85
+/// s if the store takes a quarter of a second. Together with the steps below
+/// and a look each tenth of a second, the last daemon of a hall asks the store
+/// itself 1.6 s after its watchers were last answered; changes must be in force
+/// within two seconds. Before, a hall whose watchers hung went without for 25 s
+/// (tests StoreSilence).
+static constexpr Duration WatcherLife = fromMillis(1000);
 
 /// Later daemons wait a little longer before they step in, so that one does
 /// and not all.
@@ -40,13 +46,15 @@
   this->Order.clear();
   for (const size_t Index : rankByRendezvous("store", All))
     this->Order.push_back(All[Index]);
-  std::erase_if(this->Heard, [&](const auto &Entry) {
+  std::erase_if(this->HeardAt, [&](const auto &Entry) {
     return std::find(All.begin(), All.end(), Entry.first) == All.end();
   });
 }
 
-void WatchDuty::noteWatcher(const std::string &Name, TimePoint Now) {
-  this->Heard[Name] = Now;
+void WatchDuty::noteWatcher(const std::string &Name, TimePoint At) {
+  // Messages overtake each other.
+  TimePoint &Last = this->HeardAt[Name];
+  Last = std::max(Last, At);
 }
 
 size_t WatchDuty::getRank(const std::string &Name) const {
@@ -60,7 +68,7 @@
   const size_t Steps = std::min(Rank, MostSteps);
   const Duration Life = WatcherLife + StepPerRank * static_cast<int>(Steps);
   size_t Watchers = 0;
-  for (const auto &[Name, At] : this->Heard)
+  for (const auto &[Name, At] : this->HeardAt)
     if (Now - At <= Life && this->getRank(Name) < Rank)
       ++Watchers;
   return Watchers < WatchersPerHall;
--- a/lib/Rpc/PeerCaller.cpp
+++ b/lib/Rpc/PeerCaller.cpp
@@ -47,6 +47,10 @@
   this->Pool.closeIdleSince(Now - PeerIdleLimit);
 }
 
+void PeerCaller::closeIdleConnections() {
+  this->Pool.closeIdleSince(TimePoint::max());
+}
+
 static ErrorKind findErrorKind(const std::string &Name) {
   for (const ErrorKind Kind :
        {ErrorKind::InvalidArgument, ErrorKind::NotFound, ErrorKind::Conflict,
--- a/unittests/Daemon/PeerLinkTest.cpp
+++ b/unittests/Daemon/PeerLinkTest.cpp
@@ -100,7 +100,7 @@
 TEST_CASE("a link that has been stopped sends nothing") {
   const std::vector<std::unique_ptr<Listener>> All = startTwoHalls();
   All[0]->Link.stop();
-  All[0]->Link.sendWatcherNews();
+  All[0]->Link.sendWatcherNews(readSteadyClock());
   CHECK(All[0]->Counters.get(Counter::PeerDatagramsSent) == 0);
   CHECK(All[0]->Counters.get(Counter::PeerSendFailures) == 0);
 }
--- a/unittests/Daemon/PeerMessageTest.cpp
+++ b/unittests/Daemon/PeerMessageTest.cpp
@@ -26,7 +26,7 @@
   Message.Hall = "h1";
   Message.Sequence = 1234567890123;
   Message.AsOf = 77;
-  Message.IsWatching = true;
+  Message.StoreHeardAgo = fromMillis(430);
   Message.Seen = {{0xfffffffe, RequestOutcome::Failed, -1},
                   {5, RequestOutcome::Overdue, 3},
                   {6, RequestOutcome::Good, 2, 130},
@@ -90,6 +90,12 @@
   Changed = Value;
   Changed["as-of"] = "x";
   CHECK(Refused(Changed));
+  Changed = Value;
+  Changed["heard-ms"] = -1;
+  CHECK(Refused(Changed));
+  Changed = Value;
+  Changed["heard-ms"] = true;
+  CHECK(Refused(Changed));
 }
 
 TEST_CASE("damaged messages never throw") {
--- a/unittests/Directory/WatchDutyTest.cpp
+++ b/unittests/Directory/WatchDutyTest.cpp
@@ -68,3 +68,50 @@
   Duty.setNear({});
   CHECK(Duty.shouldWatch(Start));
 }
+
+/// Returns the duty of each daemon of a hall of Count.
+static std::vector<WatchDuty> makeHall(int Count) {
+  std::vector<std::string> Names;
+  for (int I = 0; I < Count; ++I)
+    Names.push_back(fmt::format("d{}", I));
+  std::vector<WatchDuty> Duties;
+  for (const std::string &Name : Names) {
+    Duties.emplace_back(Name);
+    Duties.back().setNear(Names);
+  }
+  return Duties;
+}
+
+TEST_CASE(
+    "all of a hall ask 1.5 s after the store last answered its watchers") {
+  // They say on and on that they watch; the store has left them waiting.
+  std::vector<WatchDuty> Duties = makeHall(36);
+  const TimePoint LastAnswer = Start;
+  for (TimePoint Now = Start; Now < Start + fromMillis(1500);
+       Now += fromMillis(100))
+    for (WatchDuty &Each : Duties)
+      for (int I = 0; I < 36; ++I)
+        Each.noteWatcher(fmt::format("d{}", I), LastAnswer);
+  const auto CountAsking = [&](TimePoint Now) {
+    return std::count_if(
+        Duties.begin(), Duties.end(),
+        [Now](const WatchDuty &Each) { return Each.shouldWatch(Now); });
+  };
+  CHECK(CountAsking(LastAnswer + fromMillis(900)) == 2);
+  CHECK(CountAsking(LastAnswer + fromMillis(1500)) == 36);
+}
+
+TEST_CASE("what a watcher said last counts, in whichever order it comes") {
+  std::vector<WatchDuty> Duties = makeHall(3);
+  // Two watch; the third follows.
+  for (WatchDuty &Each : Duties)
+    for (int I = 0; I < 3; ++I) {
+      Each.noteWatcher(fmt::format("d{}", I), Start + fromMillis(600));
+      Each.noteWatcher(fmt::format("d{}", I), Start);
+    }
+  const TimePoint Now = Start + fromMillis(1500);
+  CHECK(
+      std::count_if(Duties.begin(), Duties.end(), [Now](const WatchDuty &Each) {
+        return Each.shouldWatch(Now);
+      }) == 2);
+}
--- a/unittests/PlatformAdapter/StoreFeedTest.cpp
+++ b/unittests/PlatformAdapter/StoreFeedTest.cpp
@@ -12,6 +12,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "platform/StoreFeed.h"
+#include "canvaswick/StandIn/RelayStandIn.h"
 #include "platform/DaemonRegistry.h"
 #include "platform/RecordDecoder.h"
 #include "platform/standin/StoreStandIn.h"
@@ -84,6 +85,47 @@
   CHECK(Under.View.compile().Daemons.empty());
 }
 
+TEST_CASE("an answer without changes shows that the store is reached") {
+  Bench Under;
+  Under.Store.put(DaemonKey, encodeDaemon(Under.Self));
+  CHECK(Under.Feed.getHeardAt() == TimePoint{});
+  Under.Feed.runRound();
+  const TimePoint Read = Under.Feed.getHeardAt();
+  CHECK(Read > TimePoint{});
+  Under.Feed.runRound();
+  CHECK(Under.Feed.getHeardAt() > Read);
+  CHECK(Under.Store.countCalls("/kv-watch") == 1);
+  CHECK(Under.Store.countCalls("/kv-range") == 1);
+}
+
+TEST_CASE("after a failure a watch goes on where it was, on a new connection") {
+  Bench Under;
+  RelayStandIn Way(Under.Store.getAddress());
+  REQUIRE(Way.start({"127.0.0.1", 0}));
+  StoreClient Client({"127.0.0.1", Way.getPort()}, Under.Counters);
+  StoreFeed Feed(Client, Under.View, [] {});
+  Under.Store.put(DaemonKey, encodeDaemon(Under.Self));
+  Feed.runRound();
+  Way.silenceOpenConnections();
+  Under.Store.remove(DaemonKey);
+  Feed.runRound();
+  CHECK_FALSE(Feed.isSound());
+  Feed.runRound();
+  CHECK(Feed.isSound());
+  CHECK(Under.View.compile().Daemons.empty());
+  CHECK(Under.Store.countCalls("/kv-range") == 1);
+}
+
+TEST_CASE("a daemon that rests counts for nothing until the store answers it") {
+  Bench Under;
+  Under.Feed.runRound();
+  CHECK(Under.Feed.isSound());
+  Under.Feed.rest();
+  CHECK_FALSE(Under.Feed.isSound());
+  Under.Feed.runRound();
+  CHECK(Under.Feed.isSound());
+}
+
 TEST_CASE("writes are conditional, and leases take their items along") {
   Bench Under;
   StoreTransaction First;
