One watcher of a hall asks the store often, the other stands by

Two that are answered often are not needed to know whether the store is reached. Now a daemon leads (0.6 s) unless one before it in its hall was answered within 1.15 s, and stands by (1.5 s) while fewer than two before it watch. The last daemon of a hall still asks 1.6 s after its leader was last answered.

--- a/include/canvaswick/Directory/WatchDuty.h
+++ b/include/canvaswick/Directory/WatchDuty.h
@@ -8,10 +8,11 @@
 ///
 /// \file
 /// Calls to the store have a price, so two daemons of each hall watch it and
-/// the others learn from them. A daemon follows as long as enough daemons that
-/// come before it in its hall's order have heard from the store themselves of
-/// late; otherwise it watches itself. Nothing is agreed: too many watching
-/// costs calls, never correctness.
+/// the others learn from them. One of the two asks often, so that the hall
+/// knows whether the store is reached; the other stands by. A daemon leads
+/// unless one that comes before it in its hall's order was answered by the
+/// store of late; it follows if, besides, enough of those before it watch.
+/// Nothing is agreed: too many watching costs calls, never correctness.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -38,6 +39,19 @@
   TimePoint HeardAt{};
 };
 
+/// What a daemon does about the store.
+enum class WatchRole : uint8_t {
+  /// Learns from the others of its hall.
+  Follow,
+  /// Watches, with long waits.
+  StandBy,
+  /// Watches, and asks again often: the hall relies on its answers.
+  Lead,
+};
+
+/// Returns the name of a role as logs print it.
+const char *getName(WatchRole Role);
+
 /// Decides for one daemon. Not thread-safe.
 class WatchDuty {
 public:
@@ -50,8 +64,8 @@
   /// it.
   void noteWatcher(const std::string &Name, TimePoint HeardAt);
 
-  /// Returns whether this daemon should watch.
-  bool shouldWatch(TimePoint Now) const;
+  /// Returns what this daemon should do.
+  WatchRole getRole(TimePoint Now) const;
 
 private:
   size_t getRank(const std::string &Name) const;
--- a/lib/Directory/WatchDuty.cpp
+++ b/lib/Directory/WatchDuty.cpp
@@ -12,30 +12,45 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Directory/WatchDuty.h"
+#include "canvaswick/Support/EnumNames.h"
 #include "canvaswick/Support/Hash.h"
 
 #include <algorithm>
 
 namespace canvaswick {
 
-/// Daemons of a hall that watch. One of them may be cut off from the store
-/// without noticing for some seconds.
+/// Daemons of a hall that watch. One of them may be restarted or cut off.
 static constexpr size_t WatchersPerHall = 2;
 
-/// A watcher does not count once the store has not answered it for this long,
+/// A hall is led by a daemon that the store has answered within this time,
 /// whatever it says of itself: a store that leaves a watch waiting looks like
-/// one that has no news. A watch that is well answers every 0.6 s at most, 0.85
-/// s if the store takes a quarter of a second. Together with the steps below
-/// and a look each tenth of a second, the last daemon of a hall asks the store
-/// itself 1.6 s after its watchers were last answered; changes must be in force
-/// within two seconds. Before, a hall whose watchers hung went without for 25 s
-/// (tests StoreSilence).
-static constexpr Duration WatcherLife = fromMillis(1000);
+/// one that has no news. A leading watch that is well is answered every 0.75 s
+/// at most, 1 s if the store takes a quarter of a second. Together with the
+/// steps below and a look each tenth of a second, the last daemon of a hall
+/// asks the store itself 1.6 s after its leader was last answered; changes must
+/// be in force within two seconds. Guards against: a hall whose watchers hung
+/// went without changes for 25 s, the longest wait of a watch (unit tests
+/// StoreSilence, which wait for five).
+static constexpr Duration LeaderLife = fromMillis(1150);
+
+/// Who stands by counts for this long: its watch waits 1.5 s, its client 0.6 s
+/// more, and its word comes each 0.3 s.
+static constexpr Duration StandByLife = fromMillis(2400);
 
 /// Later daemons wait a little longer before they step in, so that one does
 /// and not all.
 static constexpr Duration StepPerRank = fromMillis(60);
-static constexpr size_t MostSteps = 8;
+static constexpr size_t MostSteps = 5;
+
+static constexpr EnumNames<WatchRole, 3> WatchRoleNames = {{
+    {WatchRole::Follow, "follow"},
+    {WatchRole::StandBy, "stand-by"},
+    {WatchRole::Lead, "lead"},
+}};
+
+const char *getName(WatchRole Role) {
+  return getEnumName(WatchRoleNames, Role);
+}
 
 WatchDuty::WatchDuty(std::string Self) : Self(std::move(Self)) {}
 
@@ -63,15 +78,21 @@
       this->Order.begin());
 }
 
-bool WatchDuty::shouldWatch(TimePoint Now) const {
+WatchRole WatchDuty::getRole(TimePoint Now) const {
   const size_t Rank = this->getRank(this->Self);
-  const size_t Steps = std::min(Rank, MostSteps);
-  const Duration Life = WatcherLife + StepPerRank * static_cast<int>(Steps);
+  const Duration Step =
+      StepPerRank * static_cast<int>(std::min(Rank, MostSteps));
+  bool IsLed = false;
   size_t Watchers = 0;
-  for (const auto &[Name, At] : this->HeardAt)
-    if (Now - At <= Life && this->getRank(Name) < Rank)
-      ++Watchers;
-  return Watchers < WatchersPerHall;
+  for (const auto &[Name, At] : this->HeardAt) {
+    if (this->getRank(Name) >= Rank)
+      continue;
+    IsLed |= Now - At <= LeaderLife + Step;
+    Watchers += Now - At <= StandByLife + Step ? 1 : 0;
+  }
+  if (!IsLed)
+    return WatchRole::Lead;
+  return Watchers < WatchersPerHall ? WatchRole::StandBy : WatchRole::Follow;
 }
 
 } // namespace canvaswick
