--- a/include/canvaswick/Health/SpellPolicy.h
+++ b/include/canvaswick/Health/SpellPolicy.h
@@ -195,6 +195,8 @@
     OutcomeCounts Counts;
   };
 
+  /// Returns whether the server's own hall told of it of late.
+  bool isEstimated(size_t Server, TimePoint Now) const;
   std::vector<double> getWorths(TimePoint Now) const;
   double getEndedSickness(size_t Server, TimePoint Now) const;
   double getSilenceRatio(const InFlightRequest &Request, TimePoint Now) const;
--- a/include/canvaswick/Routing/ServerSelector.h
+++ b/include/canvaswick/Routing/ServerSelector.h
@@ -44,9 +44,6 @@
 struct SelectionRules {
   /// Part of a near server's weight that one in another hall has.
   double FarShare = 1;
-  /// Whether load reports are a fraction of a second old, so that a loaded
-  /// server gets less and not just loses ties.
-  bool HasFreshLoad = false;
   /// Whether shares account for load and slots already.
   bool IsLoadInShares = false;
 };
@@ -108,7 +105,6 @@
 
   double getWeight(size_t Server, const std::vector<double> &Shares,
                    TimePoint Now, const SelectionRules &Rules) const;
-  double getLoadFactor(const ServerState &State, TimePoint Now) const;
   double getCost(size_t Server, TimePoint Now) const;
   double getEase(const ServerState &State, TimePoint Now) const;
 
--- /dev/null
+++ b/lib/Health/SpellShares.cpp
@@ -0,0 +1,187 @@
+//===- SpellShares.cpp - Shares of servers by what is known of spells -----===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// The part of SpellPolicy that turns what is known into shares: by worth, with
+/// the floor and tests. What is known comes from SpellPolicy.cpp.
+///
+//===----------------------------------------------------------------------===//
+
+#include "OutcomeLikelihood.h"
+#include "canvaswick/Health/SpellPolicy.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace canvaswick {
+
+/// Shares are this power of what a request may expect at a server: where one in
+/// ten more fails, what may run once comes a fifth as often, what may be sent
+/// again half as often.
+static constexpr double LeastPower = 4;
+static constexpr double OrdinaryPower = 8;
+static constexpr double UtmostPower = 16;
+
+/// A server at least this likely sick is named as suspect.
+static constexpr double SuspectSickness = 0.4;
+
+/// The floor matters once a tenth of a service's requests go unserved; from
+/// this part of failures on it is taken to be near.
+static constexpr double FloorFailures = 0.09;
+
+/// Share of a server whose test is due, as a part of the best one's: about as
+/// much, so that its next request comes soon.
+static constexpr double TestShare = 0.6;
+
+/// While the floor is near, a server that it keeps is tested once nobody of its
+/// hall has used it for this long.
+static constexpr Duration UnusedLimit = fromMillis(1000);
+
+/// A server that its hall has not used is tested unless it is likelier sick
+/// than usual by more than this.
+static constexpr double UnknownMargin = 0.02;
+
+/// Servers kept beyond the floor, for those that leave or fall sick meanwhile.
+static constexpr double ExtraKept = 0.5;
+
+/// At any time, a server that nobody of its hall has used for TestAfter is
+/// tested, by a request that may be sent again.
+static constexpr Duration TestAfter = fromSeconds(2);
+
+/// Part that is left of its share meanwhile.
+static constexpr double UnreachablePart = 0.01;
+
+/// The servers least likely sick stay in use up to the floor, leaving ones not
+/// counted.
+std::vector<bool> SpellPolicy::findKeptByFloor(TimePoint Now) const {
+  std::vector<size_t> Order;
+  std::vector<double> Sickness(this->Servers.size());
+  for (size_t I = 0; I < this->Servers.size(); ++I) {
+    Sickness[I] = this->getSickness(I, Now);
+    if (!this->Servers[I].IsLeaving)
+      Order.push_back(I);
+  }
+  std::sort(Order.begin(), Order.end(), [&](size_t Left, size_t Right) {
+    return Sickness[Left] < Sickness[Right];
+  });
+  const double Least =
+      static_cast<double>(Order.size()) * this->Setup.FloorPercent / 100 +
+      ExtraKept;
+  std::vector<bool> Kept(this->Servers.size(), false);
+  for (size_t I = 0; I < Order.size() && static_cast<double>(I) < Least; ++I)
+    Kept[Order[I]] = true;
+  return Kept;
+}
+
+/// Returns whether a server's next request should come soon: nobody of its hall
+/// uses it, and either the floor keeps it in use or it may be well again. Seven
+/// in ten tests of servers that had failed four seconds before failed again, so
+/// a request whose failure is final tests only what nobody has ever used.
+bool SpellPolicy::isTestDue(size_t Server, Caution Care, bool IsKept,
+                            TimePoint Now) const {
+  const ServerState &State = this->Servers[Server];
+  // The daemons near a server look after it.
+  if (this->isEstimated(Server, Now))
+    return false;
+  // One test at a time: what is in flight there will tell.
+  if (this->InFlight.getLoad(Server, Now) >= 1)
+    return false;
+  if (!this->isUsed(Server))
+    return this->getSickness(Server, Now) <=
+           this->Rates.getUsualSickness() + UnknownMargin;
+  const Duration Unused = Now - State.UsedAt;
+  return (IsKept && Unused > UnusedLimit) ||
+         (Care != Caution::Utmost && Unused > TestAfter &&
+          this->isOn(Mechanism::Tests));
+}
+
+/// Returns how steeply shares fall for requests of a caution.
+static double getPower(Caution Care) {
+  switch (Care) {
+  case Caution::Least:
+    return LeastPower;
+  case Caution::Ordinary:
+    return OrdinaryPower;
+  case Caution::Utmost:
+    return UtmostPower;
+  }
+  assert(false && "caution without a power");
+  return UtmostPower;
+}
+
+std::vector<ServerShare>
+SpellPolicy::getSharesByWorth(const std::vector<double> &Worths, Caution Care,
+                              TimePoint Now) const {
+  assert(Worths.size() == this->Servers.size() && "one worth a server");
+  const double Power = getPower(Care);
+  std::vector<ServerShare> Shares(this->Servers.size());
+  double Best = 0;
+  for (size_t I = 0; I < Shares.size(); ++I) {
+    if (!this->Servers[I].IsLeaving)
+      Shares[I].Share = std::pow(Worths[I], Power);
+    Best = std::max(Best, Shares[I].Share);
+  }
+  const std::vector<bool> Kept = this->findKeptByFloor(Now);
+  const bool IsFloorNear = this->isOn(Mechanism::Floor) &&
+                           this->getFailurePart(Care, Now) >= FloorFailures;
+  for (size_t I = 0; I < Shares.size(); ++I) {
+    if (this->Servers[I].IsLeaving)
+      continue;
+    // Only how they compare matters: the best one's share is the whole.
+    Shares[I].Share = Best > 0 ? Shares[I].Share / Best : 1;
+    if (this->isTestDue(I, Care, IsFloorNear && Kept[I], Now) &&
+        Shares[I].Share < TestShare)
+      Shares[I] = {TestShare, true};
+    // Nothing that does not arrive helps the floor.
+    if (Now < this->Servers[I].UnreachableUntil)
+      Shares[I].Share *= UnreachablePart;
+  }
+  return Shares;
+}
+
+std::vector<double> SpellPolicy::getWorths(TimePoint Now) const {
+  std::vector<double> Worths(this->Servers.size());
+  for (size_t I = 0; I < Worths.size(); ++I)
+    Worths[I] = 1 - this->getSickness(I, Now) * getFailingPart();
+  return Worths;
+}
+
+std::vector<double> SpellPolicy::getShares(Caution Care, TimePoint Now) const {
+  std::vector<double> Shares;
+  for (const ServerShare &Each :
+       this->getSharesByWorth(this->getWorths(Now), Care, Now))
+    Shares.push_back(Each.Share);
+  return Shares;
+}
+
+double SpellPolicy::getShare(size_t Server, Caution Care, TimePoint Now) const {
+  return this->getShares(Care, Now)[Server];
+}
+
+ShareExplanation SpellPolicy::explain(size_t Server, TimePoint Now) const {
+  const ServerState &State = this->Servers[Server];
+  ShareExplanation Explanation;
+  const ServerShare Given = this->getSharesByWorth(
+      this->getWorths(Now), Caution::Utmost, Now)[Server];
+  Explanation.Share = Given.Share;
+  Explanation.WantedShare = Given.IsTest ? 0 : Given.Share;
+  Explanation.OwnScore = this->getSickness(Server, Now);
+  Explanation.OwnCounts = State.Counts;
+  Explanation.Since = State.At;
+  if (State.IsLeaving)
+    Explanation.Reason = ShareReason::Leaving;
+  // Any test raises a share, also one that is not the floor's doing.
+  else if (Given.IsTest)
+    Explanation.Reason = ShareReason::KeptByFloor;
+  else if (Explanation.OwnScore >= SuspectSickness)
+    Explanation.Reason = ShareReason::FleetEvidence;
+  return Explanation;
+}
+
+} // namespace canvaswick
--- a/lib/Routing/ServerSelector.cpp
+++ b/lib/Routing/ServerSelector.cpp
@@ -32,14 +32,6 @@
 /// How much a reported request counts against one of our own.
 static constexpr double ReportWeight = 0.5;
 
-/// A shared load report is used this long: some request times.
-static constexpr Duration FreshReportLife = fromMillis(800);
-
-/// Load in slots at which a server gets half its weight, and how steeply the
-/// weight falls there: queueing begins when all slots are taken.
-static constexpr double LoadAtHalf = 1.15;
-static constexpr double LoadSteepness = 4;
-
 /// How much dearer a server in another hall is.
 static constexpr double FarFactor = 1.2;
 
@@ -76,16 +68,6 @@
   return Ease * Warmth;
 }
 
-/// Falls from 1 for an idle server over 0.6 when its slots are all taken to
-/// nearly nothing when as many wait as run.
-double ServerSelector::getLoadFactor(const ServerState &State,
-                                     TimePoint Now) const {
-  if (Now - State.ReportedAt > FreshReportLife)
-    return 1;
-  const double Taken = State.ReportedLoad / State.Config.Slots;
-  return 1 / (1 + std::pow(Taken / LoadAtHalf, LoadSteepness));
-}
-
 double ServerSelector::getWeight(size_t Server,
                                  const std::vector<double> &Shares,
                                  TimePoint Now,
@@ -98,8 +80,6 @@
     Weight *= State.Config.Slots;
   if (!State.Config.IsNear)
     Weight *= Rules.FarShare;
-  if (Rules.HasFreshLoad)
-    Weight *= this->getLoadFactor(State, Now);
   return Weight;
 }
 
