Test: changes that a watch withholds are read

Guards against a store that answers a watch empty with a later revision, after which the changes between would never be learned.

--- a/unittests/PlatformAdapter/StoreFeedTest.cpp
+++ b/unittests/PlatformAdapter/StoreFeedTest.cpp
@@ -118,6 +118,19 @@
   CHECK(Under.Store.countCalls("/kv-range") == 3);
 }
 
+TEST_CASE("changes that a watch withholds are read") {
+  Bench Under;
+  Under.Store.put(DaemonKey, encodeDaemon(Under.Self));
+  Under.Feed.runRound();
+  Under.Store.setFaults({.WithholdsChanges = true});
+  Under.Store.remove(DaemonKey);
+  Under.Feed.runRound();
+  CHECK_FALSE(Under.Feed.isSound());
+  Under.Feed.runRound();
+  CHECK(Under.Feed.isSound());
+  CHECK(Under.View.compile().Daemons.empty());
+}
+
 TEST_CASE("a daemon that rests counts for nothing until the store answers it") {
   Bench Under;
   Under.Feed.runRound();
