--- a/unittests/Directory/WatchDutyTest.cpp
+++ b/unittests/Directory/WatchDutyTest.cpp
@@ -22,6 +22,24 @@
 
 static constexpr TimePoint Start{fromSeconds(100)};
 
+static std::vector<std::string> makeNames(int Count) {
+  std::vector<std::string> Names;
+  Names.reserve(static_cast<size_t>(Count));
+  for (int I = 0; I < Count; ++I)
+    Names.push_back(fmt::format("d{}", I));
+  return Names;
+}
+
+/// Returns the duty of each daemon of a hall.
+static std::vector<WatchDuty> makeHall(const std::vector<std::string> &Names) {
+  std::vector<WatchDuty> Duties;
+  for (const std::string &Name : Names) {
+    Duties.emplace_back(Name);
+    Duties.back().setNear(Names);
+  }
+  return Duties;
+}
+
 /// Lets a hall run for a second, all hearing each other but for Silent.
 static std::vector<std::string> runHall(std::vector<WatchDuty> &Duties,
                                         const std::vector<std::string> &Names,
@@ -44,15 +62,8 @@
 }
 
 TEST_CASE("two daemons of a hall watch, and two others if they fall silent") {
-  std::vector<std::string> Names;
-  Names.reserve(12);
-  for (int I = 0; I < 12; ++I)
-    Names.push_back(fmt::format("d{}", I));
-  std::vector<WatchDuty> Duties;
-  for (const std::string &Name : Names) {
-    Duties.emplace_back(Name);
-    Duties.back().setNear(Names);
-  }
+  const std::vector<std::string> Names = makeNames(12);
+  std::vector<WatchDuty> Duties = makeHall(Names);
   TimePoint Now = Start;
   const std::vector<std::string> First = runHall(Duties, Names, {}, Now);
   CHECK(First.size() == 2);
@@ -69,19 +80,6 @@
   CHECK(Duty.getRole(Start) == WatchRole::Lead);
 }
 
-/// Returns the duty of each daemon of a hall of Count.
-static std::vector<WatchDuty> makeHall(int Count) {
-  std::vector<std::string> Names;
-  for (int I = 0; I < Count; ++I)
-    Names.push_back(fmt::format("d{}", I));
-  std::vector<WatchDuty> Duties;
-  for (const std::string &Name : Names) {
-    Duties.emplace_back(Name);
-    Duties.back().setNear(Names);
-  }
-  return Duties;
-}
-
 /// Lets every daemon hear that the store last answered all at HeardAt.
 static void tellAll(std::vector<WatchDuty> &Duties, TimePoint HeardAt) {
   for (WatchDuty &Each : Duties)
@@ -98,7 +96,7 @@
 
 TEST_CASE(
     "all of a hall ask 1.5 s after the store last answered its watchers") {
-  std::vector<WatchDuty> Duties = makeHall(36);
+  std::vector<WatchDuty> Duties = makeHall(makeNames(36));
   // They say on and on that they watch; the store has left them waiting.
   for (int I = 0; I < 15; ++I)
     tellAll(Duties, Start);
@@ -109,7 +107,7 @@
 }
 
 TEST_CASE("the last answer of a watcher counts, whichever word comes last") {
-  std::vector<WatchDuty> Duties = makeHall(3);
+  std::vector<WatchDuty> Duties = makeHall(makeNames(3));
   tellAll(Duties, Start + fromMillis(600));
   tellAll(Duties, Start);
   const TimePoint Now = Start + fromMillis(1500);
