--- a/unittests/Daemon/PeerLinkTest.cpp
+++ b/unittests/Daemon/PeerLinkTest.cpp
@@ -97,6 +97,25 @@
   CHECK(All[0]->countHeard() == 0);
 }
 
+TEST_CASE("a watcher tells its hall how long ago the store answered it") {
+  const std::vector<std::unique_ptr<Listener>> All = startTwoHalls();
+  const TimePoint Now = readSteadyClock();
+  std::optional<Duration> Expected;
+  StoreState State{7, false, Now - fromMillis(430)};
+  SUBCASE("it watches") {
+    State.IsWatching = true;
+    Expected = fromMillis(430);
+  }
+  SUBCASE("it follows others") {}
+  All[0]->Link.setStoreState(State);
+  All[0]->Link.sendWatcherNews(Now);
+  for (int Round = 0; Round < 300 && All[1]->countHeard() == 0; ++Round)
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  REQUIRE(All[1]->countHeard() == 1);
+  CHECK(All[1]->Heard[0].AsOf == 7);
+  CHECK(All[1]->Heard[0].StoreHeardAgo == Expected);
+}
+
 TEST_CASE("a link that has been stopped sends nothing") {
   const std::vector<std::unique_ptr<Listener>> All = startTwoHalls();
   All[0]->Link.stop();
