RepeatLoans' tests end their threads before what these reach

Found by the thread sanitizer: a lender's thread could still wake the borrower while it was destroyed. The same checks as before.

--- a/unittests/Daemon/RepeatLoansTest.cpp
+++ b/unittests/Daemon/RepeatLoansTest.cpp
@@ -38,8 +38,11 @@
   return Service;
 }
 
-/// Hands questions to one lender, on a thread of its own as a link does.
+/// A borrower and its one lender, which answers on threads of its own as a link
+/// does. They end before what they reach goes.
 struct Lender {
+  explicit Lender(ServiceRuntimeRef Service) : Service(std::move(Service)) {}
+
   ~Lender() {
     for (std::thread &Each : this->Threads)
       Each.join();
@@ -50,12 +53,14 @@
     if (this->Service->tryLendRepeat(readSteadyClock()))
       this->Threads.emplace_back([this, Loan] {
         std::this_thread::sleep_for(this->Delay);
-        this->Borrower->takeLent(Loan);
+        this->Loans.takeLent(Loan);
       });
   }
 
-  ServiceRuntimeRef Service;
-  RepeatLoans *Borrower = nullptr;
+  CounterTable Counters;
+  const ServiceRuntimeRef Service;
+  RepeatLoans Loans{1, Counters,
+                    [this](const RepeatLoan &Loan, bool) { this->hear(Loan); }};
   std::chrono::milliseconds Delay{2};
   int Heard = 0;
   std::vector<std::thread> Threads;
@@ -64,39 +69,29 @@
 } // namespace
 
 TEST_CASE("a daemon without repeats uses one that a peer has left") {
-  CounterTable Counters;
-  Lender Peer;
-  Peer.Service = makeService(20, 4);
-  RepeatLoans Loans(1, Counters,
-                    [&](const RepeatLoan &Loan, bool) { Peer.hear(Loan); });
-  Peer.Borrower = &Loans;
+  Lender Peer(makeService(20, 4));
   // A hundred daemons share two: nobody has a whole one.
   const ServiceRuntimeRef Short = makeService(2, 100);
   CHECK_FALSE(Short->tryRepeat(readSteadyClock()));
   // 20 * 0.8 / 4 = 4.
   for (int I = 0; I < 4; ++I)
-    CHECK(Loans.borrow(*Short, readSteadyClock()));
-  CHECK_FALSE(Loans.borrow(*Short, readSteadyClock()));
-  CHECK(Counters.get(Counter::RepeatsBorrowed) == 4);
-  CHECK(Counters.get(Counter::RepeatsAskedInVain) == 1);
+    CHECK(Peer.Loans.borrow(*Short, readSteadyClock()));
+  CHECK_FALSE(Peer.Loans.borrow(*Short, readSteadyClock()));
+  CHECK(Peer.Counters.get(Counter::RepeatsBorrowed) == 4);
+  CHECK(Peer.Counters.get(Counter::RepeatsAskedInVain) == 1);
   CHECK_FALSE(Peer.Service->tryRepeat(readSteadyClock()));
 }
 
 TEST_CASE("peers that have none are not asked again at once") {
-  CounterTable Counters;
-  Lender Peer;
-  Peer.Service = makeService(2, 100);
-  RepeatLoans Loans(1, Counters,
-                    [&](const RepeatLoan &Loan, bool) { Peer.hear(Loan); });
-  Peer.Borrower = &Loans;
+  Lender Peer(makeService(2, 100));
   const ServiceRuntimeRef Short = makeService(2, 100);
   const TimePoint Now = readSteadyClock();
-  CHECK_FALSE(Loans.borrow(*Short, Now));
+  CHECK_FALSE(Peer.Loans.borrow(*Short, Now));
   const int Before = Peer.Heard;
   CHECK(Before > 0);
-  CHECK_FALSE(Loans.borrow(*Short, Now + fromMillis(100)));
+  CHECK_FALSE(Peer.Loans.borrow(*Short, Now + fromMillis(100)));
   CHECK(Peer.Heard == Before);
-  CHECK_FALSE(Loans.borrow(*Short, Now + fromSeconds(1)));
+  CHECK_FALSE(Peer.Loans.borrow(*Short, Now + fromSeconds(1)));
   CHECK(Peer.Heard > Before);
 }
 
