An answer's close is decided once, as its head is written

Cause: whether an answer says that its connection ends was decided when its request was taken, and whether it is kept after the answer; a planned stop that began in between closed a connection that nobody had called closed, and the caller's next request crossed the close.

Ruled out: keeping the second look and holding the connection open for a while (the caller would learn of it only by the reset all the same).

Now HttpExchange::decideClose is asked once, by who writes the head: the relay of an answer, or the server after the handler. Requests that a stopping daemon finds on a connection that was not called closed are answered, and their answers say so.

--- a/include/canvaswick/Http/HttpServer.h
+++ b/include/canvaswick/Http/HttpServer.h
@@ -59,10 +59,20 @@
   const httplib::ContentReader *Body;
   /// The caller's connection, for streaming and for its hang-up.
   SocketStream &Stream;
+  /// Whether the server is stopping, which may begin at any moment.
+  const std::atomic<bool> &IsServerStopping;
   /// Set by the handler when the connection must not be kept.
   bool MustClose = false;
-  /// True while the server is stopping: the answer carries Connection: close.
-  bool IsStopping = false;
+
+  /// Decides whether the connection ends with this answer. Called once, as the
+  /// head of the answer is written: what it announces is what is done. Looked
+  /// at twice, the flag may change in between, and a caller's next request on a
+  /// connection that nobody called closed ends without an answer (unit tests
+  /// HttpClosing).
+  bool decideClose() {
+    this->MustClose = this->MustClose || this->IsServerStopping;
+    return this->MustClose;
+  }
 };
 
 /// Serves one address.
--- a/include/canvaswick/Http/SocketStream.h
+++ b/include/canvaswick/Http/SocketStream.h
@@ -61,6 +61,9 @@
   /// already written.
   void muteWrites(bool Muted);
 
+  /// Returns whether what is written is thrown away.
+  bool areWritesMuted() const { return this->Muted; }
+
   /// Returns whether the head was longer than its limit.
   bool isHeadTooLong() const;
 
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -247,8 +247,8 @@
     Request.ranges.clear();
   };
   bool Closed = false;
-  const bool IsDone =
-      this->process_request(Stream, this->Stopping, Closed, Setup);
+  // Whether the answer announces a close is decided by handle, not before it.
+  const bool IsDone = this->process_request(Stream, false, Closed, Setup);
   CurrentContext = nullptr;
   Stream.watchHangUp(-1);
   Stream.setStallLimit(Duration::zero());
@@ -264,8 +264,7 @@
   }
   if (!Context.Handled && Stream.hasReadHeadBytes())
     ++this->Counters.Malformed;
-  return IsDone && !Closed && Context.Handled && !Context.MustClose &&
-         !this->Stopping;
+  return IsDone && !Closed && Context.Handled && !Context.MustClose;
 }
 
 void HttpServer::handle(const httplib::Request &Request,
@@ -275,8 +274,8 @@
   assert(Context.Request && "a handler ran before the setup hook");
   Context.Handled = true;
   ++this->Counters.Requests;
-  HttpExchange Exchange{Request, Response, Body, *Context.Stream};
-  Exchange.IsStopping = this->Stopping;
+  HttpExchange Exchange{Request, Response, Body, *Context.Stream,
+                        this->Stopping};
   const char *Fault = Context.Stream->isHeadMalformed()
                           ? "line-ending"
                           : findRequestFault(Request);
@@ -289,6 +288,10 @@
   } else {
     this->Handler(Exchange);
   }
+  // A handler that wrote the answer itself has decided; what it left unsaid
+  // may only be closed where the answer is cut anyway.
+  if (!Context.Stream->areWritesMuted())
+    Exchange.decideClose();
   // The connection header of the request decides what cpp-httplib writes.
   if (Exchange.MustClose) {
     Context.MustClose = true;
--- a/lib/Proxy/AnswerRelay.cpp
+++ b/lib/Proxy/AnswerRelay.cpp
@@ -188,10 +188,8 @@
     this->Head += fmt::format("Content-Length: {}\r\n", this->Length);
   if (this->IsChunked)
     this->Head += "Transfer-Encoding: chunked\r\n";
-  if (this->Exchange.IsStopping) {
+  if (this->Exchange.decideClose())
     this->Head += "Connection: close\r\n";
-    this->Exchange.MustClose = true;
-  }
   this->Head += "\r\n";
   this->HeadWritten = true;
   return this->writeToCaller(this->Head.data(), this->Head.size());
