Threads come with jobs and end when idle; servers accept on their poller

Cause: a daemon held 71 threads however little it had to do: 48 for callers and 6 for the side interfaces that wait for jobs, and an acceptor for each of its four addresses beside its poller.

Now a pool starts a thread when a job finds none idle and lets spare ones end after worker-idle-s; the one that became idle last is called first, so that the others can end. The bounds stay: as many jobs run and wait as before, what does not fit is refused at once. The poller of a server accepts too. A stop ends idle threads at once, and each thread that ends is joined by the next.

Settings: kept-workers and worker-idle-s, checked, with file, line and key. Metrics: canvaswick_workers, canvaswick_workers_most.

Threads and memory on the users' platform: not measured yet.

--- a/include/canvaswick/Http/HttpServer.h
+++ b/include/canvaswick/Http/HttpServer.h
@@ -8,9 +8,9 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// cpp-httplib reads requests and writes answers; this class decides which
-/// thread does it, refuses what does not fit, checks the shape of a request
-/// before anything sees it, and stops without cutting a request.
+/// cpp-httplib reads requests and writes answers; this class takes connections,
+/// decides which thread serves them, refuses what does not fit, checks the
+/// shape of a request before anything sees it, and stops without cutting one.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -32,8 +32,7 @@
 
 /// The bounds of one server.
 struct HttpServerLimits {
-  size_t Workers = 16;
-  size_t QueueLimit = 64;
+  WorkerPoolLimits Workers;
   size_t MaxConnections = 4096;
   size_t MaxHeadBytes = 32768;
   Duration IdleLimit = fromSeconds(75);
@@ -111,8 +110,11 @@
   /// Returns how many connections are open, idle ones included.
   size_t countConnections() const;
 
+  /// Returns how many threads serve requests.
+  WorkerPoolThreads countThreads() const { return this->Pool.countThreads(); }
+
 private:
-  bool process_and_close_socket(socket_t Socket) override;
+  void takeConnection(int Descriptor);
   void serveReady(std::unique_ptr<SocketStream> Stream);
   void serveRequests(std::unique_ptr<SocketStream> Stream);
   bool serveOne(SocketStream &Stream);
@@ -132,7 +134,6 @@
   uint16_t Port = 0;
   WorkerPool Pool;
   std::unique_ptr<IdleParker> Parker;
-  std::thread Acceptor;
 };
 
 /// Returns what is wrong with a request's framing or header names, or null. A
--- a/include/canvaswick/Http/IdleParker.h
+++ b/include/canvaswick/Http/IdleParker.h
@@ -9,7 +9,7 @@
 /// \file
 /// A kept connection that waits for its caller's next request costs a socket
 /// and no thread: it is parked here, on one epoll thread, and handed back as
-/// soon as bytes arrive.
+/// soon as bytes arrive. The same thread accepts new connections.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -31,6 +31,7 @@
 class IdleParker {
 public:
   using StreamHandler = std::function<void(std::unique_ptr<SocketStream>)>;
+  using AcceptHandler = std::function<void(int Descriptor)>;
 
   /// Calls Ready on the parker's thread for each connection with input. A
   /// connection without input for IdleLimit, or left over at the stop, goes to
@@ -46,6 +47,11 @@
   /// Takes a connection.
   void park(std::unique_ptr<SocketStream> Stream);
 
+  /// Accepts what comes to a listening socket and hands it to Accepted, on the
+  /// parker's thread. Called once. The socket stays the caller's, who may close
+  /// it after stop.
+  void listen(int Socket, AcceptHandler Accepted);
+
   /// Ends the thread and hands all parked connections to Expired.
   void stop();
 
@@ -60,13 +66,16 @@
 
   void runThread();
   void closeExpired(TimePoint Now);
+  void acceptSome();
   std::unique_ptr<SocketStream> take(int Descriptor);
 
   std::atomic<int64_t> IdleMicros;
   const StreamHandler Ready;
   const StreamHandler Expired;
+  AcceptHandler Accepted;
   int Epoll;
   int Wake;
+  std::atomic<int> Listening{-1};
   mutable std::mutex Mutex;
   std::unordered_map<int, Parked> Connections;
   std::atomic<bool> Stopping{false};
--- a/include/canvaswick/Settings/DaemonConfig.h
+++ b/include/canvaswick/Settings/DaemonConfig.h
@@ -46,6 +46,9 @@
   Endpoint Platform;
   std::string KeyFile;
   int Workers = 0;
+  /// At most Workers.
+  int KeptWorkers = 0;
+  Duration WorkerIdle{};
   int MaxConnections = 0;
   int64_t IdleSeconds = 0;
   int64_t StopSeconds = 0;
--- a/include/canvaswick/Settings/SettingTable.h
+++ b/include/canvaswick/Settings/SettingTable.h
@@ -85,6 +85,8 @@
   PlatformAddress,
   KeyFile,
   Workers,
+  KeptWorkers,
+  WorkerIdleSeconds,
   MaxConnections,
   IdleSeconds,
   StopSeconds,
--- /dev/null
+++ b/lib/Daemon/CallerServer.cpp
@@ -0,0 +1,32 @@
+//===- CallerServer.cpp - The server that callers reach -------------------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Settings as bounds.
+///
+//===----------------------------------------------------------------------===//
+
+#include "CallerServer.h"
+
+namespace canvaswick {
+
+/// Callers' requests that may wait for a worker.
+static constexpr size_t CallerQueue = 256;
+
+HttpServerLimits makeCallerServerLimits(const DaemonConfig &Config) {
+  HttpServerLimits Limits;
+  Limits.Workers.Most = static_cast<size_t>(Config.Workers);
+  Limits.Workers.Kept = static_cast<size_t>(Config.KeptWorkers);
+  Limits.Workers.IdleLimit = Config.WorkerIdle;
+  Limits.Workers.Queue = CallerQueue;
+  Limits.MaxConnections = static_cast<size_t>(Config.MaxConnections);
+  Limits.IdleLimit = fromSeconds(static_cast<double>(Config.IdleSeconds));
+  return Limits;
+}
+
+} // namespace canvaswick
--- a/lib/Daemon/CheckAnswers.cpp
+++ b/lib/Daemon/CheckAnswers.cpp
@@ -48,11 +48,18 @@
                      IsHeard ? toMillis(Now - Store.HeardAt) : -1);
 }
 
-static std::string formatMetrics(const CounterTable &Counters,
-                                 const StoreState &Store,
+static std::string formatWorkers(const WorkerPoolThreads &Workers) {
+  return fmt::format("canvaswick_workers{{state=\"running\"}} {}\n"
+                     "canvaswick_workers{{state=\"idle\"}} {}\n"
+                     "canvaswick_workers_most {}\n",
+                     Workers.Running, Workers.Idle, Workers.Most);
+}
+
+static std::string formatMetrics(const OwnFigures &Own,
                                  const FleetRuntime *Current) {
-  std::string Text = Counters.format();
-  Text += formatStoreState(Store, readSteadyClock());
+  std::string Text = Own.Counters.format();
+  Text += formatStoreState(Own.Store, readSteadyClock());
+  Text += formatWorkers(Own.Workers);
   Text +=
       fmt::format("canvaswick_log_lines_dropped {}\n", countDroppedLogLines());
   if (!Current)
@@ -64,19 +71,17 @@
   return Text;
 }
 
-void answerMetrics(HttpExchange &Exchange, const CounterTable &Counters,
-                   const StoreState &Store, const FleetRuntime *Current) {
+void answerMetrics(HttpExchange &Exchange, const OwnFigures &Own,
+                   const FleetRuntime *Current) {
   Exchange.Stream.setDeadline(readSteadyClock() + CheckTimeLimit);
   if (Exchange.Request.target != "/metrics") {
     Exchange.Response.status = 404;
     return;
   }
-  Exchange.Response.set_content(formatMetrics(Counters, Store, Current),
-                                "text/plain");
+  Exchange.Response.set_content(formatMetrics(Own, Current), "text/plain");
 }
 
-void answerCheck(HttpExchange &Exchange, bool IsStopping,
-                 const CounterTable &Counters, const StoreState &Store,
+void answerCheck(HttpExchange &Exchange, bool IsStopping, const OwnFigures &Own,
                  const FleetRuntime *Current) {
   const std::string &Target = Exchange.Request.target;
   Exchange.Stream.setDeadline(readSteadyClock() + CheckTimeLimit);
@@ -91,7 +96,7 @@
     Exchange.Response.set_content("live\n", "text/plain");
     return;
   }
-  answerMetrics(Exchange, Counters, Store, Current);
+  answerMetrics(Exchange, Own, Current);
 }
 
 } // namespace canvaswick
--- a/lib/Daemon/CheckAnswers.h
+++ b/lib/Daemon/CheckAnswers.h
@@ -23,15 +23,22 @@
 
 namespace canvaswick {
 
+/// What a daemon tells of itself beside its services.
+struct OwnFigures {
+  const CounterTable &Counters;
+  StoreState Store;
+  /// Those that serve callers.
+  WorkerPoolThreads Workers;
+};
+
 /// Answers one check. Current is what the daemon serves by, null before its
 /// first settings.
-void answerCheck(HttpExchange &Exchange, bool IsStopping,
-                 const CounterTable &Counters, const StoreState &Store,
+void answerCheck(HttpExchange &Exchange, bool IsStopping, const OwnFigures &Own,
                  const FleetRuntime *Current);
 
 /// Answers who reads metrics, and nobody else.
-void answerMetrics(HttpExchange &Exchange, const CounterTable &Counters,
-                   const StoreState &Store, const FleetRuntime *Current);
+void answerMetrics(HttpExchange &Exchange, const OwnFigures &Own,
+                   const FleetRuntime *Current);
 
 } // namespace canvaswick
 
--- a/lib/Daemon/Daemon.cpp
+++ b/lib/Daemon/Daemon.cpp
@@ -14,6 +14,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Daemon/Daemon.h"
+#include "CallerServer.h"
 #include "canvaswick/Daemon/ClaimAgent.h"
 #include "canvaswick/Daemon/ConfigAgent.h"
 #include "canvaswick/Daemon/EvidenceAgent.h"
@@ -28,7 +29,6 @@
 static constexpr size_t CallThreads = 6;
 static constexpr size_t CallQueue = 512;
 static constexpr size_t ControlWorkers = 12;
-static constexpr size_t CallerQueue = 256;
 static constexpr Duration UpstreamIdleLimit = fromSeconds(30);
 
 /// How often each agent's round begins.
@@ -92,14 +92,15 @@
   this->Verifier = std::make_unique<CallVerifier>(Keys);
   this->Platform =
       std::make_unique<PlatformClient>(this->Config.Platform, &this->Counters);
-  this->Calls = std::make_unique<WorkerPool>(CallThreads, CallQueue);
+  this->Calls = std::make_unique<WorkerPool>(
+      WorkerPoolLimits{.Most = CallThreads, .Queue = CallQueue});
   this->Context.reset(new ControlContext{
       this->Config, this->Counters, *this->Caller, *this->Platform,
       *this->Calls, this->Fleet, static_cast<uint64_t>(readCalendarMillis())});
 
   // The control address comes first: its port is part of what peers learn.
   HttpServerLimits ControlLimits;
-  ControlLimits.Workers = ControlWorkers;
+  ControlLimits.Workers.Most = ControlWorkers;
   this->Control = std::make_unique<HttpServer>(
       ControlLimits,
       [this](HttpExchange &Exchange) { this->handleControl(Exchange); });
@@ -141,15 +142,8 @@
   Result<void> Loaded = this->Configs->loadLocal();
   if (!Loaded)
     return outcome::failure(Loaded.error());
-  HttpServerLimits CallerLimits;
-  CallerLimits.Workers = static_cast<size_t>(this->Config.Workers);
-  CallerLimits.QueueLimit = CallerQueue;
-  CallerLimits.MaxConnections =
-      static_cast<size_t>(this->Config.MaxConnections);
-  CallerLimits.IdleLimit =
-      fromSeconds(static_cast<double>(this->Config.IdleSeconds));
   this->Callers = std::make_unique<HttpServer>(
-      CallerLimits,
+      makeCallerServerLimits(this->Config),
       [this](HttpExchange &Exchange) { this->Proxy->handle(Exchange); });
   Bound = this->Callers->start(this->Config.Callers);
   if (!Bound)
--- a/lib/Daemon/Gateway.cpp
+++ b/lib/Daemon/Gateway.cpp
@@ -13,6 +13,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Daemon/Gateway.h"
+#include "CallerServer.h"
 #include "CheckAnswers.h"
 #include "PeerExchange.h"
 #include "canvaswick/Proxy/RequestProxy.h"
@@ -29,9 +30,6 @@
 /// Threads for who reads metrics at an address of their own.
 static constexpr size_t MetricsWorkers = 1;
 
-/// Callers' requests that may wait for a worker.
-static constexpr size_t CallerQueue = 256;
-
 /// Idle connections to backend servers are closed after this time: they close
 /// theirs after ten seconds, and one that a cut has broken hangs its request.
 static constexpr Duration UpstreamIdleLimit = fromSeconds(3);
@@ -81,11 +79,11 @@
   void runHealthRound();
   void housekeep();
   StoreState getStoreState();
+  OwnFigures getOwnFigures();
   Result<void> startPeers();
   Result<void> startReady();
   void startMetrics();
   void boundCallers(const CallerLimits &Given);
-  Result<void> startCallers();
   Result<void> startControl();
 
   const TimePoint Started = readSteadyClock();
@@ -128,13 +126,17 @@
       Repeats(this->Config.Repeats) {}
 
 Result<void> Gateway::Impl::start() {
+  // Metrics tell of it, so it is there before they are served.
+  this->Callers = std::make_unique<HttpServer>(
+      makeCallerServerLimits(this->Config),
+      [this](HttpExchange &Exchange) { this->Proxy.handle(Exchange); });
   BOOST_OUTCOME_TRY(this->startReady());
   this->startMetrics();
   if (this->Config.PeerPort != 0) {
     BOOST_OUTCOME_TRY(this->startPeers());
   }
   BOOST_OUTCOME_TRY(this->startControl());
-  BOOST_OUTCOME_TRY(this->startCallers());
+  BOOST_OUTCOME_TRY(this->Callers->start(this->Config.Callers));
   this->HealthRounds.start(HealthInterval, [this] { this->runHealthRound(); });
   this->HousekeepingRounds.start(HousekeepingInterval,
                                  [this] { this->housekeep(); });
@@ -147,11 +149,11 @@
 /// Serves the balancer's checks, and metrics beside them.
 Result<void> Gateway::Impl::startReady() {
   HttpServerLimits Limits;
-  Limits.Workers = ReadyWorkers;
+  Limits.Workers.Most = ReadyWorkers;
   this->Ready =
       std::make_unique<HttpServer>(Limits, [this](HttpExchange &Exchange) {
-        answerCheck(Exchange, this->IsStopping, this->Counters,
-                    this->getStoreState(), this->Fleet.get().get());
+        answerCheck(Exchange, this->IsStopping, this->getOwnFigures(),
+                    this->Fleet.get().get());
       });
   return this->Ready->start(this->Config.Ready);
 }
@@ -162,11 +164,10 @@
   if (this->Config.Metrics.Port == 0)
     return;
   HttpServerLimits Limits;
-  Limits.Workers = MetricsWorkers;
+  Limits.Workers.Most = MetricsWorkers;
   this->Metrics =
       std::make_unique<HttpServer>(Limits, [this](HttpExchange &Exchange) {
-        answerMetrics(Exchange, this->Counters, this->getStoreState(),
-                      this->Fleet.get().get());
+        answerMetrics(Exchange, this->getOwnFigures(), this->Fleet.get().get());
       });
   const Result<void> Started = this->Metrics->start(this->Config.Metrics);
   if (Started)
@@ -189,26 +190,14 @@
   return this->Peers->start();
 }
 
-/// Serves callers.
-Result<void> Gateway::Impl::startCallers() {
-  HttpServerLimits Limits;
-  Limits.Workers = static_cast<size_t>(this->Config.Workers);
-  Limits.QueueLimit = CallerQueue;
-  Limits.MaxConnections = static_cast<size_t>(this->Config.MaxConnections);
-  Limits.IdleLimit = fromSeconds(static_cast<double>(this->Config.IdleSeconds));
-  this->Callers = std::make_unique<HttpServer>(
-      Limits, [this](HttpExchange &Exchange) { this->Proxy.handle(Exchange); });
-  return this->Callers->start(this->Config.Callers);
-}
-
 /// Serves peers that ask for the copy of the store.
 Result<void> Gateway::Impl::startControl() {
   if (this->Config.Control.Port == 0 || !this->Source)
     return outcome::success();
   addDirectoryMethod(this->Dispatcher, this->Source);
   HttpServerLimits Limits;
-  Limits.Workers = ControlWorkers;
-  Limits.QueueLimit = ControlQueue;
+  Limits.Workers.Most = ControlWorkers;
+  Limits.Workers.Queue = ControlQueue;
   this->Control =
       std::make_unique<HttpServer>(Limits, [this](HttpExchange &Exchange) {
         Exchange.Stream.setDeadline(readSteadyClock() + ControlTimeLimit);
@@ -311,6 +300,10 @@
   return this->Store;
 }
 
+OwnFigures Gateway::Impl::getOwnFigures() {
+  return {this->Counters, this->getStoreState(), this->Callers->countThreads()};
+}
+
 /// Looks for late requests and tells peers what was seen since the last round.
 void Gateway::Impl::runHealthRound() {
   const FleetRuntimeRef Current = this->Fleet.get();
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -8,9 +8,10 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// The acceptor thread of cpp-httplib hands each new connection to the parker;
-/// the parker hands readable ones to the pool; a pool thread serves requests
-/// until the connection is idle again and parks it.
+/// The parker's thread accepts connections and waits for their input; it hands
+/// readable ones to the pool; a pool thread serves requests until the
+/// connection is idle again and parks it. cpp-httplib's own accepting, which
+/// takes a thread for each server, is not used.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -21,6 +22,7 @@
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cassert>
@@ -31,14 +33,6 @@
 
 namespace {
 
-/// cpp-httplib's pool, replaced by running its job on the acceptor thread: the
-/// job only parks the new connection.
-class InlineTaskQueue final : public httplib::TaskQueue {
-public:
-  void enqueue(std::function<void()> Job) override { Job(); }
-  void shutdown() override {}
-};
-
 /// What the hooks of one request share. cpp-httplib passes no context to its
 /// handlers, so the serving thread keeps it.
 struct ServingContext {
@@ -68,10 +62,8 @@
 HttpServer::HttpServer(HttpServerLimits Limits, ExchangeHandler Handler)
     : Limits(Limits), Handler(std::move(Handler)),
       MaxHeadBytes(Limits.MaxHeadBytes), HeadMicros(Limits.HeadTime.count()),
-      Pool(Limits.Workers, Limits.QueueLimit) {
-  this->new_task_queue = [] { return new InlineTaskQueue; };
+      Pool(Limits.Workers) {
   this->set_socket_options(setServerSocketOptions);
-  this->set_tcp_nodelay(true);
   this->set_payload_max_length(std::numeric_limits<size_t>::max());
   const auto Plain = [this](const httplib::Request &Request,
                             httplib::Response &Response) {
@@ -114,9 +106,9 @@
   // cpp-httplib listens with room for five connections; more that come at once
   // would be dropped and retried by their callers a second later.
   ::listen(this->svr_sock_, ListenBacklog);
-  this->Acceptor = std::thread([this] { this->listen_after_bind(); });
-  while (!this->is_running())
-    std::this_thread::yield();
+  this->Parker->listen(this->svr_sock_, [this](int Descriptor) {
+    this->takeConnection(Descriptor);
+  });
   return outcome::success();
 }
 
@@ -146,26 +138,25 @@
     AllEnded = readSteadyClock() < Deadline;
     std::this_thread::sleep_for(std::chrono::milliseconds(5));
   }
-  if (this->Acceptor.joinable()) {
-    this->stop();
-    this->Acceptor.join();
-  }
   this->Parker->stop();
+  const int Listening = this->svr_sock_.exchange(INVALID_SOCKET);
+  if (Listening != INVALID_SOCKET)
+    ::close(Listening);
   if (AllEnded)
     this->Pool.stop();
   return AllEnded;
 }
 
-bool HttpServer::process_and_close_socket(socket_t Socket) {
-  auto Stream = std::make_unique<SocketStream>(Socket);
+/// Takes a connection that has just come, on the parker's thread.
+void HttpServer::takeConnection(int Descriptor) {
+  auto Stream = std::make_unique<SocketStream>(Descriptor);
   if (++this->Connections > this->Limits.MaxConnections) {
     ++this->Counters.RefusedConnections;
     this->refuse(*Stream, "connections");
     this->release(std::move(Stream));
-    return true;
+    return;
   }
   this->Parker->park(std::move(Stream));
-  return true;
 }
 
 void HttpServer::release(std::unique_ptr<SocketStream> Stream) {
--- a/lib/Http/IdleParker.cpp
+++ b/lib/Http/IdleParker.cpp
@@ -7,16 +7,21 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// One epoll thread; each descriptor is armed once and disarmed when taken.
+/// One epoll thread; each descriptor is armed once and disarmed when taken, but
+/// for the listening socket, which stays armed.
 ///
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Http/IdleParker.h"
+#include "canvaswick/Support/Log.h"
 
+#include <fcntl.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <vector>
 
 namespace canvaswick {
@@ -24,6 +29,13 @@
 static constexpr int WaitMillis = 500;
 static constexpr int MaxEvents = 64;
 
+/// Connections accepted before the others are looked at again.
+static constexpr int AcceptedAtOnce = 64;
+
+/// Wait after the system had no descriptor for a new connection: it waits in
+/// the system's queue meanwhile, as cpp-httplib has it.
+static constexpr std::chrono::milliseconds AcceptPause(1);
+
 /// How long a connection that we have ended may take to end on its side.
 static constexpr Duration LingerLimit = fromSeconds(2);
 
@@ -57,6 +69,35 @@
   ::epoll_ctl(this->Epoll, EPOLL_CTL_ADD, Descriptor, &Event);
 }
 
+void IdleParker::listen(int Socket, AcceptHandler Given) {
+  const int Flags = ::fcntl(Socket, F_GETFL);
+  ::fcntl(Socket, F_SETFL, Flags | O_NONBLOCK);
+  this->Accepted = std::move(Given);
+  this->Listening = Socket;
+  epoll_event Event{};
+  Event.events = EPOLLIN;
+  Event.data.fd = Socket;
+  ::epoll_ctl(this->Epoll, EPOLL_CTL_ADD, Socket, &Event);
+}
+
+/// Accepts connections that wait, some at a time.
+void IdleParker::acceptSome() {
+  for (int I = 0; I < AcceptedAtOnce; ++I) {
+    const int Descriptor =
+        ::accept4(this->Listening, nullptr, nullptr, SOCK_CLOEXEC);
+    if (Descriptor >= 0) {
+      this->Accepted(Descriptor);
+      continue;
+    }
+    if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
+        errno == ENOMEM) {
+      logWarning("connection-not-accepted", "errno={}", errno);
+      std::this_thread::sleep_for(AcceptPause);
+    }
+    return;
+  }
+}
+
 std::unique_ptr<SocketStream> IdleParker::take(int Descriptor) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   const auto Found = this->Connections.find(Descriptor);
@@ -91,7 +132,10 @@
     epoll_event Events[MaxEvents];
     const int Count = ::epoll_wait(this->Epoll, Events, MaxEvents, WaitMillis);
     for (int I = 0; I < Count; ++I)
-      if (std::unique_ptr<SocketStream> Stream = this->take(Events[I].data.fd))
+      if (Events[I].data.fd == this->Listening)
+        this->acceptSome();
+      else if (std::unique_ptr<SocketStream> Stream =
+                   this->take(Events[I].data.fd))
         this->Ready(std::move(Stream));
     const TimePoint Now = readSteadyClock();
     if (Now < NextSweep)
--- a/lib/Http/WorkerPool.cpp
+++ b/lib/Http/WorkerPool.cpp
@@ -7,47 +7,77 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// One mutex guards the queue; no other lock is taken while it is held.
+/// One mutex guards everything; no other lock is taken while it is held, and no
+/// thread is joined.
 ///
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Http/WorkerPool.h"
 #include "canvaswick/Support/Log.h"
 
+#include <algorithm>
 #include <exception>
+#include <system_error>
 
 namespace canvaswick {
 
-WorkerPool::WorkerPool(size_t Threads, size_t QueueLimit)
-    : QueueLimit(QueueLimit) {
-  this->Threads.reserve(Threads);
-  for (size_t I = 0; I < Threads; ++I)
-    this->Threads.emplace_back([this] { this->runThread(); });
-}
+WorkerPool::WorkerPool(const WorkerPoolLimits &Limits) : Limits(Limits) {}
 
 WorkerPool::~WorkerPool() { this->stop(); }
 
 bool WorkerPool::trySubmit(std::function<void()> Job) {
-  {
-    std::lock_guard<std::mutex> Lock(this->Mutex);
-    const size_t Busy = this->Running + this->Queue.size();
-    if (this->Stopping || Busy >= this->Threads.size() + this->QueueLimit)
-      return false;
-    this->Queue.push_back(std::move(Job));
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  const size_t Jobs = this->Running + this->Queue.size();
+  if (this->IsStopping || Jobs >= this->Limits.Most + this->Limits.Queue)
+    return false;
+  if (!this->Idle.empty()) {
+    call(*this->Idle.back());
+    this->Idle.pop_back();
+  } else if (this->Workers.size() < this->Limits.Most && !this->startThread() &&
+             this->Workers.empty()) {
+    return false;
   }
-  this->Changed.notify_one();
+  this->Queue.push_back(std::move(Job));
   return true;
 }
 
-void WorkerPool::stop() {
-  {
-    std::lock_guard<std::mutex> Lock(this->Mutex);
-    this->Stopping = true;
+/// Starts one thread. Returns whether the system gave one. The caller holds the
+/// mutex.
+bool WorkerPool::startThread() {
+  const WorkerList::iterator Added = this->Workers.emplace(this->Workers.end());
+  try {
+    Added->Thread = std::thread([this, Added] { this->runThread(Added); });
+  } catch (const std::system_error &Failure) {
+    this->Workers.erase(Added);
+    logWarning("thread-not-started", "threads={} what={:?}",
+               this->Workers.size(), Failure.what());
+    return false;
   }
-  this->Changed.notify_all();
-  for (std::thread &Thread : this->Threads)
-    if (Thread.joinable())
-      Thread.join();
+  this->MostThreads = std::max(this->MostThreads, this->Workers.size());
+  return true;
+}
+
+void WorkerPool::stop() {
+  std::unique_lock<std::mutex> Lock(this->Mutex);
+  this->IsStopping = true;
+  for (Worker *Each : this->Idle)
+    call(*Each);
+  this->Idle.clear();
+  this->HasEnded.wait(Lock, [this] { return this->Workers.empty(); });
+  WorkerList Joined = std::move(this->Ended);
+  this->Ended.clear();
+  Lock.unlock();
+  joinAll(Joined);
+}
+
+void WorkerPool::call(Worker &Called) {
+  Called.IsCalled = true;
+  Called.Called.notify_one();
+}
+
+void WorkerPool::joinAll(WorkerList &Threads) {
+  for (Worker &Each : Threads)
+    Each.Thread.join();
 }
 
 size_t WorkerPool::countJobs() const {
@@ -55,6 +85,12 @@
   return this->Running + this->Queue.size();
 }
 
+WorkerPoolThreads WorkerPool::countThreads() const {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  return {this->Workers.size() - this->Idle.size(), this->Idle.size(),
+          this->MostThreads};
+}
+
 /// Runs a job. Ours return their errors; a library below one may still throw,
 /// such as over a message of a wrong shape, and that must not end the process.
 void WorkerPool::runJob(const std::function<void()> &Job) {
@@ -65,13 +101,35 @@
   }
 }
 
-void WorkerPool::runThread() {
+/// Waits for a job. Returns whether the thread goes on: a spare one ends after
+/// IdleLimit, and all do at the stop.
+bool WorkerPool::awaitCall(Worker &Self, std::unique_lock<std::mutex> &Lock) {
+  if (this->IsStopping)
+    return false;
+  this->Idle.push_back(&Self);
+  while (!Self.IsCalled) {
+    const bool HasTimedOut =
+        Self.Called.wait_for(Lock, this->Limits.IdleLimit) ==
+        std::cv_status::timeout;
+    if (!HasTimedOut || Self.IsCalled ||
+        this->Workers.size() <= this->Limits.Kept)
+      continue;
+    this->Idle.erase(std::find(this->Idle.begin(), this->Idle.end(), &Self));
+    return false;
+  }
+  Self.IsCalled = false;
+  return true;
+}
+
+void WorkerPool::runThread(WorkerList::iterator Self) {
   std::unique_lock<std::mutex> Lock(this->Mutex);
   while (true) {
-    this->Changed.wait(
-        Lock, [this] { return this->Stopping || !this->Queue.empty(); });
-    if (this->Queue.empty())
-      return;
+    // One that finished a job may have taken what this thread was called for.
+    if (this->Queue.empty()) {
+      if (!this->awaitCall(*Self, Lock))
+        break;
+      continue;
+    }
     std::function<void()> Job = std::move(this->Queue.front());
     this->Queue.pop_front();
     ++this->Running;
@@ -81,6 +139,12 @@
     Lock.lock();
     --this->Running;
   }
+  WorkerList Before = std::move(this->Ended);
+  this->Ended.clear();
+  this->Ended.splice(this->Ended.end(), this->Workers, Self);
+  this->HasEnded.notify_all();
+  Lock.unlock();
+  joinAll(Before);
 }
 
 } // namespace canvaswick
--- a/lib/Settings/DaemonConfig.cpp
+++ b/lib/Settings/DaemonConfig.cpp
@@ -44,6 +44,29 @@
   return outcome::success();
 }
 
+/// Reads the bounds of the threads that serve callers.
+static Result<void> readWorkers(const SettingsTree &Tree,
+                                const SettingNode &Node,
+                                const std::string &Path, DaemonConfig &Config) {
+  Config.Workers =
+      static_cast<int>(Tree.lookupInteger(Node, SettingKey::Workers));
+  Config.KeptWorkers =
+      static_cast<int>(Tree.lookupInteger(Node, SettingKey::KeptWorkers));
+  Config.WorkerIdle = fromSeconds(
+      toDecimal(Tree.lookupInteger(Node, SettingKey::WorkerIdleSeconds)));
+  if (Config.KeptWorkers <= Config.Workers)
+    return outcome::success();
+  const SettingKey Given = Node.find(SettingKey::KeptWorkers)
+                               ? SettingKey::KeptWorkers
+                               : SettingKey::Workers;
+  return makeError(ErrorKind::InvalidArgument,
+                   fmt::format("{}:{}: [daemon] {}: kept-workers is {}, more "
+                               "than workers, {}",
+                               Path, Node.find(Given)->Line,
+                               getSettingSpec(Given).Name, Config.KeptWorkers,
+                               Config.Workers));
+}
+
 /// Reads the keys that only a daemon on the users' platform has.
 static void readPlatformKeys(const SettingsTree &Tree, const SettingNode &Node,
                              DaemonConfig &Config) {
@@ -105,7 +128,7 @@
   Config.Metrics = Address(SettingKey::MetricsAddress);
   Config.Platform = parseEndpoint(Text(SettingKey::PlatformAddress)).value();
   Config.KeyFile = Text(SettingKey::KeyFile);
-  Config.Workers = static_cast<int>(Integer(SettingKey::Workers));
+  BOOST_OUTCOME_TRY(readWorkers(Tree, Node, Path, Config));
   Config.MaxConnections = static_cast<int>(Integer(SettingKey::MaxConnections));
   Config.IdleSeconds = Integer(SettingKey::IdleSeconds);
   Config.StopSeconds = Integer(SettingKey::StopSeconds);
--- a/lib/StandIn/BackendStandIn.cpp
+++ b/lib/StandIn/BackendStandIn.cpp
@@ -30,8 +30,8 @@
 BackendStandIn::BackendStandIn(BackendSetup Setup)
     : Setup(std::move(Setup)), Started(readSteadyClock()) {
   HttpServerLimits Limits;
-  Limits.Workers = StandInWorkers;
-  Limits.QueueLimit = 1024;
+  Limits.Workers.Most = StandInWorkers;
+  Limits.Workers.Queue = 1024;
   this->Server = std::make_unique<HttpServer>(
       Limits, [this](HttpExchange &Exchange) { this->handle(Exchange); });
 }
--- a/lib/StandIn/PlatformStandIn.cpp
+++ b/lib/StandIn/PlatformStandIn.cpp
@@ -27,8 +27,8 @@
 
 PlatformStandIn::PlatformStandIn() {
   HttpServerLimits Limits;
-  Limits.Workers = StandInWorkers;
-  Limits.QueueLimit = 1024;
+  Limits.Workers.Most = StandInWorkers;
+  Limits.Workers.Queue = 1024;
   this->Server = std::make_unique<HttpServer>(
       Limits, [this](HttpExchange &Exchange) { this->handle(Exchange); });
 }
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -76,8 +76,8 @@
 TEST_CASE("many connections at once are all taken") {
   // Nothing accepts yet: what comes must wait in the queue of the system.
   HttpServerLimits Limits;
-  Limits.Workers = 4;
-  Limits.QueueLimit = 1000;
+  Limits.Workers.Most = 4;
+  Limits.Workers.Queue = 1000;
   Gate Open(Limits);
   Open.IsOpen = true;
   for (int Round = 0; Round < 5; ++Round) {
@@ -98,8 +98,8 @@
 
 TEST_CASE("what does not fit is refused at once and told when to come back") {
   HttpServerLimits Limits;
-  Limits.Workers = 1;
-  Limits.QueueLimit = 0;
+  Limits.Workers.Most = 1;
+  Limits.Workers.Queue = 0;
   Gate Shut(Limits);
   ConnectionPool Pool(0);
   std::thread First([&] { CHECK(get(Pool, Shut.getAddress()).Status == 200); });
@@ -116,7 +116,7 @@
 
 TEST_CASE("idle connections hold no thread and a bound holds for them") {
   HttpServerLimits Limits;
-  Limits.Workers = 1;
+  Limits.Workers.Most = 1;
   Limits.MaxConnections = 20;
   Gate Open(Limits);
   Open.IsOpen = true;
--- a/unittests/PlatformAdapter/PlatformBench.h
+++ b/unittests/PlatformAdapter/PlatformBench.h
@@ -179,6 +179,7 @@
     Config.Ready = {"127.0.0.1", findFreePort()};
     Config.Platform = this->Store.getAddress();
     Config.Workers = 16;
+    Config.WorkerIdle = fromSeconds(5);
     Config.MaxConnections = 64;
     Config.IdleSeconds = 30;
     Config.ExpectedDaemons = 1;
--- a/unittests/Settings/DaemonConfigTest.cpp
+++ b/unittests/Settings/DaemonConfigTest.cpp
@@ -56,3 +56,31 @@
   CHECK_FALSE(load("[other]\nfloor = off\n"));
   CHECK_FALSE(load("[policy]\nfloor = off\n[other]\n"));
 }
+
+TEST_CASE("a file bounds the threads for callers") {
+  const Result<DaemonConfig> Defaults = load("");
+  REQUIRE(Defaults);
+  CHECK(Defaults.value().Workers == 64);
+  CHECK(Defaults.value().KeptWorkers == 1);
+  CHECK(Defaults.value().WorkerIdle == fromSeconds(5));
+  const Result<DaemonConfig> Loaded =
+      load("workers = 8\nkept-workers = 8\nworker-idle-s = 0.5\n");
+  REQUIRE(Loaded);
+  CHECK(Loaded.value().KeptWorkers == 8);
+  CHECK(Loaded.value().WorkerIdle == fromMillis(500));
+}
+
+TEST_CASE(
+    "more kept threads than threads, or no time to be idle, is an error") {
+  const Result<DaemonConfig> Kept = load("workers = 8\nkept-workers = 9\n");
+  REQUIRE_FALSE(Kept);
+  CHECK(Kept.error().Message.find(
+            ":10: [daemon] kept-workers: kept-workers is 9, more than workers, "
+            "8") != std::string::npos);
+  const Result<DaemonConfig> Idle = load("worker-idle-s = 0\n");
+  REQUIRE_FALSE(Idle);
+  CHECK(Idle.error().Message.find(":9: [daemon] worker-idle-s") !=
+        std::string::npos);
+  CHECK_FALSE(load("kept-workers = -1\n"));
+  CHECK_FALSE(load("worker-idle-s = 601\n"));
+}
