--- a/lib/Bench/CapacityBench.cpp
+++ b/lib/Bench/CapacityBench.cpp
@@ -263,6 +263,7 @@
       {"pool", "processor time and memory of a pool", measurePool},
       {"claims", "claims against platform writes, 2 ms platform",
        measureClaims},
+      {"starts", "a whole fleet that starts at once (model)", measureStarts},
       {"detection", "detection time against the rate seen", measureDetection},
   };
   return Tables;
--- a/lib/Bench/CapacityTables.h
+++ b/lib/Bench/CapacityTables.h
@@ -57,6 +57,9 @@
 std::string measureClaims();
 std::string measureMembers();
 
+/// The table about a fleet that starts at once, from a model.
+std::string measureStarts();
+
 } // namespace canvaswick
 
 #endif // CANVASWICK_LIB_BENCH_CAPACITYTABLES_H
--- /dev/null
+++ b/lib/Bench/StartModel.cpp
@@ -0,0 +1,142 @@
+//===- StartModel.cpp - A whole fleet that starts at once, as a model -----===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Links as fluids in steps of a millisecond: what a source sends is shared
+/// evenly by those who read from it, and none gets more than its own link
+/// takes. Processor time is left out.
+///
+//===----------------------------------------------------------------------===//
+
+#include "CapacityTables.h"
+
+#include <algorithm>
+
+namespace canvaswick {
+
+namespace {
+
+/// The ways for a daemon to learn what it needs.
+enum class StartWay : uint8_t { Pages, Copy, Seeds };
+
+/// One daemon's download.
+struct Download {
+  int BeganMs = 0;
+  double Left = 0;
+  int DoneMs = -1;
+};
+
+/// What came of one start of a fleet.
+struct StartResult {
+  int MedianMs = 0;
+  int LastMs = 0;
+  double StoreMegabytes = 0;
+  double CallsEach = 0;
+};
+
+} // namespace
+
+static constexpr const char *getName(StartWay Way) {
+  switch (Way) {
+  case StartWay::Pages:
+    return "pages";
+  case StartWay::Copy:
+    return "copy";
+  case StartWay::Seeds:
+    return "seeds";
+  }
+  return "";
+}
+
+/// A store's link of 1,000 Mbit/s and a daemon's of 20, in bytes a millisecond.
+static constexpr double StoreLink = 125000;
+static constexpr double DaemonLink = 2500;
+
+/// All machines start within this time.
+static constexpr int SpreadMs = 300;
+
+/// What the store takes for an answer.
+static constexpr int AnswerMs = 4;
+
+/// Servers a daemon, as 720 before 443.
+static constexpr double ServersPerDaemon = 1.625;
+
+/// Bytes of an entry as an item of a page, in base64 and with its fields, and
+/// in a packed copy: by a copy of 1,163 entries (unit tests DirectoryCalls).
+static constexpr double PageBytesPerEntry = 330;
+static constexpr double CopyBytesPerEntry = 26;
+
+static constexpr double EntriesPerPage = 500;
+
+/// Daemons that all know by their settings.
+static constexpr double Seeds = 3;
+
+/// What a read that may be old costs of a call.
+static constexpr double CheapRead = 0.1;
+
+/// Lets downloads of Bytes each run from a source of Link bytes a millisecond.
+static std::vector<Download> run(size_t Daemons, double Bytes, double Link) {
+  std::vector<Download> All(Daemons);
+  for (size_t I = 0; I < Daemons; ++I)
+    All[I] = {static_cast<int>(I * SpreadMs / Daemons) + AnswerMs, Bytes, -1};
+  size_t Done = 0;
+  for (int Now = 0; Done < Daemons; ++Now) {
+    const auto IsActive = [Now](const Download &Each) {
+      return Each.BeganMs <= Now && Each.DoneMs < 0;
+    };
+    const auto Active =
+        static_cast<double>(std::count_if(All.begin(), All.end(), IsActive));
+    for (Download &Each : All) {
+      if (!IsActive(Each))
+        continue;
+      Each.Left -= std::min(DaemonLink, Link / Active);
+      if (Each.Left > 0)
+        continue;
+      Each.DoneMs = Now + 1;
+      ++Done;
+    }
+  }
+  return All;
+}
+
+static StartResult startFleet(size_t Daemons, StartWay Way) {
+  const double Entries = static_cast<double>(Daemons) * (1 + ServersPerDaemon);
+  const double Pages = std::max(1.0, Entries / EntriesPerPage);
+  const double Bytes = Entries * (Way == StartWay::Pages ? PageBytesPerEntry
+                                                         : CopyBytesPerEntry);
+  const bool IsFromSeeds = Way == StartWay::Seeds;
+  std::vector<int> Waits;
+  for (const Download &Each :
+       run(Daemons, Bytes, IsFromSeeds ? Seeds * DaemonLink : StoreLink))
+    Waits.push_back(Each.DoneMs - Each.BeganMs + AnswerMs);
+  std::sort(Waits.begin(), Waits.end());
+  StartResult Result;
+  Result.MedianMs = Waits[Waits.size() / 2];
+  Result.LastMs = Waits.back();
+  if (!IsFromSeeds) {
+    Result.StoreMegabytes = Bytes * static_cast<double>(Daemons) / 1e6;
+    Result.CallsEach = Way == StartWay::Pages ? Pages : CheapRead;
+  }
+  return Result;
+}
+
+std::string measureStarts() {
+  std::string Csv = "daemons,way,median_wait_ms,last_wait_ms,store_mb,"
+                    "reading_calls_a_start\n";
+  for (const size_t Daemons : {36, 100, 443, 1000})
+    for (const StartWay Way :
+         {StartWay::Pages, StartWay::Copy, StartWay::Seeds}) {
+      const StartResult Result = startFleet(Daemons, Way);
+      Csv += fmt::format("{},{},{},{},{:.1f},{:.1f}\n", Daemons, getName(Way),
+                         Result.MedianMs, Result.LastMs, Result.StoreMegabytes,
+                         Result.CallsEach);
+    }
+  return Csv;
+}
+
+} // namespace canvaswick
