A configuration travels as the difference to the version that is held

Hypothesis: what is left of the wait behind a configuration of 1,130 routes (250 KB, 35 KB packed) is its own way through a hall. Versions differ by a route or two, and a daemon that is behind by one nearly always holds the one before.

Now a table remembers what its large items were before they changed last, and who asks says which it holds; the answer has the difference by parts that end with a brace, with a check sum of the whole. A difference is small: it comes with the news, needs no room, and a peer that holds another version is told the whole as before.

Ruled out: lines (the operators' text has none), zlib with the earlier version as its dictionary (its window is 32 KB).

Tests: TextDelta (any text comes back from any other), DirectoryCalls "who holds the version before ...", "requests and differences of a wrong shape ...".

--- a/include/canvaswick/Daemon/DirectoryCalls.h
+++ b/include/canvaswick/Daemon/DirectoryCalls.h
@@ -28,8 +28,20 @@
 
 namespace canvaswick {
 
-/// Returns what a table that is complete up to a revision lacks.
-using ChangesSource = std::function<ItemChanges(uint64_t After)>;
+/// Returns what a table that is complete up to a revision lacks, and holds
+/// these large items.
+using ChangesSource =
+    std::function<ItemChanges(uint64_t After, const ItemRevisions &Held)>;
+
+/// What a peer asks.
+struct ChangesRequest {
+  /// Its copy is complete up to here; 0: it has none.
+  uint64_t After = 0;
+  /// Whether it takes large values too.
+  bool WantsLarge = true;
+  /// The large items that it holds: their changes may be told as differences.
+  ItemRevisions Held;
+};
 
 /// Answers peers that ask for the copy of the store. What is urgent is small (a
 /// server that leaves) and never waits behind what is large (a configuration):
@@ -40,9 +52,7 @@
   /// HasRoom tells whether one more large answer may leave now.
   ChangesAnswerer(ChangesSource Source, std::function<bool()> HasRoom);
 
-  /// Returns the answer to a peer whose copy is complete up to After; 0: it has
-  /// none. WantsLarge: it takes large values too.
-  Json::Value answer(uint64_t After, bool WantsLarge);
+  Json::Value answer(const ChangesRequest &Request);
 
 private:
   struct PackedAnswer {
@@ -68,9 +78,14 @@
 /// Asks a peer. Errors as for PeerCaller::call; Unavailable also from one that
 /// has no room for a whole copy.
 Result<ItemChanges> fetchChanges(PeerCaller &Caller, const Endpoint &Peer,
-                                 uint64_t After, bool WantsLarge,
+                                 const ChangesRequest &Request,
                                  Duration Timeout);
 
+Json::Value encodeRequest(const ChangesRequest &Request);
+
+/// Fails with InvalidArgument on a wrong shape.
+Result<ChangesRequest> decodeRequest(const Json::Value &Params);
+
 Json::Value encodeChanges(const ItemChanges &Changes);
 
 /// Replaces the items of encoded changes by their packed text if they are many.
--- a/include/canvaswick/Directory/ItemTable.h
+++ b/include/canvaswick/Directory/ItemTable.h
@@ -16,6 +16,9 @@
 #ifndef CANVASWICK_DIRECTORY_ITEMTABLE_H
 #define CANVASWICK_DIRECTORY_ITEMTABLE_H
 
+#include "canvaswick/Support/Error.h"
+#include "canvaswick/Support/TextDelta.h"
+
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -35,6 +38,28 @@
   bool operator==(const StoreItem &) const = default;
 };
 
+/// A value longer than this is large: more than a server's or a daemon's entry,
+/// less than a configuration of twenty routes.
+inline constexpr size_t LargeValueBytes = 4096;
+
+inline bool isLarge(const StoreItem &Item) {
+  return Item.Value.size() > LargeValueBytes;
+}
+
+/// A large item as the difference to the one that it took the place of.
+struct ItemDelta {
+  std::string Key;
+  uint64_t Revision = 0;
+  /// Revision of the earlier item.
+  uint64_t Base = 0;
+  TextDelta Change;
+
+  bool operator==(const ItemDelta &) const = default;
+};
+
+/// Revisions of items by key.
+using ItemRevisions = std::map<std::string, uint64_t>;
+
 /// What changed between two revisions.
 struct ItemChanges {
   /// Whether Items are all there are, and not only those that changed.
@@ -43,6 +68,8 @@
   /// themselves; AsOf is not reached by taking them.
   bool IsPartial = false;
   std::vector<StoreItem> Items;
+  /// Those that come as differences.
+  std::vector<ItemDelta> Deltas;
   uint64_t AsOf = 0;
 };
 
@@ -73,16 +100,28 @@
   std::vector<const StoreItem *> list(const std::string &Prefix) const;
 
   /// Returns what a table that is complete up to After must take to be as far
-  /// as this one.
-  ItemChanges getChangesAfter(uint64_t After) const;
+  /// as this one. Large items that took the place of one in Held, what that
+  /// table has of them, come as differences.
+  ItemChanges getChangesAfter(uint64_t After,
+                              const ItemRevisions &Held = {}) const;
+
+  /// Returns the large items that the table holds.
+  ItemRevisions listLarge() const;
+
+  /// Makes an item of a difference. Fails with NotFound if the table does not
+  /// hold the earlier one.
+  Result<StoreItem> resolve(const ItemDelta &Delta) const;
 
   const ItemMap &getItems() const { return this->Items; }
 
 private:
   void noteRemoval(const std::string &Key, uint64_t Revision);
   bool wasRemovedSince(const StoreItem &News) const;
+  void put(const StoreItem &News);
 
   ItemMap Items;
+  /// What large items were before they changed last.
+  ItemMap Earlier;
   uint64_t AsOf = 0;
   /// What was removed of late, oldest first, and the revision since when.
   std::deque<StoreItem> Removals;
--- a/lib/Daemon/DirectoryCalls.cpp
+++ b/lib/Daemon/DirectoryCalls.cpp
@@ -22,10 +22,6 @@
 
 static constexpr const char *MethodName = "directory.changes";
 
-/// A value longer than this is large: more than a server's or a daemon's entry,
-/// less than a configuration of twenty routes.
-static constexpr size_t LargeBytes = 4096;
-
 /// Items whose text is longer than this are packed. Below it packing saves less
 /// than one segment on the wire.
 static constexpr size_t PackFromBytes = 2048;
@@ -37,6 +33,25 @@
 /// Packed answers that are remembered.
 static constexpr size_t AnswersKept = 8;
 
+/// A difference as [key, revision, earlier revision, check, piece ...], a piece
+/// being [from, count] or a text.
+static Json::Value encodeDelta(const ItemDelta &Delta) {
+  Json::Value Row(Json::arrayValue);
+  Row.append(Delta.Key);
+  Row.append(static_cast<Json::UInt64>(Delta.Revision));
+  Row.append(static_cast<Json::UInt64>(Delta.Base));
+  Row.append(static_cast<Json::UInt64>(Delta.Change.Check));
+  for (const TextPiece &Piece : Delta.Change.Pieces) {
+    Json::Value Place(Json::arrayValue);
+    Place.append(static_cast<Json::UInt64>(Piece.From));
+    Place.append(static_cast<Json::UInt64>(Piece.Count));
+    Row.append(Place);
+    if (!Piece.Own.empty())
+      Row.append(Piece.Own);
+  }
+  return Row;
+}
+
 Json::Value encodeChanges(const ItemChanges &Changes) {
   Json::Value Value;
   Value["as-of"] = static_cast<Json::UInt64>(Changes.AsOf);
@@ -51,9 +66,41 @@
       Row.append(Item.Value);
     Value["items"].append(Row);
   }
+  for (const ItemDelta &Delta : Changes.Deltas)
+    Value["deltas"].append(encodeDelta(Delta));
   return Value;
 }
 
+/// Takes one piece of a difference. Returns false on a wrong shape.
+static bool decodePiece(const Json::Value &Value, TextDelta &Change) {
+  if (Value.isString()) {
+    if (Change.Pieces.empty())
+      return false;
+    Change.Pieces.back().Own += Value.asString();
+    return true;
+  }
+  if (!Value.isArray() || Value.size() != 2 || !Value[0].isUInt64() ||
+      !Value[1].isUInt64())
+    return false;
+  Change.Pieces.push_back({Value[0].asUInt64(), Value[1].asUInt64(), ""});
+  return true;
+}
+
+static bool decodeDelta(const Json::Value &Row, ItemDelta &Delta) {
+  constexpr Json::ArrayIndex FirstPiece = 4;
+  if (!Row.isArray() || Row.size() < FirstPiece || !Row[0].isString() ||
+      !Row[1].isUInt64() || !Row[2].isUInt64() || !Row[3].isUInt64())
+    return false;
+  Delta.Key = Row[0].asString();
+  Delta.Revision = Row[1].asUInt64();
+  Delta.Base = Row[2].asUInt64();
+  Delta.Change.Check = Row[3].asUInt64();
+  for (Json::ArrayIndex I = FirstPiece; I < Row.size(); ++I)
+    if (!decodePiece(Row[I], Delta.Change))
+      return false;
+  return true;
+}
+
 static bool decodeRow(const Json::Value &Row, StoreItem &Item) {
   if (!Row.isArray() || Row.size() < 2 || Row.size() > 3 ||
       !Row[0].isString() || !Row[1].isUInt64())
@@ -96,7 +143,8 @@
 Result<ItemChanges> decodeChanges(const Json::Value &Value) {
   if (!Value.isObject() || !Value["as-of"].isUInt64() ||
       !Value["all"].isBool() ||
-      (Value.isMember("partial") && !Value["partial"].isBool()))
+      (Value.isMember("partial") && !Value["partial"].isBool()) ||
+      (Value.isMember("deltas") && !Value["deltas"].isArray()))
     return makeError(ErrorKind::InvalidArgument, "not changes of a directory");
   ItemChanges Changes;
   Changes.AsOf = Value["as-of"].asUInt64();
@@ -109,6 +157,12 @@
       return makeError(ErrorKind::InvalidArgument, "not an item");
     Changes.Items.push_back(std::move(Item));
   }
+  for (const Json::Value &Row : Value["deltas"]) {
+    ItemDelta Delta;
+    if (!decodeDelta(Row, Delta))
+      return makeError(ErrorKind::InvalidArgument, "not a difference");
+    Changes.Deltas.push_back(std::move(Delta));
+  }
   return Changes;
 }
 
@@ -116,22 +170,21 @@
                                  std::function<bool()> HasRoom)
     : Source(std::move(Source)), HasRoom(std::move(HasRoom)) {}
 
-static bool isLarge(const StoreItem &Item) {
-  return Item.Value.size() > LargeBytes;
-}
-
-Json::Value ChangesAnswerer::answer(uint64_t After, bool WantsLarge) {
-  ItemChanges Changes = this->Source(After);
-  if (After == 0 && !this->HasRoom())
+Json::Value ChangesAnswerer::answer(const ChangesRequest &Request) {
+  ItemChanges Changes = this->Source(Request.After, Request.Held);
+  if (Request.After == 0 && !this->HasRoom())
     return makeCallError({ErrorKind::Unavailable, "no room for a whole copy"});
   const bool HasLarge =
       std::any_of(Changes.Items.begin(), Changes.Items.end(), isLarge);
-  if (HasLarge && !(WantsLarge && this->HasRoom())) {
+  if (HasLarge && !(Request.WantsLarge && this->HasRoom())) {
     std::erase_if(Changes.Items, isLarge);
     Changes.IsPartial = true;
     return packChanges(encodeChanges(Changes));
   }
-  return this->packOnce(Changes, After);
+  // Differences depend on what the peer holds.
+  if (!Changes.Deltas.empty())
+    return packChanges(encodeChanges(Changes));
+  return this->packOnce(Changes, Request.After);
 }
 
 /// Encodes and packs, or returns what was packed for the same question before.
@@ -157,20 +210,45 @@
 void addDirectoryMethod(JsonRpcDispatcher &Dispatcher,
                         ChangesAnswerer &Answerer) {
   Dispatcher.add(MethodName, [&Answerer](const Json::Value &Params) {
-    const bool WantsLarge =
-        !Params.isMember("large") || Params["large"].asBool();
-    return Answerer.answer(Params["after"].asUInt64(), WantsLarge);
+    const Result<ChangesRequest> Request = decodeRequest(Params);
+    return Request ? Answerer.answer(Request.value())
+                   : makeCallError(Request.error());
   });
 }
 
+Json::Value encodeRequest(const ChangesRequest &Request) {
+  Json::Value Params;
+  Params["after"] = static_cast<Json::UInt64>(Request.After);
+  Params["large"] = Request.WantsLarge;
+  Params["held"] = Json::objectValue;
+  for (const auto &[Key, Revision] : Request.Held)
+    Params["held"][Key] = static_cast<Json::UInt64>(Revision);
+  return Params;
+}
+
+Result<ChangesRequest> decodeRequest(const Json::Value &Params) {
+  ChangesRequest Request;
+  if (!Params.isObject() || !Params["after"].isUInt64() ||
+      (Params.isMember("large") && !Params["large"].isBool()) ||
+      (Params.isMember("held") && !Params["held"].isObject()))
+    return makeError(ErrorKind::InvalidArgument, "not a request for changes");
+  Request.After = Params["after"].asUInt64();
+  Request.WantsLarge = !Params.isMember("large") || Params["large"].asBool();
+  const Json::Value &Held = Params["held"];
+  for (const std::string &Key : Held.getMemberNames()) {
+    if (!Held[Key].isUInt64())
+      return makeError(ErrorKind::InvalidArgument, "held: not a revision");
+    Request.Held[Key] = Held[Key].asUInt64();
+  }
+  return Request;
+}
+
 Result<ItemChanges> fetchChanges(PeerCaller &Caller, const Endpoint &Peer,
-                                 uint64_t After, bool WantsLarge,
+                                 const ChangesRequest &Request,
                                  Duration Timeout) {
-  Json::Value Params;
-  Params["after"] = static_cast<Json::UInt64>(After);
-  Params["large"] = WantsLarge;
-  BOOST_OUTCOME_TRY(Json::Value Answer,
-                    Caller.call(Peer, MethodName, Params, Timeout));
+  BOOST_OUTCOME_TRY(
+      Json::Value Answer,
+      Caller.call(Peer, MethodName, encodeRequest(Request), Timeout));
   return decodeChanges(Answer);
 }
 
--- a/lib/Directory/ItemTable.cpp
+++ b/lib/Directory/ItemTable.cpp
@@ -29,16 +29,26 @@
   if (!News.IsGone) {
     if (!IsKnown && this->wasRemovedSince(News))
       return false;
-    this->Items[News.Key] = News;
+    this->put(News);
     return true;
   }
   if (!IsKnown)
     return false;
   this->Items.erase(Found);
+  this->Earlier.erase(News.Key);
   this->noteRemoval(News.Key, News.Revision);
   return true;
 }
 
+/// Puts an item in place, and remembers what it was if it is large: its change
+/// can be told to who has that.
+void ItemTable::put(const StoreItem &News) {
+  StoreItem &Known = this->Items[News.Key];
+  if (isLarge(Known) && isLarge(News))
+    this->Earlier[News.Key] = std::move(Known);
+  Known = News;
+}
+
 bool ItemTable::replaceAll(const std::vector<StoreItem> &Given,
                            uint64_t ReadAt) {
   if (ReadAt < this->AsOf)
@@ -47,10 +57,10 @@
   std::set<std::string> Listed;
   for (const StoreItem &Item : Given) {
     Listed.insert(Item.Key);
-    StoreItem &Known = this->Items[Item.Key];
-    if (Known.Revision >= Item.Revision)
+    const StoreItem *Known = this->find(Item.Key);
+    if (Known && Known->Revision >= Item.Revision)
       continue;
-    Known = Item;
+    this->put(Item);
     IsChanged = true;
   }
   IsChanged |= std::erase_if(this->Items, [&](const auto &Entry) {
@@ -88,7 +98,46 @@
   this->Removals.pop_front();
 }
 
-ItemChanges ItemTable::getChangesAfter(uint64_t After) const {
+ItemRevisions ItemTable::listLarge() const {
+  ItemRevisions Large;
+  for (const auto &[Key, Item] : this->Items)
+    if (isLarge(Item))
+      Large[Key] = Item.Revision;
+  return Large;
+}
+
+Result<StoreItem> ItemTable::resolve(const ItemDelta &Delta) const {
+  const StoreItem *Known = this->find(Delta.Key);
+  if (!Known || Known->Revision != Delta.Base)
+    return makeError(ErrorKind::NotFound, "a difference to what is not held");
+  BOOST_OUTCOME_TRY(std::string Value, applyDelta(Known->Value, Delta.Change));
+  return StoreItem{Delta.Key, std::move(Value), Delta.Revision, false};
+}
+
+/// A difference of more than this part of the value is not worth it.
+static constexpr double MostDeltaPart = 0.5;
+
+/// Replaces items of Changes by differences to what Held says of them.
+static void useDeltas(ItemChanges &Changes, const ItemTable::ItemMap &Earlier,
+                      const ItemRevisions &Held) {
+  std::erase_if(Changes.Items, [&](const StoreItem &Item) {
+    const auto Base = Earlier.find(Item.Key);
+    const auto Has = Held.find(Item.Key);
+    if (!isLarge(Item) || Base == Earlier.end() || Has == Held.end() ||
+        Has->second != Base->second.Revision)
+      return false;
+    TextDelta Change = diffTexts(Base->second.Value, Item.Value);
+    if (static_cast<double>(measureDelta(Change)) >
+        MostDeltaPart * static_cast<double>(Item.Value.size()))
+      return false;
+    Changes.Deltas.push_back(
+        {Item.Key, Item.Revision, Has->second, std::move(Change)});
+    return true;
+  });
+}
+
+ItemChanges ItemTable::getChangesAfter(uint64_t After,
+                                       const ItemRevisions &Held) const {
   ItemChanges Changes;
   Changes.AsOf = this->AsOf;
   Changes.IsAll = After < this->RemovalsSince;
@@ -97,6 +146,7 @@
       Changes.Items.push_back(Item);
   if (Changes.IsAll)
     return Changes;
+  useDeltas(Changes, this->Earlier, Held);
   for (const StoreItem &Removal : this->Removals)
     if (Removal.Revision > After)
       Changes.Items.push_back(Removal);
--- a/lib/Support/Packing.cpp
+++ b/lib/Support/Packing.cpp
@@ -20,9 +20,10 @@
 
 namespace canvaswick {
 
-/// A machine with a tenth of a core packs for others. A copy of 1,163 entries of
-/// servers and daemons: 212,272 bytes as text, 30,553 packed and as base64, in
-/// 3.8 ms of a whole core (unit tests DirectoryCalls, beside other programs).
+/// A machine with a tenth of a core packs for others. A copy of 1,163 entries
+/// of servers and daemons: 212,272 bytes as text, 30,553 packed and as base64,
+/// in 3.8 ms of a whole core (unit tests DirectoryCalls, beside other
+/// programs).
 static constexpr int Level = 3;
 
 /// Room is made in steps, so that a short text that claims to be long costs
--- a/unittests/FleetStart/FleetStartTest.cpp
+++ b/unittests/FleetStart/FleetStartTest.cpp
@@ -70,10 +70,12 @@
   void start(int Left = 0) {
     for (const DaemonConfig &Config : this->Configs) {
       this->Daemons.push_back(std::make_unique<PlatformDaemon>(Config));
-      if (--Left < 0)
-        REQUIRE(this->Daemons.back()->start());
-      else
+      if (--Left >= 0) {
         this->Daemons.pop_back();
+        continue;
+      }
+      const Result<void> Started = this->Daemons.back()->start();
+      REQUIRE_MESSAGE(Started, (Started ? "" : Started.error().Message));
     }
   }
 
--- a/unittests/PlatformAdapter/PeerFollowerTest.cpp
+++ b/unittests/PlatformAdapter/PeerFollowerTest.cpp
@@ -31,8 +31,11 @@
                  serveOpenCall(Exchange, this->Dispatcher);
                }),
         Name(std::move(Name)),
-        Answerer([this, &AsOf](uint64_t) { return this->listChanges(AsOf); },
-                 [this] { return this->HasRoom.load(); }) {
+        Answerer(
+            [this, &AsOf](uint64_t, const ItemRevisions &) {
+              return this->listChanges(AsOf);
+            },
+            [this] { return this->HasRoom.load(); }) {
     addDirectoryMethod(this->Dispatcher, this->Answerer);
     REQUIRE(this->Server.start({"127.0.0.1", 0}));
     this->Way = std::make_unique<RelayStandIn>(
--- a/unittests/PlatformAdapter/PlatformBench.h
+++ b/unittests/PlatformAdapter/PlatformBench.h
@@ -23,6 +23,9 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+
 #include <atomic>
 #include <mutex>
 #include <thread>
@@ -162,10 +165,22 @@
 public:
   Surroundings() { REQUIRE(this->Store.start()); }
 
+  /// Returns a port that stays free for a server of this process until it ends:
+  /// a socket holds it that does not listen. Without that, an outgoing
+  /// connection may take it before the server does; of 160 ports some were.
   static uint16_t findFreePort() {
-    HttpServer Probe({}, [](HttpExchange &) {});
-    REQUIRE(Probe.start({"127.0.0.1", 0}));
-    return Probe.getPort();
+    const int Holder = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    REQUIRE(Holder >= 0);
+    const int On = 1;
+    ::setsockopt(Holder, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t Length = sizeof(Address);
+    auto *Generic = reinterpret_cast<sockaddr *>(&Address);
+    REQUIRE(::bind(Holder, Generic, Length) == 0);
+    REQUIRE(::getsockname(Holder, Generic, &Length) == 0);
+    return ntohs(Address.sin_port);
   }
 
   /// Returns the configuration of a daemon of hall h that has no peers.
