A difference that cannot be used is followed by the whole value

Cause (found by reading): who was told a difference that it could not use, by a peer whose earlier version was another under the same revision or whose check did not agree, asked for the rest with the same words, and was told the same difference again, for as long as that peer was ahead.

--- a/unittests/PlatformAdapter/PeerFollowerTest.cpp
+++ b/unittests/PlatformAdapter/PeerFollowerTest.cpp
@@ -32,8 +32,8 @@
                }),
         Name(std::move(Name)),
         Answerer(
-            [this, &AsOf](uint64_t, const ItemRevisions &) {
-              return this->listChanges(AsOf);
+            [this, &AsOf](uint64_t, const ItemRevisions &Held) {
+              return this->listChanges(AsOf, Held);
             },
             [this] { return this->HasRoom.load(); }) {
     addDirectoryMethod(this->Dispatcher, this->Answerer);
@@ -43,11 +43,13 @@
     REQUIRE(this->Way->start({"127.0.0.1", 0}));
   }
 
-  ItemChanges listChanges(uint64_t AsOf) const {
+  ItemChanges listChanges(uint64_t AsOf, const ItemRevisions &Held) const {
     ItemChanges Changes;
     Changes.AsOf = AsOf;
     Changes.Items.push_back({"k", "v", AsOf, false});
-    if (this->HasLarge)
+    if (!Held.empty())
+      Changes.Deltas.push_back({"large", AsOf, 1, {/*Check=*/7, {}}});
+    else if (this->HasLarge)
       Changes.Items.push_back({"large", std::string(5000, 'x'), AsOf, false});
     return Changes;
   }
@@ -175,3 +177,17 @@
     CHECK(Under.View.getChangesAfter(0).Items.size() == 2);
   }
 }
+
+TEST_CASE("a difference that cannot be used is followed by the whole") {
+  Bench Under("a");
+  const StoreItem Held{"large", std::string(5000, 'y'), 2, false};
+  Under.View.replaceAll({Held}, 2, readSteadyClock());
+  for (AheadPeer *Peer : {&Under.One, &Under.Two})
+    Peer->HasLarge = true;
+  Under.advance(5, readSteadyClock());
+  Under.Follower.runRound(readSteadyClock());
+  CHECK(Under.View.getAsOf() == 5);
+  const ItemChanges Taken = Under.View.getChangesAfter(2);
+  REQUIRE(Taken.Items.size() == 2);
+  CHECK(Taken.Items[1].Value == std::string(5000, 'x'));
+}
