--- a/lib/Directory/WatchDuty.cpp
+++ b/lib/Directory/WatchDuty.cpp
@@ -73,8 +73,8 @@
 }
 
 /// Takes it that the first of the order watch. Without it, all daemons of a
-/// hall that start at once would begin to ask the store: 3.0 calls more for
-/// each of 443 (counted over their first 14 s).
+/// hall that start at once would begin to ask the store (unit test "of a hall
+/// that starts at once two ask the store").
 void WatchDuty::expectFirst(TimePoint Now) {
   for (size_t I = 0; I < this->Order.size() && I < WatchersPerHall; ++I)
     if (this->Order[I] != this->Self)
