--- a/include/canvaswick/Proxy/RequestProxy.h
+++ b/include/canvaswick/Proxy/RequestProxy.h
@@ -153,6 +153,8 @@
   CounterTable &Counters;
   ClaimGate *Claims;
   const ProxyOptions Options;
+  /// Since when there have been no settings, while there are none.
+  const TimePoint Started;
   /// Empty where nobody lends.
   RepeatSource Borrow;
   ChangeListener Listener;
--- a/lib/Admission/Limits.cpp
+++ b/lib/Admission/Limits.cpp
@@ -158,6 +158,24 @@
   return Left > Duration::zero() && Left >= Median / 4;
 }
 
+/// A start takes 0.2 s from its process to its settings on a tenth of a core
+/// (eleven daemons of one hall of 90 after a loss of power); a caller who comes
+/// back after this finds most of them ready, and is within an objective of a
+/// second or so.
+static constexpr Duration LeastSettingsWait = fromMillis(300);
+
+/// A daemon that gets its settings back is used again at least this soon.
+static constexpr Duration MostSettingsWait = fromSeconds(2);
+
+/// Callers are spread over this part of their wait.
+static constexpr double SettingsWaitSpread = 0.5;
+
+Duration chooseSettingsWait(Duration Without, double Draw) {
+  const Duration Wait =
+      std::clamp(Without, LeastSettingsWait, MostSettingsWait);
+  return Wait + fromSeconds(toSeconds(Wait) * SettingsWaitSpread * Draw);
+}
+
 int64_t toRetryAfterSeconds(Duration Wait) {
   const int64_t Micros = Wait.count();
   return std::max<int64_t>(1, (Micros + 999999) / 1000000);
--- a/lib/Proxy/RequestProxy.cpp
+++ b/lib/Proxy/RequestProxy.cpp
@@ -15,6 +15,7 @@
 #include "canvaswick/Proxy/RequestProxy.h"
 #include "RequestFlow.h"
 #include "canvaswick/Support/EnumNames.h"
+#include "canvaswick/Support/Hash.h"
 #include "canvaswick/Support/Log.h"
 
 #include <fmt/format.h>
@@ -43,7 +44,8 @@
                            ConnectionPool &Upstreams, CounterTable &Counters,
                            ClaimGate *Claims, ProxyOptions Options)
     : DaemonName(std::move(DaemonName)), Fleet(Fleet), Upstreams(Upstreams),
-      Counters(Counters), Claims(Claims), Options(std::move(Options)) {}
+      Counters(Counters), Claims(Claims), Options(std::move(Options)),
+      Started(readSteadyClock()) {}
 
 void RequestProxy::configure(const FleetConfig &Config) {
   std::lock_guard<std::mutex> Lock(this->OrganisationMutex);
@@ -87,12 +89,20 @@
   return Now + fromMillis(std::max<int64_t>(0, Millis));
 }
 
+/// Returns a number in [0, 1) for a request, evenly spread.
+static double drawFraction(const std::string &CallerId) {
+  constexpr uint64_t Steps = 1024;
+  return static_cast<double>(hashText(CallerId) % Steps) /
+         static_cast<double>(Steps);
+}
+
 /// Finds the route of a request. Returns false if the request was refused.
 bool RequestProxy::findRoute(Flow &Request) {
   HttpExchange &Exchange = Request.Exchange;
   if (!Request.Fleet) {
     this->refuse(Exchange, 503, RunOutcome::NotRun, "no-settings",
-                 fromMillis(this->Options.RefusedWaitMs));
+                 chooseSettingsWait(Request.Began - this->Started,
+                                    drawFraction(Request.CallerId)));
     logInfo("request", "id={} outcome=not-run reason=no-settings",
             Request.CallerId);
     Exchange.MustClose = true;
--- a/unittests/Admission/LimitsTest.cpp
+++ b/unittests/Admission/LimitsTest.cpp
@@ -93,3 +93,17 @@
   CHECK(toRetryAfterSeconds(fromMillis(1000)) == 1);
   CHECK(toRetryAfterSeconds(fromMillis(1001)) == 2);
 }
+
+TEST_CASE("callers stay away from a daemon without settings as long again") {
+  const auto IsWithin = [](Duration Without, double Least, double Most) {
+    const Duration First = chooseSettingsWait(Without, 0);
+    const Duration Last = chooseSettingsWait(Without, 0.999);
+    CHECK(First >= fromSeconds(Least));
+    CHECK(Last <= fromSeconds(Most));
+    // They do not come back together.
+    CHECK(Last - First >= fromSeconds(0.4 * Least));
+  };
+  IsWithin(Duration::zero(), 0.3, 0.45);
+  IsWithin(fromSeconds(1), 1, 1.5);
+  IsWithin(fromSeconds(3600), 2, 3);
+}
