One datagram of opening brackets no longer ends a daemon

Cause: the library that reads JSON throws where values lie more than a thousand deep in each other, and a datagram of 1,400 bytes can hold that. Nothing caught it on the link's thread, so the process ended (std::terminate). Found while the reader's processor time was looked at. The JSON-RPC dispatcher let the same exception out to the HTTP server's worker.

Now parseJson refuses such a text, and the dispatcher answers that it cannot be read.

Ruled out: a shorter datagram limit (the bound on nesting is the library's, and entries of the store and answers of peers are read by the same call).

--- a/lib/Json/JsonText.cpp
+++ b/lib/Json/JsonText.cpp
@@ -20,8 +20,13 @@
 bool parseJson(const std::string &Text, Json::Value &Value) {
   std::istringstream Stream(Text);
   std::string Problem;
-  return Json::parseFromStream(Json::CharReaderBuilder(), Stream, &Value,
-                               &Problem);
+  // The library throws where values lie too deep in each other.
+  try {
+    return Json::parseFromStream(Json::CharReaderBuilder(), Stream, &Value,
+                                 &Problem);
+  } catch (const Json::Exception &) {
+    return false;
+  }
 }
 
 std::string writeJson(const Json::Value &Value) {
--- a/lib/Rpc/JsonRpc.cpp
+++ b/lib/Rpc/JsonRpc.cpp
@@ -23,6 +23,11 @@
 
 namespace canvaswick {
 
+/// The answer to what cannot be read, as JSON-RPC 2.0 has it.
+static const char *const UnreadableAnswer =
+    R"({"jsonrpc":"2.0","id":null,"error":{"code":-32700,)"
+    R"("message":"JSON_PARSE_ERROR"}})";
+
 class JsonRpcDispatcher::Impl final
     : public jsonrpc::IProcedureInvokationHandler {
 public:
@@ -39,7 +44,12 @@
 
   std::string handle(const std::string &Request) {
     std::string Answer;
-    this->Protocol->HandleRequest(Request, Answer);
+    // The library's reader throws where values lie too deep in each other.
+    try {
+      this->Protocol->HandleRequest(Request, Answer);
+    } catch (const Json::Exception &) {
+      return UnreadableAnswer;
+    }
     return Answer;
   }
 
--- a/unittests/Daemon/PeerLinkTest.cpp
+++ b/unittests/Daemon/PeerLinkTest.cpp
@@ -17,6 +17,11 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -116,6 +121,36 @@
   CHECK(All[1]->Heard[0].StoreHeardAgo == Expected);
 }
 
+/// Sends a datagram from a socket of its own.
+static void sendRaw(const Endpoint &To, const std::string &Text) {
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(To.Port);
+  REQUIRE(::inet_pton(AF_INET, To.Host.c_str(), &Address.sin_addr) == 1);
+  const int Socket = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+  REQUIRE(Socket >= 0);
+  const auto *Generic = reinterpret_cast<const sockaddr *>(&Address);
+  CHECK(::sendto(Socket, Text.data(), Text.size(), 0, Generic,
+                 sizeof(Address)) == static_cast<ssize_t>(Text.size()));
+  ::close(Socket);
+}
+
+// The failure. One datagram of 1,400 opening brackets ended the daemon.
+// The cause. The library that reads JSON throws where values lie too deep in
+// each other, and nothing caught that on the link's thread.
+TEST_CASE("a datagram that holds anything does not end the daemon") {
+  const std::vector<std::unique_ptr<Listener>> All = startTwoHalls();
+  sendRaw(All[0]->Self.Peer, std::string(1400, '['));
+  sendRaw(All[0]->Self.Peer, std::string(1400, '{'));
+  sendRaw(All[0]->Self.Peer, std::string(1400, '\0'));
+  // It still hears its hall.
+  All[1]->Link.setStoreState({9, true, readSteadyClock()});
+  All[1]->Link.sendWatcherNews(readSteadyClock());
+  for (int Round = 0; Round < 300 && All[0]->countHeard() == 0; ++Round)
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  CHECK(All[0]->countHeard() > 0);
+}
+
 TEST_CASE("a link that has been stopped sends nothing") {
   const std::vector<std::unique_ptr<Listener>> All = startTwoHalls();
   All[0]->Link.stop();
--- a/unittests/Rpc/PeerCallerTest.cpp
+++ b/unittests/Rpc/PeerCallerTest.cpp
@@ -123,3 +123,10 @@
     RC_ASSERT(Answer.size() < 10000);
   }));
 }
+
+TEST_CASE("a call whose values lie too deep in each other is answered") {
+  JsonRpcDispatcher Dispatcher;
+  CHECK_FALSE(Dispatcher.handle(std::string(5000, '[')).empty());
+  CHECK_FALSE(Dispatcher.handle(std::string(5000, '[') + std::string(5000, ']'))
+                  .empty());
+}
