--- a/unittests/PlatformAdapter/FleetAtSizeTest.cpp
+++ b/unittests/PlatformAdapter/FleetAtSizeTest.cpp
@@ -14,9 +14,9 @@
 /// While every change decoded the entries of all daemons and compiled all that
 /// is run: 3.9 ms for another lease of an entry, 4.9 for a new daemon, 5.9 for
 /// a server that leaves. With what has changed only: 0.6, 0.7 and 1.4 ms (one
-/// run each on a shared machine). A tenth of a core takes ten times as long. A start took 17 to 27 ms (eight runs)
-/// while each text that was read made its own JSON reader, and 10 to 14 (three
-/// runs) since each thread keeps one.
+/// run each on a shared machine). A start took 17 to 27 ms (eight runs) while
+/// each text that was read made its own JSON reader, and 10 to 14 (three runs)
+/// since each thread keeps one. A tenth of a core takes ten times as long.
 ///
 //===----------------------------------------------------------------------===//
 
