One place says what a failed call means

Now each has a table of statuses, and CallFailure the rest. Words and kinds of errors are as before.

--- a/lib/Platform/PlatformClient.cpp
+++ b/lib/Platform/PlatformClient.cpp
@@ -13,6 +13,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Platform/PlatformClient.h"
+#include "canvaswick/Http/CallFailure.h"
 #include "canvaswick/Json/JsonText.h"
 
 #include <fmt/format.h>
@@ -51,30 +52,15 @@
   return "/v1/kv/" + Key;
 }
 
-/// Turns what the platform answered, or that it did not, into an Error.
-static Error describeFailure(const ExchangeResult &Result,
+static constexpr StatusMeaning StatusMeanings[] = {
+    {404, ErrorKind::NotFound},    {408, ErrorKind::Timeout},
+    {409, ErrorKind::Conflict},    {429, ErrorKind::RateLimited},
+    {503, ErrorKind::Unavailable},
+};
+
+static Error describeFailure(const ExchangeResult &Answer,
                              const std::string &What) {
-  if (Result.End == ExchangeEnd::NotSent ||
-      Result.End == ExchangeEnd::NoConnection)
-    return {ErrorKind::Unavailable, What + ": the platform is not reached"};
-  if (Result.End != ExchangeEnd::Complete)
-    return {ErrorKind::OutcomeUnknown, What + ": no answer of the platform"};
-  const std::string Text =
-      fmt::format("{}: the platform answered {}", What, Result.Status);
-  switch (Result.Status) {
-  case 404:
-    return {ErrorKind::NotFound, Text};
-  case 408:
-    return {ErrorKind::Timeout, Text};
-  case 409:
-    return {ErrorKind::Conflict, Text};
-  case 429:
-    return {ErrorKind::RateLimited, Text};
-  case 503:
-    return {ErrorKind::Unavailable, Text};
-  default:
-    return {ErrorKind::OutcomeUnknown, Text};
-  }
+  return describeCallFailure(Answer, What, "the platform", StatusMeanings);
 }
 
 static uint64_t readRevision(const ExchangeResult &Result) {
