A large hall asks a store that fails no more often than a small one

Cause: while nobody of a hall is answered, all its daemons ask the store, each with waits of a small hall, so the calls to a store in trouble grow with the fleet.

Hypothesis: what matters is how often the hall asks, since who is answered tells the others at once. So waits grow with the known size of the hall beyond 18, five times at most (4 s): at halls of 18 to 90 together 30 calls a second. Halls up to 18, all of the small sites', keep theirs.

With it: while nobody is answered all daemons lead, and each tried to write the copy for starts every 5 s. Now only one that the store answers does.

Ruled out: few that ask for all by the hall's order (the first may be those that cannot reach the store); waits by the number of peers heard (who starts is heard by nobody yet).

Before and after, 40 daemons of one hall and a store that refuses, calls a second (FleetStart, new test, seen failing): 81.7; with the waits 45.0 and 43.7; with the copy's writes gated 30.7 and 29.3.

Tests: TryWait, 'a large hall asks ...'.

--- /dev/null
+++ b/unittests/Directory/TryWaitTest.cpp
@@ -0,0 +1,49 @@
+//===- TryWaitTest.cpp - Tests of waits after the store has failed --------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// How often a hall asks a store that does not answer, and for how long one
+/// daemon of it does not.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Directory/TryWait.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace canvaswick;
+
+TEST_CASE("in a small hall waits double from 100 to 800 ms") {
+  for (const size_t HallSize : {1, 12, 18}) {
+    CHECK(chooseTryWait(1, HallSize, 0) == fromMillis(50));
+    CHECK(chooseTryWait(1, HallSize, 0.999) <= fromMillis(100));
+    CHECK(chooseTryWait(4, HallSize, 0) == fromMillis(400));
+    CHECK(chooseTryWait(100, HallSize, 0.999) <= fromMillis(800));
+  }
+}
+
+TEST_CASE("halls up to 90 ask equally often once they have waited longest") {
+  const auto GetRate = [](size_t HallSize) {
+    return static_cast<double>(HallSize) /
+           toSeconds(chooseTryWait(9, HallSize, 0.5));
+  };
+  CHECK(GetRate(18) == doctest::Approx(30));
+  CHECK(GetRate(35) == doctest::Approx(30));
+  CHECK(GetRate(88) == doctest::Approx(30));
+}
+
+TEST_CASE("no daemon waits longer than 4 s, or not at all") {
+  rc::check([](int Failures, size_t HallSize) {
+    const double Draw = *rc::gen::map(rc::gen::inRange(0, 1000),
+                                      [](int Part) { return Part / 1000.0; });
+    const Duration Wait = chooseTryWait(Failures, HallSize, Draw);
+    RC_ASSERT(Wait >= fromMillis(50));
+    RC_ASSERT(Wait <= fromSeconds(4));
+  });
+}
--- a/unittests/FleetStart/FleetStartTest.cpp
+++ b/unittests/FleetStart/FleetStartTest.cpp
@@ -156,3 +156,32 @@
   Under.start(DaemonCount - static_cast<int>(Back));
   Under.waitUntilServed(Back, "/y/1");
 }
+
+// The failure. On a day on which 94 daemons were added while the store answered
+// nobody for 8 s, the fleet made 2,789 calls to it, nearly three times as many
+// as on others. The cause. While nobody of a hall is answered all its daemons
+// ask, each as often as one of a small hall would: the calls grow with the
+// fleet just as the store has trouble. Evidence: the calls of that day against
+// six others.
+TEST_CASE(
+    "a large hall asks a store that fails no more often than a small one") {
+  Fleet Under;
+  Under.start();
+  Under.waitUntilServed(DaemonCount, "/x/1");
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  Under.Store.setFaults({.IsDown = true});
+  // All have noticed, and wait longest.
+  std::this_thread::sleep_for(std::chrono::seconds(5));
+  const double Before = Under.Store.countPricedCalls();
+  const TimePoint Began = readSteadyClock();
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  const double Rate = (Under.Store.countPricedCalls() - Before) /
+                      toSeconds(readSteadyClock() - Began);
+  MESSAGE("calls a second of ", DaemonCount, " daemons: ", Rate);
+  // 30 by the waits; 82 before, and 44 while each of them wrote the copy.
+  CHECK(Rate < 40);
+  // Once it answers again all learn what has changed.
+  Under.writeConfig(3, "/y/");
+  Under.Store.setFaults({.SlowMs = StoreMillis});
+  Under.waitUntilServed(DaemonCount, "/y/1");
+}
