Who is refused for want of settings stays away for 0.5 s at least

Ruled out: holding callers in the queue again.

Tests: bounds of the two tests of that wait, now higher.

--- a/lib/Admission/Limits.cpp
+++ b/lib/Admission/Limits.cpp
@@ -159,10 +159,12 @@
 }
 
 /// A start takes 0.2 s from its process to its settings on a tenth of a core
-/// (eleven daemons of one hall of 90 after a loss of power); a caller who comes
-/// back after this finds most of them ready, and is within an objective of a
-/// second or so.
-static constexpr Duration LeastSettingsWait = fromMillis(300);
+/// (eleven daemons of one hall of 90 after a loss of power), and a fleet's
+/// processes come up within 0.3 s of each other: who comes back, to another
+/// daemon as likely as not, after the sum of both finds it ready. With 0.3 s,
+/// requests worth 270 of the 76,332 of a day came back and were refused again
+/// (all processes killed, 106 and then 200 daemons, one play).
+static constexpr Duration LeastSettingsWait = fromMillis(500);
 
 /// A daemon that gets its settings back is used again at least this soon.
 static constexpr Duration MostSettingsWait = fromSeconds(2);
--- a/unittests/Admission/LimitsTest.cpp
+++ b/unittests/Admission/LimitsTest.cpp
@@ -103,7 +103,7 @@
     // They do not come back together.
     CHECK(Last - First >= fromSeconds(0.4 * Least));
   };
-  IsWithin(Duration::zero(), 0.3, 0.45);
+  IsWithin(Duration::zero(), 0.5, 0.75);
   IsWithin(fromSeconds(1), 1, 1.5);
   IsWithin(fromSeconds(3600), 2, 3);
 }
