--- a/include/canvaswick/Admission/Limits.h
+++ b/include/canvaswick/Admission/Limits.h
@@ -133,9 +133,9 @@
 
 /// Returns how long a caller should stay away from a daemon that has been
 /// without settings for this long: about as long again, since a daemon that
-/// starts has them in a moment and one that cannot reach the store may lack them
-/// for long. Draw is in [0, 1) and spreads callers, so that they do not come
-/// back together.
+/// starts has them in a moment and one that cannot reach the store may lack
+/// them for long. Draw is in [0, 1) and spreads callers, so that they do not
+/// come back together.
 Duration chooseSettingsWait(Duration Without, double Draw);
 
 /// Rounds a wait up to the whole seconds of a Retry-After header, 1 at least.
--- a/unittests/Json/JsonTextTest.cpp
+++ b/unittests/Json/JsonTextTest.cpp
@@ -76,9 +76,11 @@
 
 TEST_CASE("many threads read and write at once") {
   const std::string Text = makeMessage();
+  constexpr size_t ThreadCount = 8;
   std::vector<std::thread> Threads;
+  Threads.reserve(ThreadCount);
   std::atomic<int> Wrong{0};
-  for (int I = 0; I < 8; ++I)
+  for (size_t I = 0; I < ThreadCount; ++I)
     Threads.emplace_back([&] {
       for (int Round = 0; Round < 200; ++Round) {
         Json::Value Read;
