In a large hall waits are the hall's share from the first failure on

Cause: with waits stretched by five, a daemon of a hall of 88 still asked a store that answers nobody some six times in 8 s: 0.4, 0.7, 1.5, 2.9 s apart (arithmetic).

Hypothesis: the short first waits serve a daemon whose own connection failed; in a large hall another is answered then and tells it. So in halls above 18 all waits are the hall's size over 30 tries a second, 4 s at most: three or four tries in 8 s.

Tests: the rate is checked from the first failure on; bounds as before.

--- a/lib/Directory/TryWait.cpp
+++ b/lib/Directory/TryWait.cpp
@@ -7,7 +7,7 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// Doubling waits, longer in a larger hall.
+/// Doubling waits in a small hall, a share of the hall's in a larger one.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -22,19 +22,25 @@
 static constexpr int MostDoublings = 3;
 
 /// Up to this many daemons each waits as in a small hall: together they ask the
-/// store 30 times a second at most, once they have waited longest.
-static constexpr double SmallHall = 18;
+/// store 30 times a second at most, once they have waited longest. More ask
+/// that often together from the first failure on: it is that of all, or another
+/// is answered and tells them.
+static constexpr size_t SmallHall = 18;
+static constexpr double TriesPerSecond = 30;
 
 /// A daemon that hears nobody, and whom nobody reaches, must find the store
 /// again within the 4 s after which the users count it as being in touch.
-static constexpr double MostStretch = 5;
+static constexpr Duration LongestWait = fromSeconds(4);
 
 Duration chooseTryWait(int Failures, size_t HallSize, double Draw) {
   const int Doublings = std::clamp(Failures - 1, 0, MostDoublings);
-  const double Stretch =
-      std::clamp(static_cast<double>(HallSize) / SmallHall, 1.0, MostStretch);
-  const double Most = toSeconds(FirstWait) * (1 << Doublings) * Stretch;
-  return fromSeconds(Most * (1 + Draw) / 2);
+  Duration Most = FirstWait * (1 << Doublings);
+  if (HallSize > SmallHall) {
+    // The mean of what is drawn is three quarters of the most.
+    const double OfHall = static_cast<double>(HallSize) / TriesPerSecond / 0.75;
+    Most = std::max(Most, std::min(LongestWait, fromSeconds(OfHall)));
+  }
+  return fromSeconds(toSeconds(Most) * (1 + Draw) / 2);
 }
 
 } // namespace canvaswick
--- a/unittests/Directory/TryWaitTest.cpp
+++ b/unittests/Directory/TryWaitTest.cpp
@@ -28,14 +28,17 @@
   }
 }
 
-TEST_CASE("halls up to 90 ask equally often once they have waited longest") {
-  const auto GetRate = [](size_t HallSize) {
+TEST_CASE(
+    "halls up to 90 ask equally often, large ones from the first failure") {
+  const auto GetRate = [](int Failures, size_t HallSize) {
     return static_cast<double>(HallSize) /
-           toSeconds(chooseTryWait(9, HallSize, 0.5));
+           toSeconds(chooseTryWait(Failures, HallSize, 0.5));
   };
-  CHECK(GetRate(18) == doctest::Approx(30));
-  CHECK(GetRate(35) == doctest::Approx(30));
-  CHECK(GetRate(88) == doctest::Approx(30));
+  CHECK(GetRate(9, 18) == doctest::Approx(30));
+  for (const int Failures : {1, 2, 9}) {
+    CHECK(GetRate(Failures, 35) == doctest::Approx(30));
+    CHECK(GetRate(Failures, 88) == doctest::Approx(30));
+  }
 }
 
 TEST_CASE("no daemon waits longer than 4 s, or not at all") {
