Sight: a log line tells which requests ask for the same, and what was cut off

Cause: between one request that ends servers and servers that end by themselves the logs could not decide. A line named the caller's id, new with each asking, and an attempt whose connection ended without an answer looked like one that was answered with 500. Now a line carries the caller's address and asks=, a digest of who asks, method, host, target and body; such an attempt is called cut-off; and canvaswickctl request counts what came of equal requests elsewhere. No decision has changed. Tests: Admission (digest), Operator (story).

--- /dev/null
+++ b/include/canvaswick/Admission/RequestDigest.h
@@ -0,0 +1,44 @@
+//===- RequestDigest.h - What two equal requests have in common -*- C++ -*-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// A number that is the same for two requests that ask for the same thing, at
+/// whatever daemon they arrive and however often their caller asks.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef CANVASWICK_ADMISSION_REQUESTDIGEST_H
+#define CANVASWICK_ADMISSION_REQUESTDIGEST_H
+
+#include <cstdint>
+#include <string_view>
+
+namespace canvaswick {
+
+/// Stands for a request in logs and between daemons. Not proof against somebody
+/// who looks for two requests with one digest on purpose.
+using RequestDigest = uint64_t;
+
+/// What makes a request the same as another.
+struct RequestParts {
+  /// Who asks: an organisation, and the address that it asks from.
+  std::string_view Organisation;
+  std::string_view Address;
+  std::string_view Method;
+  std::string_view Host;
+  std::string_view Target;
+  /// The whole body, or what stands for one that is not kept.
+  std::string_view Body;
+};
+
+/// Returns the digest of a request.
+RequestDigest digestRequest(const RequestParts &Parts);
+
+} // namespace canvaswick
+
+#endif // CANVASWICK_ADMISSION_REQUESTDIGEST_H
--- a/include/canvaswick/Proxy/RequestProxy.h
+++ b/include/canvaswick/Proxy/RequestProxy.h
@@ -109,6 +109,7 @@
 
   // RequestBody.cpp.
   bool readBody(Flow &Request);
+  void digest(Flow &Request) const;
   bool collectBody(Flow &Request, uint64_t Limit);
   void refuseBody(Flow &Request, int Status, const char *Reason);
   void streamBody(Flow &Request, OutgoingRequest &Outgoing) const;
--- a/include/canvaswick/Proxy/ServiceRuntime.h
+++ b/include/canvaswick/Proxy/ServiceRuntime.h
@@ -52,6 +52,9 @@
   bool IsNotedLate = false;
   /// Whether it ended without an answer because the time was up.
   bool WasGivenUp = false;
+  /// Whether its connection ended before a byte of an answer had come, and not
+  /// by us.
+  bool WasCutOff = false;
   /// How much longer than at an idle server its kind usually takes, because of
   /// those that came before it.
   double QueueFactor = 1;
--- a/lib/Operator/RequestStory.cpp
+++ b/lib/Operator/RequestStory.cpp
@@ -155,6 +155,30 @@
                      AroundSeconds, After.format());
 }
 
+/// Tells what came of all other requests that asked for the same thing. A
+/// request under which servers end shows as cut off everywhere, one that is
+/// often asked for as good elsewhere.
+static std::string tellEqual(const std::vector<LogLine> &Lines,
+                             const LogLine &Request) {
+  const std::string Asks = Request.get("asks");
+  if (Asks.empty())
+    return "";
+  OutcomeSummary Summary;
+  size_t Count = 0;
+  for (const LogLine &Line : Lines) {
+    if (!isOfRequest(Line) || Line.get("asks") != Asks ||
+        Line.get("id") == Request.get("id"))
+      continue;
+    ++Count;
+    for (const LoggedAttempt &Each : decodeAttempts(Line)) {
+      ++Summary.Counts[Each.Outcome];
+      Summary.Sources.insert(Line.Source);
+    }
+  }
+  return fmt::format("asked for {} more times, attempts: {}\n", Count,
+                     Summary.format());
+}
+
 Result<std::string> tellRequest(const std::string &Id,
                                 const std::vector<LogLine> &Lines) {
   std::string Text;
@@ -164,6 +188,7 @@
     Text += fmt::format("{:.3f} {} {}\n", Line.Seconds, Line.Source, Line.Text);
     for (const LoggedAttempt &Attempt : decodeAttempts(Line))
       Text += tellAttempt(Lines, Id, Attempt);
+    Text += tellEqual(Lines, Line);
     Text += fmt::format("changes at {} in the {:.0f} s before:\n", Line.Source,
                         ChangesSeconds);
     Text += listChanges(Lines, Line);
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -36,8 +36,9 @@
       fmt::format("{}{}:{}:{}ms:share={:.3f}:sick={:.3f}:load={:.1f}{}",
                   Request.Trail.empty() ? "" : ",",
                   Request.Service->getServer(Ended.Server).Name,
-                  getName(Outcome), toMillis(Took), Ended.Share, Ended.Sickness,
-                  Ended.ServerLoad, Ended.IsTest ? ":test" : "");
+                  Ended.WasCutOff ? "cut-off" : getName(Outcome),
+                  toMillis(Took), Ended.Share, Ended.Sickness, Ended.ServerLoad,
+                  Ended.IsTest ? ":test" : "");
 }
 
 /// Returns whether another attempt may begin, by the route's attempts, by the
@@ -208,6 +209,8 @@
       Server.Address, Outgoing, Deadline, HangUp, &Sink);
   const RequestOutcome Outcome = this->judge(Request, Relay, Result);
   Current.WasGivenUp = Result.End == ExchangeEnd::Timeout;
+  Current.WasCutOff =
+      Result.End == ExchangeEnd::Broken && Result.BytesReceived == 0;
   // One that ran out of patience is no more than late.
   return IsPatience && Result.End == ExchangeEnd::Timeout ? RequestOutcome::Slow
                                                           : Outcome;
--- a/lib/Proxy/RequestBody.cpp
+++ b/lib/Proxy/RequestBody.cpp
@@ -58,6 +58,18 @@
   return false;
 }
 
+/// Takes the digest of a request whose body has been read as far as it is kept.
+/// A body that is passed on as it comes counts by its stated length: it has not
+/// been seen when the first server gets it.
+void RequestProxy::digest(Flow &Request) const {
+  const httplib::Request &Caller = Request.Exchange.Request;
+  const std::string Host = Caller.get_header_value("Host");
+  const std::string Unseen = Caller.get_header_value("Content-Length");
+  Request.Digest = digestRequest({Request.Organisation, Caller.remote_addr,
+                                  Caller.method, Host, Caller.target,
+                                  Request.IsBodyWhole ? Request.Body : Unseen});
+}
+
 /// Keeps a short body; a long one stays on the wire and is streamed. Returns
 /// false if the request was refused.
 bool RequestProxy::readBody(Flow &Request) {
--- a/lib/Proxy/RequestFlow.h
+++ b/lib/Proxy/RequestFlow.h
@@ -14,6 +14,7 @@
 #ifndef CANVASWICK_LIB_PROXY_REQUESTFLOW_H
 #define CANVASWICK_LIB_PROXY_REQUESTFLOW_H
 
+#include "canvaswick/Admission/RequestDigest.h"
 #include "canvaswick/Proxy/RequestProxy.h"
 
 #include <cstdlib>
@@ -56,6 +57,9 @@
   bool HasRepeatRight = false;
   /// The caller's own id, for the log. May be empty.
   std::string CallerId;
+  /// The same for all requests that ask for the same thing. 0 until the body is
+  /// there.
+  RequestDigest Digest = 0;
   /// What came of each attempt, for the log.
   std::string Trail;
   const char *Reason = "";
--- a/lib/Proxy/RequestProxy.cpp
+++ b/lib/Proxy/RequestProxy.cpp
@@ -244,7 +244,9 @@
   }
   RelayRules Rules;
   AnswerRelay Relay(Request.Exchange, this->Options.Headers, Rules);
-  if (this->readBody(Request) && this->claim(Request)) {
+  const bool IsRead = this->readBody(Request);
+  this->digest(Request);
+  if (IsRead && this->claim(Request)) {
     this->runAttempts(Request, Relay);
     this->settleClaim(Request, Relay);
   }
@@ -272,9 +274,10 @@
                           TimePoint Now) {
   const bool IsRelayed = Request.IsAnswered && Request.Tries > 0;
   logInfo("request",
-          "id={} route={} service={} version={} status={} outcome={} reason={} "
-          "ms={} left-ms={} tries={}",
-          Request.CallerId, Request.Route->Name,
+          "id={} caller={} asks={:016x} route={} service={} version={} "
+          "status={} outcome={} reason={} ms={} left-ms={} tries={}",
+          Request.CallerId, Request.Exchange.Request.remote_addr,
+          Request.Digest, Request.Route->Name,
           Request.Service->getConfig().Name, Request.Fleet->getConfig().Version,
           IsRelayed ? Relay.getStatus() : Request.Exchange.Response.status,
           IsRelayed ? "relayed"
--- /dev/null
+++ b/unittests/Admission/RequestDigestTest.cpp
@@ -0,0 +1,40 @@
+//===- RequestDigestTest.cpp - Tests of what equal requests share ---------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Equal requests have one digest; a difference in any part makes another.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Admission/RequestDigest.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+using namespace canvaswick;
+
+TEST_CASE("a request has one digest wherever it arrives, and no other shares "
+          "it") {
+  const RequestParts Asked{"org", "10.0.0.1", "GET", "a.example", "/x/1", "b"};
+  CHECK(digestRequest(Asked) == digestRequest(RequestParts(Asked)));
+  std::set<RequestDigest> All{digestRequest(Asked)};
+  for (const auto Part : {&RequestParts::Organisation, &RequestParts::Address,
+                          &RequestParts::Method, &RequestParts::Host,
+                          &RequestParts::Target, &RequestParts::Body}) {
+    RequestParts Other = Asked;
+    Other.*Part = "other";
+    All.insert(digestRequest(Other));
+  }
+  CHECK(All.size() == 7);
+}
+
+TEST_CASE("where one part ends and the next begins makes a difference") {
+  CHECK(digestRequest({"", "", "GET", "a", "/x", ""}) !=
+        digestRequest({"", "", "GET", "a/", "x", ""}));
+}
--- a/unittests/Operator/RequestStoryTest.cpp
+++ b/unittests/Operator/RequestStoryTest.cpp
@@ -81,6 +81,19 @@
   CHECK(!tellRequest("nobody", Lines));
 }
 
+TEST_CASE("a request's story tells what came of equal ones elsewhere") {
+  const std::vector<LogLine> Lines = parseAll({
+      "1 d1 10.0 info request id=a asks=7 ms=2 tries=i-1:cut-off:2ms:share=1",
+      "1 d2 10.5 info request id=b asks=7 ms=2 tries=i-2:cut-off:2ms:share=1,"
+      "i-3:cut-off:2ms:share=1",
+      "1 d3 10.6 info request id=c asks=8 ms=3 tries=i-2:good:3ms:share=0.9",
+  });
+  const Result<std::string> Story = tellRequest("a", Lines);
+  REQUIRE(Story);
+  CHECK(Story.value().find("asked for 1 more times, attempts: 2 cut-off "
+                           "(daemons: 1)\n") != std::string::npos);
+}
+
 TEST_CASE("random damage to lines never ends the process") {
   rc::check([](const std::string &Noise) {
     const std::string Text = "1.0 info request id=a ms=5 tries=" + Noise;
