--- /dev/null
+++ b/unittests/PlatformAdapter/HallBench.h
@@ -0,0 +1,97 @@
+//===- HallBench.h - Daemons of a hall and their surroundings ---*- C++ -*-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Several daemons that know each other, each with a way of its own to the
+/// store. Private to the tests of whole daemons.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef CANVASWICK_UNITTESTS_PLATFORMADAPTER_HALLBENCH_H
+#define CANVASWICK_UNITTESTS_PLATFORMADAPTER_HALLBENCH_H
+
+#include "PlatformAdapter/PlatformBench.h"
+#include "canvaswick/StandIn/RelayStandIn.h"
+
+#include <algorithm>
+#include <memory>
+#include <vector>
+
+namespace canvaswick::platform {
+
+/// A daemon that reaches the store through a relay of its own.
+struct Member {
+  Member(const DaemonConfig &Given, const Endpoint &Store)
+      : Config(Given), WayToStore(Store) {
+    REQUIRE(this->WayToStore.start({"127.0.0.1", 0}));
+    this->Config.Control = {"127.0.0.1", Surroundings::findFreePort()};
+    this->Config.PeerPort = Surroundings::findFreePort();
+    this->Config.Platform = {"127.0.0.1", this->WayToStore.getPort()};
+    this->start();
+  }
+
+  /// Starts the daemon, after stop with nothing that it knew before.
+  void start() {
+    this->Daemon = std::make_unique<PlatformDaemon>(this->Config);
+    REQUIRE(this->Daemon->start());
+  }
+
+  void stop() { this->Daemon.reset(); }
+
+  DaemonConfig Config;
+  RelayStandIn WayToStore;
+  std::unique_ptr<PlatformDaemon> Daemon;
+};
+
+/// Daemons in their surroundings, of one hall unless their names are told.
+struct Hall : Surroundings {
+  explicit Hall(int Count) : Hall(std::vector<std::string>(Count, "h")) {}
+
+  /// Starts one daemon for each name of a hall.
+  explicit Hall(const std::vector<std::string> &Halls) {
+    for (size_t I = 0; I < Halls.size(); ++I) {
+      DaemonConfig Config = this->makeDaemonConfig(fmt::format("d{}", I));
+      Config.Hall = Halls[I];
+      this->Members.push_back(
+          std::make_unique<Member>(Config, this->Store.getAddress()));
+    }
+  }
+
+  bool serves(const Member &Each, const std::string &Target) {
+    return this->askAt(Each.Config.Callers, "GET", Target).Status == 200;
+  }
+
+  bool isWatching(const Member &Each) {
+    return this->get(Each.Config.Ready, "/metrics")
+               .Body.find("canvaswick_store_watching 1\n") != std::string::npos;
+  }
+
+  std::vector<Member *> listWatchers() {
+    std::vector<Member *> Watchers;
+    for (const std::unique_ptr<Member> &Each : this->Members)
+      if (this->isWatching(*Each))
+        Watchers.push_back(Each.get());
+    return Watchers;
+  }
+
+  /// Starts with a configuration, two servers and two that watch.
+  void settle() {
+    this->writeConfig(2);
+    this->addServers();
+    for (const std::unique_ptr<Member> &Each : this->Members)
+      this->waitFor([&] { return this->serves(*Each, "/x/1"); });
+    const size_t Wanted = std::min<size_t>(2, this->Members.size());
+    this->waitFor([&] { return this->listWatchers().size() == Wanted; });
+  }
+
+  std::vector<std::unique_ptr<Member>> Members;
+};
+
+} // namespace canvaswick::platform
+
+#endif // CANVASWICK_UNITTESTS_PLATFORMADAPTER_HALLBENCH_H
--- a/unittests/StoreSilence/StoreSilenceTest.cpp
+++ b/unittests/StoreSilence/StoreSilenceTest.cpp
@@ -25,78 +25,16 @@
 ///
 //===----------------------------------------------------------------------===//
 
-#include "PlatformAdapter/PlatformBench.h"
-#include "canvaswick/StandIn/RelayStandIn.h"
+#include "PlatformAdapter/HallBench.h"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <memory>
 #include <vector>
 
 using namespace canvaswick;
 using namespace canvaswick::platform;
 
-namespace {
-
-/// A daemon that reaches the store through a relay of its own.
-struct Member {
-  Member(const DaemonConfig &Given, const Endpoint &Store)
-      : Config(Given), WayToStore(Store) {
-    REQUIRE(this->WayToStore.start({"127.0.0.1", 0}));
-    this->Config.Control = {"127.0.0.1", Surroundings::findFreePort()};
-    this->Config.PeerPort = Surroundings::findFreePort();
-    this->Config.Platform = {"127.0.0.1", this->WayToStore.getPort()};
-    this->Daemon = std::make_unique<PlatformDaemon>(this->Config);
-    REQUIRE(this->Daemon->start());
-  }
-
-  DaemonConfig Config;
-  RelayStandIn WayToStore;
-  std::unique_ptr<PlatformDaemon> Daemon;
-};
-
-/// Daemons of one hall in their surroundings.
-struct Hall : Surroundings {
-  explicit Hall(int Count) {
-    for (int I = 0; I < Count; ++I)
-      this->Members.push_back(std::make_unique<Member>(
-          this->makeDaemonConfig(fmt::format("d{}", I)),
-          this->Store.getAddress()));
-  }
-
-  bool serves(const Member &Each, const std::string &Target) {
-    return this->askAt(Each.Config.Callers, "GET", Target).Status == 200;
-  }
-
-  bool isWatching(const Member &Each) {
-    return this->get(Each.Config.Ready, "/metrics")
-               .Body.find("canvaswick_store_watching 1\n") != std::string::npos;
-  }
-
-  std::vector<Member *> listWatchers() {
-    std::vector<Member *> Watchers;
-    for (const std::unique_ptr<Member> &Each : this->Members)
-      if (this->isWatching(*Each))
-        Watchers.push_back(Each.get());
-    return Watchers;
-  }
-
-  /// Starts with a configuration, two servers and two that watch.
-  void settle() {
-    this->writeConfig(2);
-    this->addServers();
-    for (const std::unique_ptr<Member> &Each : this->Members)
-      this->waitFor([&] { return this->serves(*Each, "/x/1"); });
-    const size_t Wanted = std::min<size_t>(2, this->Members.size());
-    this->waitFor([&] { return this->listWatchers().size() == Wanted; });
-  }
-
-  std::vector<std::unique_ptr<Member>> Members;
-};
-
-} // namespace
-
 TEST_CASE("a change reaches daemons whose watchers the store leaves waiting") {
   Hall Under(4);
   Under.settle();
