--- a/unittests/Admission/FleetRepeatBudgetTest.cpp
+++ b/unittests/Admission/FleetRepeatBudgetTest.cpp
@@ -116,7 +116,7 @@
 } // namespace
 
 TEST_CASE("a fleet stays within its allowance under restarts and any view") {
-  rc::check([] {
+  CHECK(rc::check([] {
     Fleet Under;
     static constexpr size_t Count = 12;
     for (size_t I = 0; I < Count; ++I) {
@@ -157,7 +157,7 @@
       }
       RC_ASSERT(Under.isWithinAllowance(Now));
     }
-  });
+  }));
 }
 
 TEST_CASE("parts of daemons in order add up nearly as they are") {
--- a/unittests/Daemon/DirectoryCallsTest.cpp
+++ b/unittests/Daemon/DirectoryCallsTest.cpp
@@ -215,12 +215,12 @@
 }
 
 TEST_CASE("any bytes as packed items are refused or read, never more") {
-  rc::check([](const std::string &Bytes) {
+  CHECK(rc::check([](const std::string &Bytes) {
     Json::Value Value = encodeChanges(SmallNews);
     Value.removeMember("items");
     Value["packed"] = encodeBase64(Bytes);
     (void)decodeChanges(Value);
     Value["packed"] = encodeBase64(packText(Bytes));
     (void)decodeChanges(Value);
-  });
+  }));
 }
--- a/unittests/Directory/ItemTableTest.cpp
+++ b/unittests/Directory/ItemTableTest.cpp
@@ -77,7 +77,7 @@
 }
 
 TEST_CASE("any order and repetition of news ends in the newest of each key") {
-  rc::check([] {
+  CHECK(rc::check([] {
     const auto Changes =
         *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 8));
     std::vector<StoreItem> News;
@@ -102,5 +102,5 @@
       RC_ASSERT(Table.find(Key));
       RC_ASSERT(Table.find(Key)->Revision == Item.Revision);
     }
-  });
+  }));
 }
--- a/unittests/Directory/TryWaitTest.cpp
+++ b/unittests/Directory/TryWaitTest.cpp
@@ -42,11 +42,11 @@
 }
 
 TEST_CASE("no daemon waits longer than 4 s, or not at all") {
-  rc::check([](int Failures, size_t HallSize) {
+  CHECK(rc::check([](int Failures, size_t HallSize) {
     const double Draw = *rc::gen::map(rc::gen::inRange(0, 1000),
                                       [](int Part) { return Part / 1000.0; });
     const Duration Wait = chooseTryWait(Failures, HallSize, Draw);
     RC_ASSERT(Wait >= fromMillis(50));
     RC_ASSERT(Wait <= fromSeconds(4));
-  });
+  }));
 }
--- a/unittests/Health/AnswerTimesTest.cpp
+++ b/unittests/Health/AnswerTimesTest.cpp
@@ -46,7 +46,7 @@
 }
 
 TEST_CASE("the longer a request is out, the fewer answers take longer still") {
-  rc::check([](const std::vector<uint16_t> &Percents) {
+  CHECK(rc::check([](const std::vector<uint16_t> &Percents) {
     AnswerTimes Times;
     for (const uint16_t Percent : Percents)
       Times.add(Percent / 100.0);
@@ -57,5 +57,5 @@
       RC_ASSERT(Now >= AnswerTimes::LeastSurvival);
       Before = Now;
     }
-  });
+  }));
 }
--- a/unittests/Health/SpellPolicyTest.cpp
+++ b/unittests/Health/SpellPolicyTest.cpp
@@ -261,7 +261,7 @@
 }
 
 TEST_CASE("shares stay between nothing and all, whatever is seen") {
-  rc::check([] {
+  CHECK(rc::check([] {
     SpellPolicy Policy = makePolicy(6);
     TimePoint Now = Start;
     const auto Steps = *rc::gen::container<std::vector<int>>(
@@ -281,7 +281,7 @@
       RC_ASSERT(Policy.getSickness(Server, Now) > 0);
       RC_ASSERT(Policy.getSickness(Server, Now) < 1);
     }
-  });
+  }));
 }
 
 TEST_CASE("a request that stays out speaks against its server at once") {
--- a/unittests/Json/JsonTextTest.cpp
+++ b/unittests/Json/JsonTextTest.cpp
@@ -67,11 +67,11 @@
 }
 
 TEST_CASE("random text never throws") {
-  rc::check([](const std::string &Text) {
+  CHECK(rc::check([](const std::string &Text) {
     Json::Value Read;
     if (parseJson(Text, Read))
       (void)writeJson(Read);
-  });
+  }));
 }
 
 TEST_CASE("many threads read and write at once") {
--- a/unittests/Operator/RequestStoryTest.cpp
+++ b/unittests/Operator/RequestStoryTest.cpp
@@ -95,10 +95,10 @@
 }
 
 TEST_CASE("random damage to lines never ends the process") {
-  rc::check([](const std::string &Noise) {
+  CHECK(rc::check([](const std::string &Noise) {
     const std::string Text = "1.0 info request id=a ms=5 tries=" + Noise;
     if (const std::optional<LogLine> Line = parseLogLine(Text, "f"))
       decodeAttempts(*Line);
     parseLogLine(Noise, "f");
-  });
+  }));
 }
--- a/unittests/PlatformAdapter/RecordDecoderTest.cpp
+++ b/unittests/PlatformAdapter/RecordDecoderTest.cpp
@@ -90,17 +90,17 @@
 }
 
 TEST_CASE("base64 survives any bytes") {
-  rc::check([](const std::string &Bytes) {
+  CHECK(rc::check([](const std::string &Bytes) {
     Result<std::string> Back = decodeBase64(encodeBase64(Bytes));
     RC_ASSERT(Back);
     RC_ASSERT(Back.value() == Bytes);
-  });
+  }));
   CHECK_FALSE(decodeBase64("abc"));
   CHECK_FALSE(decodeBase64("a*=="));
 }
 
 TEST_CASE("random damage to a value never throws or ends the process") {
-  rc::check([] {
+  CHECK(rc::check([] {
     std::string Text = Rules;
     const auto Places = *rc::gen::container<std::vector<size_t>>(
         rc::gen::inRange<size_t>(0, Rules.size()));
@@ -109,5 +109,5 @@
     (void)decodeRoutingRules(Text);
     (void)decodeServer("i", Text);
     (void)decodeDaemon("d", Text);
-  });
+  }));
 }
--- a/unittests/PlatformAdapter/StoreFeedTest.cpp
+++ b/unittests/PlatformAdapter/StoreFeedTest.cpp
@@ -216,10 +216,10 @@
 }
 
 TEST_CASE("random bytes for a copy are refused") {
-  rc::check([](const std::string &Bytes) {
+  CHECK(rc::check([](const std::string &Bytes) {
     (void)decodeCopy(Bytes);
     RC_ASSERT(!decodeCopy(packText(Bytes)));
-  });
+  }));
 }
 
 TEST_CASE("the copy is written when it is behind, by who leads, now and then") {
--- a/unittests/Support/PackingTest.cpp
+++ b/unittests/Support/PackingTest.cpp
@@ -21,11 +21,11 @@
 static constexpr size_t Most = 1 << 20;
 
 TEST_CASE("any text comes back, up to the bound to the byte") {
-  rc::check([](const std::string &Text) {
+  CHECK(rc::check([](const std::string &Text) {
     Result<std::string> Back = unpackText(packText(Text), Most);
     RC_ASSERT(Back);
     RC_ASSERT(Back.value() == Text);
-  });
+  }));
   const std::string Long(100000, 'x');
   CHECK(packText(Long).size() < 1000);
   CHECK(unpackText(packText(Long), Long.size()));
@@ -44,9 +44,9 @@
 }
 
 TEST_CASE("random bytes never unpack to more than the bound") {
-  rc::check([](const std::string &Bytes) {
+  CHECK(rc::check([](const std::string &Bytes) {
     Result<std::string> Back = unpackText(Bytes, 10);
     if (Back)
       RC_ASSERT(Back.value().size() <= 10U);
-  });
+  }));
 }
--- a/unittests/Support/TextDeltaTest.cpp
+++ b/unittests/Support/TextDeltaTest.cpp
@@ -42,7 +42,7 @@
 }
 
 TEST_CASE("any text comes back from any other") {
-  rc::check([] {
+  CHECK(rc::check([] {
     const auto Draw = rc::gen::container<std::string>(
         rc::gen::elementOf(std::string("ab{}}}")));
     const std::string Earlier = *Draw;
@@ -51,7 +51,7 @@
         applyDelta(Earlier, diffTexts(Earlier, Later));
     RC_ASSERT(Back);
     RC_ASSERT(Back.value() == Later);
-  });
+  }));
 }
 
 TEST_CASE("a difference to another text, or past its end, is refused") {
