A request under which three servers ended is held back

Cause: what an attempt's end says was kept by server alone; nothing was known of a request once it was answered, at any daemon, so one that ends servers met each as if it had never been asked (unit tests EndingRequest, seen failing: 37 sends after the news of the third end, 3 are left).

Mended: every daemon remembers under which requests servers ended (SuspectTable), tells its hall and the others at once and again twice a second, and holds a request back from the third end on that no answer followed. The store keeps the record, so that daemons which start later know it, and its condition gives the right to each of few tries to one daemon. Others that were queued at the same ends go free; ends at one moment count once. The end of a suspect's attempt no longer speaks against its server.

Ruled out: holding by one daemon's own view (at 36 daemons each sees one end in 36); asking whether the server's process still lives (a supervisor that restarts at once, or a lost worker, looks alive). Before: 37 late sends, 502, others met 503. After: 0 late sends besides one try, 503 with Retry-After; all others served. The counterpart (all ask for one path while servers are ended) passes before and after.

--- a/include/canvaswick/Admission/Limits.h
+++ b/include/canvaswick/Admission/Limits.h
@@ -33,6 +33,7 @@
   OrganisationRate,
   DeadlineTooShort,
   NoServer,
+  HeldBack,
   Stopping,
 };
 
--- a/include/canvaswick/Daemon/Gateway.h
+++ b/include/canvaswick/Daemon/Gateway.h
@@ -23,6 +23,7 @@
 #include "canvaswick/Directory/WatchDuty.h"
 #include "canvaswick/Metrics/Counters.h"
 #include "canvaswick/Proxy/ProxyOptions.h"
+#include "canvaswick/Proxy/RequestGuard.h"
 #include "canvaswick/Settings/DaemonConfig.h"
 
 #include <memory>
@@ -73,6 +74,10 @@
 
   CounterTable &getCounters();
 
+  /// Returns what is known of requests under which servers end. Where its
+  /// records are kept is for the owner to say, before start.
+  RequestGuard &getGuard();
+
 private:
   class Impl;
   std::unique_ptr<Impl> Implementation;
--- a/include/canvaswick/Daemon/PeerLink.h
+++ b/include/canvaswick/Daemon/PeerLink.h
@@ -71,6 +71,10 @@
   /// this daemon watches, how long ago the store answered.
   void sendWatcherNews(TimePoint Now);
 
+  /// Tells the peers of this hall, and through one of each other hall all
+  /// others, under which requests servers ended.
+  void sendSuspects(const SuspectReport &Report);
+
   /// Asks some peers, drawn anew each time, for the right to a repeat. AsksFar:
   /// one of another hall too.
   void askForRepeat(const RepeatLoan &Loan, bool AsksFar);
--- a/include/canvaswick/Daemon/PeerMessage.h
+++ b/include/canvaswick/Daemon/PeerMessage.h
@@ -14,6 +14,7 @@
 #ifndef CANVASWICK_DAEMON_PEERMESSAGE_H
 #define CANVASWICK_DAEMON_PEERMESSAGE_H
 
+#include "canvaswick/Daemon/SuspectReport.h"
 #include "canvaswick/Health/SpellPolicy.h"
 #include "canvaswick/Support/Error.h"
 #include "canvaswick/Support/Time.h"
@@ -58,6 +59,8 @@
   /// Rights to repeats that are asked for, and that are given.
   std::vector<RepeatLoan> Asked;
   std::vector<RepeatLoan> Lent;
+  /// Requests under which servers ended, and what speaks for them.
+  SuspectReport Suspects;
 
   bool operator==(const PeerMessage &) const = default;
 };
--- a/include/canvaswick/Proxy/RequestProxy.h
+++ b/include/canvaswick/Proxy/RequestProxy.h
@@ -22,6 +22,7 @@
 #include "canvaswick/Proxy/AnswerRelay.h"
 #include "canvaswick/Proxy/FleetRuntime.h"
 #include "canvaswick/Proxy/ProxyOptions.h"
+#include "canvaswick/Proxy/RequestGuard.h"
 
 #include <atomic>
 #include <functional>
@@ -74,6 +75,9 @@
     this->Listener = std::move(Listener);
   }
 
+  /// Returns what is known of requests under which servers end.
+  RequestGuard &getGuard() { return this->Guard; }
+
   /// Breaks nothing off any more that a server works on. Requests that come
   /// from now on get their final answer before Until.
   void beginStop(TimePoint Until) {
@@ -98,6 +102,8 @@
   ServiceRuntimeRef chooseService(const FleetRuntime &Runtime,
                                   const RouteConfig &Route);
   bool admitOrganisation(Flow &Request);
+  bool passGuard(Flow &Request);
+  void refuseHeldBack(Flow &Request);
   void serve(Flow &Request);
   void finish(Flow &Request, AnswerRelay &Relay);
   void logEnd(const Flow &Request, const AnswerRelay &Relay, TimePoint Now);
@@ -142,6 +148,9 @@
   void addServerHeaders(Flow &Request, const ServerConfig &Server,
                         const std::string &RequestId,
                         OutgoingRequest &Outgoing) const;
+  bool isHeldBackNow(Flow &Request, TimePoint Now) const;
+  RequestOutcome tellGuard(Flow &Request, const Attempt &Ended,
+                           RequestOutcome Outcome, TimePoint Now);
   RequestOutcome judge(Flow &Request, const AnswerRelay &Relay,
                        const ExchangeResult &Result);
   RequestOutcome judgeAnswer(Flow &Request, const AnswerRelay &Relay);
@@ -154,6 +163,7 @@
   CounterTable &Counters;
   ClaimGate *Claims;
   const ProxyOptions Options;
+  RequestGuard Guard;
   /// Since when there have been no settings, while there are none.
   const TimePoint Started;
   /// Empty where nobody lends.
--- a/include/canvaswick/Support/Time.h
+++ b/include/canvaswick/Support/Time.h
@@ -39,6 +39,17 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(Since).count();
 }
 
+/// One instant on both clocks: the steady one, and the calendar's milliseconds.
+struct Instant {
+  TimePoint Steady{};
+  int64_t CalendarMillis = 0;
+};
+
+/// Reads both clocks.
+inline Instant readInstant() {
+  return {readSteadyClock(), readCalendarMillis()};
+}
+
 /// Converts seconds to a Duration.
 constexpr Duration fromSeconds(double Seconds) {
   return Duration(static_cast<int64_t>(Seconds * 1e6));
--- a/lib/Admission/Limits.cpp
+++ b/lib/Admission/Limits.cpp
@@ -19,13 +19,14 @@
 
 namespace canvaswick {
 
-static constexpr EnumNames<Refusal, 7> RefusalNames = {{
+static constexpr EnumNames<Refusal, 8> RefusalNames = {{
     {Refusal::None, "none"},
     {Refusal::UnknownRoute, "unknown-route"},
     {Refusal::ServiceBusy, "service-busy"},
     {Refusal::OrganisationRate, "organisation-rate"},
     {Refusal::DeadlineTooShort, "deadline-too-short"},
     {Refusal::NoServer, "no-server"},
+    {Refusal::HeldBack, "held-back"},
     {Refusal::Stopping, "stopping"},
 }};
 
--- a/lib/Daemon/CheckAnswers.cpp
+++ b/lib/Daemon/CheckAnswers.cpp
@@ -55,11 +55,28 @@
                      Workers.Running, Workers.Idle, Workers.Most);
 }
 
+std::string formatSuspects(const std::vector<SuspectStatus> &Suspects) {
+  std::string Rows;
+  size_t Held = 0;
+  for (const SuspectStatus &Each : Suspects) {
+    if (!Each.IsHeld)
+      continue;
+    ++Held;
+    Rows += fmt::format(
+        "canvaswick_held_request_ends{{asks=\"{:016x}\",tries=\"{}\"}} {}\n",
+        Each.Record.Request, Each.Record.Tries, Each.Record.Ends.size());
+  }
+  return fmt::format("canvaswick_suspect_requests {}\n"
+                     "canvaswick_held_requests {}\n{}",
+                     Suspects.size(), Held, Rows);
+}
+
 static std::string formatMetrics(const OwnFigures &Own,
                                  const FleetRuntime *Current) {
   std::string Text = Own.Counters.format();
   Text += formatStoreState(Own.Store, readSteadyClock());
   Text += formatWorkers(Own.Workers);
+  Text += formatSuspects(Own.Suspects);
   Text +=
       fmt::format("canvaswick_log_lines_dropped {}\n", countDroppedLogLines());
   if (!Current)
--- a/lib/Daemon/CheckAnswers.h
+++ b/lib/Daemon/CheckAnswers.h
@@ -16,6 +16,7 @@
 #ifndef CANVASWICK_LIB_DAEMON_CHECKANSWERS_H
 #define CANVASWICK_LIB_DAEMON_CHECKANSWERS_H
 
+#include "canvaswick/Admission/SuspectTable.h"
 #include "canvaswick/Directory/WatchDuty.h"
 #include "canvaswick/Http/HttpServer.h"
 #include "canvaswick/Metrics/Counters.h"
@@ -29,8 +30,13 @@
   StoreState Store;
   /// Those that serve callers.
   WorkerPoolThreads Workers;
+  /// Requests under which servers ended.
+  std::vector<SuspectStatus> Suspects;
 };
 
+/// Writes the suspects as metrics.
+std::string formatSuspects(const std::vector<SuspectStatus> &Suspects);
+
 /// Answers one check. Current is what the daemon serves by, null before its
 /// first settings.
 void answerCheck(HttpExchange &Exchange, bool IsStopping, const OwnFigures &Own,
--- a/lib/Daemon/Gateway.cpp
+++ b/lib/Daemon/Gateway.cpp
@@ -86,6 +86,7 @@
   const DaemonConfig Config;
   DaemonRecord Self;
   CounterTable Counters;
+  RequestGuard &getGuard() { return this->Proxy.getGuard(); }
 
 private:
   void build(const FleetConfigRef &Next);
@@ -194,9 +195,13 @@
 
 /// Opens the link to peers, from whom requests borrow repeats.
 Result<void> Gateway::Impl::startPeers() {
-  this->Peers =
-      std::make_unique<PeerExchange>(this->Self, this->Fleet, this->Counters,
-                                     this->Heard, this->Config.Policy);
+  this->Peers = std::make_unique<PeerExchange>(
+      this->Self, this->Fleet, this->Proxy.getGuard(), this->Counters,
+      this->Heard, this->Config.Policy);
+  this->Proxy.getGuard().setNewsListener(
+      [this](const SuspectNews &News, TimePoint Now) {
+        this->Peers->tellSuspects(News, Now);
+      });
   this->Proxy.setChangeListener(
       [this](TimePoint Now) { this->Peers->tellChange(Now); });
   this->Proxy.setRepeatSource([this](ServiceRuntime &Service, TimePoint Now) {
@@ -323,7 +328,8 @@
 }
 
 OwnFigures Gateway::Impl::getOwnFigures() {
-  return {this->Counters, this->getStoreState(), this->Callers->countThreads()};
+  return {this->Counters, this->getStoreState(), this->Callers->countThreads(),
+          this->getGuard().describe()};
 }
 
 /// Looks for late requests and tells peers what was seen since the last round.
@@ -348,6 +354,7 @@
   const TimePoint Now = readSteadyClock();
   this->Upstreams.closeIdleSince(Now - UpstreamIdleLimit);
   this->Proxy.forgetIdle(Now);
+  this->Proxy.getGuard().forgetOld(Now);
 }
 
 void Gateway::Impl::beginStop() {
@@ -418,6 +425,8 @@
   return this->Implementation->Self;
 }
 
+RequestGuard &Gateway::getGuard() { return this->Implementation->getGuard(); }
+
 CounterTable &Gateway::getCounters() { return this->Implementation->Counters; }
 
 } // namespace canvaswick
--- a/lib/Daemon/PeerExchange.cpp
+++ b/lib/Daemon/PeerExchange.cpp
@@ -31,6 +31,13 @@
 /// case that message was lost.
 static constexpr Duration WatcherInterval = fromMillis(300);
 
+/// How often a hall says again under which requests servers ended: a few times
+/// within the three seconds in which all must know it, as messages get lost.
+static constexpr Duration SuspectInterval = fromMillis(500);
+
+/// Ends and answers in one such message; at under 50 bytes each they fit.
+static constexpr size_t MostSuspectRows = 20;
+
 /// Time that a daemon gives to one message of a peer, on the long run. Together
 /// the daemons of a hall send each other one in this time, so that what one
 /// receives does not grow with the hall: 250 a second.
@@ -44,10 +51,10 @@
 static constexpr Duration InFlightRepeat = fromMillis(250);
 
 PeerExchange::PeerExchange(const DaemonRecord &Self,
-                           const FleetRuntimeSlot &Fleet,
+                           const FleetRuntimeSlot &Fleet, RequestGuard &Guard,
                            CounterTable &Counters, PeerLink::Handler Heard,
                            const PolicySwitches &Switches)
-    : Hall(Self.Hall), Fleet(Fleet), Counters(Counters),
+    : Hall(Self.Hall), Fleet(Fleet), Guard(Guard), Counters(Counters),
       Heard(std::move(Heard)), Switches(Switches), Rights(MostRights),
       Loans(std::random_device()(), Counters,
             [this](const RepeatLoan &Loan, bool AsksFar) {
@@ -132,6 +139,8 @@
     this->WatcherNewsAt = Now;
     this->Link.sendWatcherNews(Now);
   }
+  if (this->isMyTurn(SuspectInterval, Interval))
+    this->retellSuspects(Now);
   if (this->Switches.isOn(Mechanism::HallEstimates) &&
       this->isMyTurn(EstimateInterval, Interval))
     this->sendEstimates(Current, Now);
@@ -140,6 +149,18 @@
     this->sendUsedEstimates(Current, Now);
 }
 
+void PeerExchange::tellSuspects(const SuspectNews &News, TimePoint Now) {
+  this->Link.sendSuspects(makeReport(News, Now));
+}
+
+/// Says again what the hall knows of requests under which servers ended, for
+/// those that missed it or have just started.
+void PeerExchange::retellSuspects(TimePoint Now) {
+  const SuspectNews News = this->Guard.makeNews(MostSuspectRows, Now);
+  if (!News.isEmpty())
+    this->tellSuspects(News, Now);
+}
+
 /// Draws whether this daemon is the one of its hall to speak in this round, so
 /// that together they do once in Wanted. All think nearly the same.
 bool PeerExchange::isMyTurn(Duration Wanted, Duration Interval) {
@@ -213,10 +234,12 @@
 void PeerExchange::takeMessage(const PeerMessage &Message) {
   if (this->Heard)
     this->Heard(Message);
+  const TimePoint Now = readSteadyClock();
+  if (!Message.Suspects.isEmpty())
+    this->Guard.takeNews(readReport(Message.Suspects, Now), Now);
   const FleetRuntimeRef Current = this->Fleet.get();
   if (!Current)
     return;
-  const TimePoint Now = readSteadyClock();
   this->takeLoans(*Current, Message, Now);
   for (const ServiceRuntimeRef &Service : Current->getServices())
     this->takeEvidence(*Service, Message, Now);
--- a/lib/Daemon/PeerExchange.h
+++ b/lib/Daemon/PeerExchange.h
@@ -20,6 +20,7 @@
 #include "canvaswick/Daemon/PeerLink.h"
 #include "canvaswick/Daemon/RepeatLoans.h"
 #include "canvaswick/Proxy/FleetRuntime.h"
+#include "canvaswick/Proxy/RequestGuard.h"
 
 #include <atomic>
 #include <mutex>
@@ -30,12 +31,13 @@
 /// The exchange of one daemon with its peers. Thread-safe, but for runRound.
 class PeerExchange {
 public:
-  /// Self is how peers know this daemon; Fleet holds what it serves by. Heard,
+  /// Self is how peers know this daemon; Fleet holds what it serves by, Guard
+  /// what it knows of requests under which servers end. Heard,
   /// which may be empty, is called first with each message, on the link's
   /// thread.
   PeerExchange(const DaemonRecord &Self, const FleetRuntimeSlot &Fleet,
-               CounterTable &Counters, PeerLink::Handler Heard,
-               const PolicySwitches &Switches);
+               RequestGuard &Guard, CounterTable &Counters,
+               PeerLink::Handler Heard, const PolicySwitches &Switches);
 
   /// Binds the socket and starts to receive. Fails with Io.
   Result<void> start();
@@ -59,6 +61,10 @@
   /// has said much of late: then the next round does.
   void tellChange(TimePoint Now);
 
+  /// Tells peers at once under which request a server ended, or that one was
+  /// answered.
+  void tellSuspects(const SuspectNews &News, TimePoint Now);
+
   /// Borrows the right to one repeat of a service from peers.
   bool borrowRepeat(ServiceRuntime &Service, TimePoint Now);
 
@@ -69,6 +75,7 @@
   bool isMyTurn(Duration Wanted, Duration Interval);
   void sendEstimates(const FleetRuntime &Current, TimePoint Now);
   void sendUsedEstimates(const FleetRuntime &Current, TimePoint Now);
+  void retellSuspects(TimePoint Now);
   void takeMessage(const PeerMessage &Message);
   void takeLoans(const FleetRuntime &Current, const PeerMessage &Message,
                  TimePoint Now);
@@ -77,6 +84,7 @@
 
   const std::string Hall;
   const FleetRuntimeSlot &Fleet;
+  RequestGuard &Guard;
   CounterTable &Counters;
   const PeerLink::Handler Heard;
   std::atomic<bool> IsWatching{false};
--- a/lib/Daemon/PeerLink.cpp
+++ b/lib/Daemon/PeerLink.cpp
@@ -196,6 +196,14 @@
   this->sendWithinHall(encodePeerMessage(Message));
 }
 
+void PeerLink::sendSuspects(const SuspectReport &Report) {
+  PeerMessage Message = this->makeMessage();
+  Message.Suspects = Report;
+  const std::string Text = encodePeerMessage(Message);
+  this->sendWithinHall(Text);
+  this->sendToOtherHalls(Text);
+}
+
 /// Draws whom to ask for a repeat. The caller holds the mutex.
 std::vector<DaemonRecord> PeerLink::drawAsked(bool AsksFar) {
   const size_t FarCount = AsksFar && !this->Far.empty() ? 1 : 0;
--- a/lib/Daemon/PeerMessage.cpp
+++ b/lib/Daemon/PeerMessage.cpp
@@ -93,6 +93,7 @@
     Value["asks"] = encodeLoans(Message.Asked);
   if (!Message.Lent.empty())
     Value["lends"] = encodeLoans(Message.Lent);
+  encodeSuspects(Message.Suspects, Value);
   return writeJson(Value);
 }
 
@@ -235,6 +236,7 @@
                                        "not a right asked for", Message.Asked));
   BOOST_OUTCOME_TRY(decodeOptionalList(Value["lends"], decodeLoan,
                                        "not a right given", Message.Lent));
+  BOOST_OUTCOME_TRY(Message.Suspects, decodeSuspects(Value));
   return Message;
 }
 
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -64,6 +64,36 @@
     this->Listener(Now);
 }
 
+/// Returns whether servers have ended under the request too often, also
+/// elsewhere and since it began.
+bool RequestProxy::isHeldBackNow(Flow &Request, TimePoint Now) const {
+  Request.IsHeldBack =
+      !Request.HasTry && this->Guard.isHeldBack(Request.Digest, Now);
+  if (Request.IsHeldBack)
+    Request.HeldWait = this->Guard.getWait(Request.Digest, Now);
+  return Request.IsHeldBack;
+}
+
+/// Tells the guard what came of an attempt. Returns what it shows of the
+/// server: nothing if other servers have ended under the request too. Charged
+/// to the server, the end would look like a spell, and fewer would be used.
+RequestOutcome RequestProxy::tellGuard(Flow &Request, const Attempt &Ended,
+                                       RequestOutcome Outcome, TimePoint Now) {
+  if (Outcome != RequestOutcome::Unreachable)
+    Request.HasTry = false;
+  if (Request.IsAnswered && !Request.WasFailed)
+    this->Guard.noteAnswer(Request.Digest, Now);
+  const ServerConfig &Server = Request.Service->getServer(Ended.Server);
+  // One that is leaving ends in any case.
+  if (!Ended.WasCutOff || Server.State == ServerState::Draining)
+    return Outcome;
+  const EndedServer Id =
+      getServerId(Request.Service->getConfig().Name, Server.Name);
+  this->Guard.noteEnd({Request.Digest, Id, Ended.Began, Now}, Now);
+  return this->Guard.isSuspect(Request.Digest, Id) ? RequestOutcome::Canceled
+                                                   : Outcome;
+}
+
 void RequestProxy::runAttempts(Flow &Request, AnswerRelay &Relay) {
   AttemptNeeds &Needs = Request.Needs;
   Needs.Class = Request.Route->Class;
@@ -80,6 +110,8 @@
       Request.WasCanceled = true;
       break;
     }
+    if (!Relay.hasBegun() && this->isHeldBackNow(Request, Now))
+      break;
     Needs.IsLast = !mayRepeat(*Request.Route) ||
                    Request.Tries + 1 >= this->getMaxAttempts(Request) ||
                    !Request.Service->hasRepeat(Now);
@@ -92,7 +124,8 @@
     const RequestOutcome Outcome = this->tryOnce(Request, Relay, Current);
     Current.Load = Relay.getLoad();
     const TimePoint End = readSteadyClock();
-    Request.Service->end(Current, Outcome, End);
+    Request.Service->end(Current,
+                         this->tellGuard(Request, Current, Outcome, End), End);
     this->tellChange(End);
     addToTrail(Request, Current, Outcome, End - Now);
     Needs.Tried.push_back(Current.Server);
@@ -108,6 +141,8 @@
     this->Counters.add(Relay.hasBegun() ? Counter::ResumedAnswers
                                         : Counter::Repeats);
   }
+  if (Request.HasTry)
+    this->Guard.returnTry(Request.Digest);
 }
 
 /// Returns whether a header of the caller is replaced by one of ours, or is for
--- a/lib/Proxy/RequestFlow.h
+++ b/lib/Proxy/RequestFlow.h
@@ -60,6 +60,11 @@
   /// The same for all requests that ask for the same thing. 0 until the body is
   /// there.
   RequestDigest Digest = 0;
+  /// Whether servers ended under it too often for another, and until when.
+  bool IsHeldBack = false;
+  Duration HeldWait{};
+  /// Whether it is held back but for one try, which it has and has not used.
+  bool HasTry = false;
   /// What came of each attempt, for the log.
   std::string Trail;
   const char *Reason = "";
--- /dev/null
+++ b/lib/Proxy/RequestGuard.cpp
@@ -0,0 +1,202 @@
+//===- RequestGuard.cpp - Keeps fatal requests away from servers ----------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Locks, logs and counts around the table of suspects; calls are made outside
+/// the lock.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Proxy/RequestGuard.h"
+#include "canvaswick/Support/Log.h"
+
+#include <fmt/format.h>
+
+namespace canvaswick {
+
+/// When a request may come back at the earliest: a try that is just being asked
+/// for is decided within a call to the store.
+static constexpr Duration LeastWait = fromSeconds(1);
+
+static std::string formatServers(const std::vector<RequestEnd> &Ends) {
+  std::string Text;
+  for (const RequestEnd &Each : Ends)
+    Text += fmt::format("{}{:x}", Text.empty() ? "" : ",", Each.Server);
+  return Text;
+}
+
+/// Logs that a request is held back from now on, or has come free. The caller
+/// holds the mutex.
+void RequestGuard::logChange(RequestDigest Request, bool WasHeld,
+                             TimePoint Now) const {
+  const bool IsHeld = this->Table.judge(Request, Now) != SuspectVerdict::Free;
+  if (IsHeld == WasHeld)
+    return;
+  const SuspectRecord Record = this->Table.getRecord(Request);
+  if (IsHeld)
+    logWarning("request-held-back", "asks={:016x} ends={} servers={} tries={}",
+               Request, Record.Ends.size(), formatServers(Record.Ends),
+               Record.Tries);
+  else
+    logInfo("request-freed", "asks={:016x}", Request);
+}
+
+SuspectVerdict RequestGuard::beginAsking(RequestDigest Request, TimePoint Now,
+                                         SuspectRecord &Record) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  const SuspectVerdict Verdict = this->Table.judge(Request, Now);
+  if (Verdict != SuspectVerdict::TryDue)
+    return Verdict;
+  if (!this->Claim || !this->Asking.insert(Request).second)
+    return SuspectVerdict::HeldBack;
+  Record = this->Table.getRecord(Request);
+  return Verdict;
+}
+
+/// Asks for the try that is due, where records are kept.
+bool RequestGuard::claimTry(const SuspectRecord &Record, TimePoint Now) {
+  const bool IsGranted = this->Claim(Record);
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->Asking.erase(Record.Request);
+  if (!IsGranted) {
+    this->Table.missTry(Record.Request, Now);
+    return false;
+  }
+  this->Table.grantTry(Record.Request, Now);
+  logInfo("request-tried", "asks={:016x} tries={}", Record.Request,
+          Record.Tries + 1);
+  return true;
+}
+
+GuardAnswer RequestGuard::admit(RequestDigest Request, TimePoint Now) {
+  SuspectRecord Record;
+  const SuspectVerdict Verdict = this->beginAsking(Request, Now, Record);
+  if (Verdict == SuspectVerdict::Free)
+    return {};
+  if (Verdict == SuspectVerdict::TryDue && this->claimTry(Record, Now))
+    return {true, true, Duration::zero()};
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  if (this->Table.takeReturnedTry(Request))
+    return {true, true, Duration::zero()};
+  return {false, false, std::max(LeastWait, this->Table.getWait(Request, Now))};
+}
+
+Duration RequestGuard::getWait(RequestDigest Request, TimePoint Now) const {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  return std::max(LeastWait, this->Table.getWait(Request, Now));
+}
+
+bool RequestGuard::isHeldBack(RequestDigest Request, TimePoint Now) const {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  return this->Table.judge(Request, Now) != SuspectVerdict::Free;
+}
+
+bool RequestGuard::isSuspect(RequestDigest Request, EndedServer Server) const {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  return this->Table.isSuspect(Request, Server);
+}
+
+void RequestGuard::returnTry(RequestDigest Request) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->Table.returnTry(Request);
+}
+
+void RequestGuard::noteEnd(const RequestEnd &End, TimePoint Now) {
+  this->Counters.add(Counter::UpstreamCutOffs);
+  {
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    const bool WasHeld =
+        this->Table.judge(End.Request, Now) != SuspectVerdict::Free;
+    if (!this->Table.noteEnd(End, true, Now))
+      return;
+    this->logChange(End.Request, WasHeld, Now);
+  }
+  if (this->Listener)
+    this->Listener({{End}, {}}, Now);
+}
+
+void RequestGuard::noteAnswer(RequestDigest Request, TimePoint Now) {
+  const RequestAnswer Answer{Request, Now};
+  {
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    if (this->Table.isEmpty())
+      return;
+    const bool WasHeld =
+        this->Table.judge(Request, Now) != SuspectVerdict::Free;
+    if (!this->Table.noteOwnAnswer(Answer))
+      return;
+    this->logChange(Request, WasHeld, Now);
+  }
+  if (this->Listener)
+    this->Listener({{}, {Answer}}, Now);
+}
+
+SuspectNews RequestGuard::takeNews(const SuspectNews &News, TimePoint Now) {
+  SuspectNews Taken;
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  for (const RequestEnd &End : News.Ends) {
+    const bool WasHeld =
+        this->Table.judge(End.Request, Now) != SuspectVerdict::Free;
+    if (!this->Table.noteEnd(End, false, Now))
+      continue;
+    Taken.Ends.push_back(End);
+    this->logChange(End.Request, WasHeld, Now);
+  }
+  for (const RequestAnswer &Answer : News.Answers) {
+    const bool WasHeld =
+        this->Table.judge(Answer.Request, Now) != SuspectVerdict::Free;
+    if (!this->Table.notePeerAnswer(Answer))
+      continue;
+    Taken.Answers.push_back(Answer);
+    this->logChange(Answer.Request, WasHeld, Now);
+  }
+  return Taken;
+}
+
+SuspectNews RequestGuard::makeNews(size_t MaxRows, TimePoint Now) const {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  return this->Table.makeNews(MaxRows, Now);
+}
+
+void RequestGuard::takeRecords(const std::vector<SuspectRecord> &Records,
+                               TimePoint Now) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  const size_t Before = this->Table.countHeld();
+  this->Table.takeRecords(Records, Now);
+  const size_t After = this->Table.countHeld();
+  if (Before != After)
+    logInfo("suspects-read", "records={} held={} before={}", Records.size(),
+            After, Before);
+}
+
+void RequestGuard::loseRecords() {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->Table.loseRecords();
+}
+
+std::vector<SuspectRecord> RequestGuard::listUnrecorded() const {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  return this->Table.listUnrecorded();
+}
+
+std::vector<RequestDigest> RequestGuard::listCleared() const {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  return this->Table.listCleared();
+}
+
+std::vector<SuspectStatus> RequestGuard::describe() const {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  return this->Table.describe();
+}
+
+void RequestGuard::forgetOld(TimePoint Now) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->Table.forgetOld(Now);
+}
+
+} // namespace canvaswick
--- a/lib/Proxy/RequestProxy.cpp
+++ b/lib/Proxy/RequestProxy.cpp
@@ -45,7 +45,7 @@
                            ClaimGate *Claims, ProxyOptions Options)
     : DaemonName(std::move(DaemonName)), Fleet(Fleet), Upstreams(Upstreams),
       Counters(Counters), Claims(Claims), Options(std::move(Options)),
-      Started(readSteadyClock()) {}
+      Guard(Counters), Started(readSteadyClock()) {}
 
 void RequestProxy::configure(const FleetConfig &Config) {
   std::lock_guard<std::mutex> Lock(this->OrganisationMutex);
@@ -206,6 +206,8 @@
     return Counter::RefusedDeadline;
   case Refusal::NoServer:
     return Counter::RefusedNoServer;
+  case Refusal::HeldBack:
+    return Counter::RefusedHeldBack;
   case Refusal::OrganisationRate:
     return Counter::RefusedOrganisationRate;
   case Refusal::UnknownRoute:
@@ -233,6 +235,32 @@
           toMillis(Request.Deadline - Request.Began));
 }
 
+/// Asks whether servers have ended under the request too often. Returns false
+/// if it is held back.
+bool RequestProxy::passGuard(Flow &Request) {
+  const GuardAnswer Answer =
+      this->Guard.admit(Request.Digest, readSteadyClock());
+  Request.HasTry = Answer.IsTry;
+  Request.IsHeldBack = !Answer.MaySend;
+  Request.HeldWait = Answer.Wait;
+  return Answer.MaySend;
+}
+
+/// Returns when a request that is held back may come: at its next try, or by up
+/// to half of the wait later, so that callers do not all come at once.
+static Duration chooseHeldWait(const std::string &CallerId, Duration Wait) {
+  return fromSeconds(toSeconds(Wait) * (1 + drawFraction(CallerId) / 2));
+}
+
+/// Refuses a request that no server was sent because too many have ended under
+/// it.
+void RequestProxy::refuseHeldBack(Flow &Request) {
+  this->Counters.add(Counter::RefusedHeldBack);
+  Request.Reason = getName(Refusal::HeldBack);
+  this->refuse(Request.Exchange, 503, RunOutcome::NotRun, Request.Reason,
+               chooseHeldWait(Request.CallerId, Request.HeldWait));
+}
+
 void RequestProxy::serve(Flow &Request) {
   Duration Wait = fromMillis(this->Options.RefusedWaitMs);
   const Refusal Refused = Request.Service->admit(
@@ -246,7 +274,7 @@
   AnswerRelay Relay(Request.Exchange, this->Options.Headers, Rules);
   const bool IsRead = this->readBody(Request);
   this->digest(Request);
-  if (IsRead && this->claim(Request)) {
+  if (IsRead && this->passGuard(Request) && this->claim(Request)) {
     this->runAttempts(Request, Relay);
     this->settleClaim(Request, Relay);
   }
@@ -255,7 +283,13 @@
 
 /// Gives the final answer of a request that no server has answered.
 void RequestProxy::refuseUnserved(Flow &Request) {
-  const Duration Wait = fromMillis(this->Options.RefusedWaitMs);
+  if (Request.IsHeldBack && !Request.WasSent) {
+    this->refuseHeldBack(Request);
+    return;
+  }
+  const Duration Wait = Request.IsHeldBack
+                            ? chooseHeldWait(Request.CallerId, Request.HeldWait)
+                            : fromMillis(this->Options.RefusedWaitMs);
   if (Request.HasNoServer) {
     this->Counters.add(Counter::RefusedNoServer);
     Request.Reason = getName(Refusal::NoServer);
--- /dev/null
+++ b/unittests/Admission/SuspectTableTest.cpp
@@ -0,0 +1,240 @@
+//===- SuspectTableTest.cpp - Tests of who is held back -------------------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// What counts against a request, what speaks for it, and how it comes free.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Admission/SuspectTable.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+using namespace canvaswick;
+
+namespace {
+
+constexpr RequestDigest Fatal = 7;
+constexpr RequestDigest Other = 8;
+
+/// Returns an instant some seconds after an arbitrary start.
+TimePoint at(double Seconds) {
+  return TimePoint(fromSeconds(100000 + Seconds));
+}
+
+/// Returns an end after an attempt of 50 ms.
+RequestEnd makeEnd(RequestDigest Request, EndedServer Server, double Ended) {
+  return {Request, Server, at(Ended - 0.05), at(Ended)};
+}
+
+/// A table in which three servers have ended under a request, the third at 2 s.
+struct HeldTable : SuspectTable {
+  HeldTable() {
+    for (int I = 0; I < 3; ++I)
+      this->noteEnd(makeEnd(Fatal, 1 + I, I), true, at(I));
+  }
+};
+
+} // namespace
+
+TEST_CASE("a request is held back from its third end on") {
+  SuspectTable Table;
+  CHECK(Table.noteEnd(makeEnd(Fatal, 1, 0), false, at(0)));
+  CHECK(Table.noteEnd(makeEnd(Fatal, 2, 1), false, at(1)));
+  CHECK(Table.judge(Fatal, at(1)) == SuspectVerdict::Free);
+  CHECK(Table.noteEnd(makeEnd(Fatal, 3, 2), false, at(2)));
+  CHECK(Table.judge(Fatal, at(2)) == SuspectVerdict::HeldBack);
+  CHECK(Table.judge(Other, at(2)) == SuspectVerdict::Free);
+}
+
+TEST_CASE("an answer speaks for a request, and for what ended before it") {
+  SuspectTable Table;
+  Table.noteEnd(makeEnd(Fatal, 1, 0), true, at(0));
+  Table.noteEnd(makeEnd(Fatal, 2, 1), true, at(1));
+  CHECK(Table.noteOwnAnswer({Fatal, at(1.5)}));
+  CHECK_FALSE(Table.noteOwnAnswer({Fatal, at(1.6)}));
+  // The news of an end that came before the answer may come after it.
+  CHECK_FALSE(Table.noteEnd(makeEnd(Fatal, 3, 1.2), false, at(2)));
+  Table.noteEnd(makeEnd(Fatal, 4, 2), true, at(2));
+  Table.noteEnd(makeEnd(Fatal, 5, 3), true, at(3));
+  CHECK(Table.judge(Fatal, at(3)) == SuspectVerdict::Free);
+}
+
+TEST_CASE(
+    "servers that end at one moment, with it at all of them, are one end") {
+  SuspectTable Table;
+  for (EndedServer Server = 1; Server <= 5; ++Server)
+    Table.noteEnd(makeEnd(Fatal, Server, 0.01 * Server), true, at(0.1));
+  CHECK(Table.judge(Fatal, at(0.1)) == SuspectVerdict::Free);
+}
+
+TEST_CASE("one attempt after the other counts, however fast servers end") {
+  SuspectTable Table;
+  for (int I = 0; I < 3; ++I)
+    Table.noteEnd(
+        {Fatal, static_cast<EndedServer>(I), at(0.01 * I), at(0.01 * (I + 1))},
+        true, at(1));
+  CHECK(Table.judge(Fatal, at(1)) == SuspectVerdict::HeldBack);
+}
+
+TEST_CASE("an end that is told twice counts once; a next life of the server "
+          "counts anew") {
+  SuspectTable Table;
+  CHECK(Table.noteEnd(makeEnd(Fatal, 1, 0), true, at(0)));
+  CHECK_FALSE(Table.noteEnd(makeEnd(Fatal, 1, 0.5), false, at(0.5)));
+  CHECK(Table.noteEnd(makeEnd(Fatal, 1, 6), true, at(6)));
+  CHECK(Table.noteEnd(makeEnd(Fatal, 1, 12), true, at(12)));
+  CHECK(Table.judge(Fatal, at(12)) == SuspectVerdict::HeldBack);
+}
+
+TEST_CASE("who was queued where another request ended the server goes free") {
+  SuspectTable Table;
+  for (int I = 0; I < 3; ++I)
+    for (const RequestDigest Each : {Other, Fatal})
+      if (Each == Fatal || I < 2)
+        Table.noteEnd(makeEnd(Each, 1 + I, I), true, at(I));
+  // Its third end is with the fatal one too, and told later.
+  CHECK_FALSE(Table.noteEnd(makeEnd(Other, 3, 2), true, at(2)));
+  CHECK(Table.judge(Fatal, at(2)) == SuspectVerdict::HeldBack);
+  CHECK(Table.judge(Other, at(2)) == SuspectVerdict::Free);
+  CHECK_FALSE(Table.isSuspect(Other, 0));
+}
+
+TEST_CASE("a request that goes on ending servers gets few tries") {
+  HeldTable Table;
+  std::vector<double> Tries;
+  for (double Now = 2; Now < 599; Now += 0.1) {
+    if (Table.judge(Fatal, at(Now)) != SuspectVerdict::TryDue)
+      continue;
+    Table.grantTry(Fatal, at(Now));
+    Tries.push_back(Now);
+    Table.noteEnd(makeEnd(Fatal, 10 + Tries.size(), Now + 0.1), true,
+                  at(Now + 0.1));
+  }
+  // By the users' rule three at most come later than three seconds after.
+  CHECK(std::count_if(Tries.begin(), Tries.end(),
+                      [](double Each) { return Each > 5; }) <= 3);
+  REQUIRE(Tries.size() == 3);
+  CHECK(Tries[0] == doctest::Approx(4).epsilon(0.05));
+}
+
+TEST_CASE("a try that went well frees the request at once") {
+  HeldTable Table;
+  CHECK(Table.getWait(Fatal, at(2)) == fromSeconds(2));
+  CHECK(Table.judge(Fatal, at(4)) == SuspectVerdict::TryDue);
+  Table.grantTry(Fatal, at(4));
+  CHECK(Table.judge(Fatal, at(4)) == SuspectVerdict::HeldBack);
+  CHECK(Table.noteOwnAnswer({Fatal, at(4.1)}));
+  CHECK(Table.judge(Fatal, at(4.1)) == SuspectVerdict::Free);
+  CHECK(Table.getWait(Fatal, at(4.1)) == Duration::zero());
+}
+
+TEST_CASE("a try that reached no server is there for the next request") {
+  HeldTable Table;
+  Table.grantTry(Fatal, at(4));
+  CHECK_FALSE(Table.takeReturnedTry(Fatal));
+  Table.returnTry(Fatal);
+  CHECK(Table.takeReturnedTry(Fatal));
+  CHECK_FALSE(Table.takeReturnedTry(Fatal));
+}
+
+TEST_CASE(
+    "who reads the records knows what is held back, and that it is free") {
+  HeldTable Before;
+  const std::vector<SuspectRecord> Records = Before.listUnrecorded();
+  REQUIRE(Records.size() == 1);
+  Before.takeRecords(Records, at(3));
+  CHECK(Before.listUnrecorded().empty());
+
+  SuspectTable Later;
+  Later.takeRecords(Records, at(20));
+  CHECK(Later.judge(Fatal, at(3)) == SuspectVerdict::HeldBack);
+  CHECK(Later.listUnrecorded().empty());
+  Later.takeRecords({}, at(21));
+  CHECK(Later.judge(Fatal, at(21)) == SuspectVerdict::Free);
+}
+
+TEST_CASE("a record that was read before an answer brings nothing back") {
+  HeldTable Table;
+  std::vector<SuspectRecord> Records = Table.listUnrecorded();
+  Records[0].ChangedMillis = 5;
+  Table.takeRecords(Records, at(3));
+  CHECK(Table.noteOwnAnswer({Fatal, at(4)}));
+  CHECK(Table.listCleared() == std::vector<RequestDigest>{Fatal});
+  Table.takeRecords(Records, at(5));
+  CHECK(Table.judge(Fatal, at(5)) == SuspectVerdict::Free);
+  Table.takeRecords({}, at(6));
+  CHECK(Table.listCleared().empty());
+}
+
+TEST_CASE("two halls that see one end each and the record know of three") {
+  SuspectTable One;
+  One.noteEnd(makeEnd(Fatal, 1, 0), true, at(0));
+  SuspectTable Two;
+  Two.noteEnd(makeEnd(Fatal, 2, 1), true, at(1));
+  Two.noteEnd(makeEnd(Fatal, 3, 2), true, at(2));
+  One.takeRecords(Two.listUnrecorded(), at(3));
+  CHECK(One.judge(Fatal, at(3)) != SuspectVerdict::Free);
+}
+
+TEST_CASE("who invents new requests pushes out none that counts") {
+  HeldTable Table;
+  Table.noteEnd(makeEnd(Other, 1, 20), true, at(20));
+  Table.noteEnd(makeEnd(Other, 2, 21), true, at(21));
+  for (RequestDigest Each = 1000; Each < 3000; ++Each)
+    Table.noteEnd(makeEnd(Each, 50, 30), true, at(30));
+  CHECK(Table.describe().size() <= 256);
+  CHECK(Table.judge(Fatal, at(30)) != SuspectVerdict::Free);
+  CHECK(Table.isSuspect(Other, 0));
+}
+
+TEST_CASE("ends are forgotten after a while, and what is held back is not") {
+  HeldTable Table;
+  Table.noteEnd(makeEnd(Other, 9, 2), true, at(2));
+  Table.forgetOld(at(700));
+  CHECK_FALSE(Table.isSuspect(Other, 0));
+  CHECK(Table.countHeld() == 1);
+}
+
+TEST_CASE("all who hear of the same come to the same, in whatever order") {
+  const bool Holds = rc::check([] {
+    const int Ends = *rc::gen::inRange(0, 8);
+    std::vector<std::pair<bool, double>> Told;
+    for (int I = 0; I < Ends; ++I)
+      Told.emplace_back(false, *rc::gen::inRange(0, 3000) / 100.0);
+    if (*rc::gen::arbitrary<bool>())
+      Told.emplace_back(true, *rc::gen::inRange(0, 3000) / 100.0);
+    std::vector<size_t> Order;
+    for (size_t I = 0; I < Told.size(); ++I)
+      Order.insert(Order.end(), 2, I);
+    const std::vector<size_t> Second =
+        *rc::gen::arbitrary<bool>()
+            ? std::vector<size_t>(Order.rbegin(), Order.rend())
+            : Order;
+    const auto Hear = [&](const std::vector<size_t> &By) {
+      SuspectTable Table;
+      for (const size_t I : By)
+        if (Told[I].first)
+          Table.notePeerAnswer({Fatal, at(Told[I].second)});
+        else
+          Table.noteEnd(makeEnd(Fatal, I, Told[I].second), false, at(30));
+      return Table.judge(Fatal, at(31));
+    };
+    std::vector<size_t> Shuffled = Order;
+    for (size_t I = Shuffled.size(); I > 1; --I)
+      std::swap(Shuffled[I - 1],
+                Shuffled[static_cast<size_t>(
+                    *rc::gen::inRange<int>(0, static_cast<int>(I)))]);
+    RC_ASSERT(Hear(Order) == Hear(Shuffled));
+    RC_ASSERT(Hear(Second) == Hear(Shuffled));
+  });
+  CHECK(Holds);
+}
--- a/unittests/Daemon/PeerMessageTest.cpp
+++ b/unittests/Daemon/PeerMessageTest.cpp
@@ -36,6 +36,8 @@
   Message.Rates = {{11, 250, 13}};
   Message.Asked = {{0xfffffffe, 12345678901234}};
   Message.Lent = {{7, 8}, {9, 10}};
+  Message.Suspects.Ends = {{0xfedcba9876543210, 0xfffffffe, 20, 300}};
+  Message.Suspects.Answers = {{0xfedcba9876543210, 0}};
   return Message;
 }
 
@@ -96,10 +98,23 @@
   Changed = Value;
   Changed["heard-ms"] = true;
   CHECK(Refused(Changed));
+  for (const char *List : {"ends", "answers"}) {
+    Changed = Value;
+    Changed[List] = "x";
+    CHECK(Refused(Changed));
+    for (Json::ArrayIndex Field = 0; Field < Value[List][0].size(); ++Field)
+      for (const Json::Value &Wrong :
+           {Json::Value(-1), Json::Value("z"), Json::Value(1.5),
+            Json::Value(Json::nullValue), Json::Value(100000000)}) {
+        Changed = Value;
+        Changed[List][0][Field] = Wrong;
+        CHECK(Refused(Changed));
+      }
+  }
 }
 
 TEST_CASE("damaged messages never throw") {
-  rc::check([] {
+  CHECK(rc::check([] {
     std::string Text = encodePeerMessage(makeMessage());
     const auto Places = *rc::gen::container<std::vector<size_t>>(
         rc::gen::inRange<size_t>(0, Text.size()));
@@ -109,7 +124,7 @@
     Json::Value Value;
     if (parseJson(Text, Value))
       (void)decodeChanges(Value);
-  });
+  }));
 }
 
 TEST_CASE("changes of a directory survive encoding") {
--- a/unittests/EndingRequest/EndingRequestTest.cpp
+++ b/unittests/EndingRequest/EndingRequestTest.cpp
@@ -32,6 +32,7 @@
 
 #include "MortalServers.h"
 #include "PlatformAdapter/HallBench.h"
+#include "canvaswick/Daemon/SuspectReport.h"
 
 #include <doctest/doctest.h>
 
@@ -89,6 +90,17 @@
                       [From](TimePoint Each) { return Each > From; }));
   }
 
+  /// Returns the requests of which the store has a record.
+  std::vector<SuspectRecord> readRecords() {
+    const std::string Text = this->Store.peek("canvaswick/suspects");
+    if (Text.empty())
+      return {};
+    Result<std::vector<SuspectRecord>> Records =
+        decodeRecords(Text, readInstant());
+    REQUIRE(Records);
+    return Records.value();
+  }
+
   MortalServers Servers;
   size_t Turn = 0;
 };
@@ -109,6 +121,49 @@
   }
 }
 
+TEST_CASE("daemons that start later know what is held back") {
+  Fleet Under("/pay/fatal");
+  while (Under.askNext("POST", "/pay/fatal").Status != 503)
+    continue;
+  Under.waitFor([&] { return !Under.readRecords().empty(); });
+  // All at once: what they knew of each other is gone.
+  for (const std::unique_ptr<Member> &Each : Under.Members)
+    Each->stop();
+  for (const std::unique_ptr<Member> &Each : Under.Members)
+    Each->start();
+  for (const std::unique_ptr<Member> &Each : Under.Members)
+    Under.waitFor([&] { return Under.serves(*Each, "/x/1"); });
+  const size_t Before = Under.Servers.listArrivals().size();
+  for (int I = 0; I < 12; ++I) {
+    const ExchangeResult Answer = Under.askNext("POST", "/pay/fatal");
+    CHECK(Answer.Status == 503);
+    CHECK(Answer.Headers.find("Canvaswick-Reason")->second == "held-back");
+  }
+  CHECK(Under.Servers.listArrivals().size() == Before);
+}
+
+TEST_CASE("what no longer ends servers comes free, at all daemons") {
+  Fleet Under("/x/fatal");
+  while (Under.askNext("GET", "/x/fatal").Status != 503)
+    continue;
+  Under.waitFor([&] { return !Under.readRecords().empty(); });
+  Under.Servers.mend();
+  for (const std::unique_ptr<Member> &Each : Under.Members)
+    Under.waitFor([&] { return Under.serves(*Each, "/x/fatal"); });
+  // Also for those that have yet to start.
+  Under.waitFor([&] { return Under.readRecords().empty(); });
+}
+
+TEST_CASE("without the store a request is held back, and not tried") {
+  Fleet Under("/x/fatal");
+  StoreFaults Down;
+  Down.IsDown = true;
+  Under.Store.setFaults(Down);
+  const ExchangeResult Last = Under.askOften("GET", "/x/fatal");
+  CHECK(Last.Status == 503);
+  CHECK(Under.countLateSends() == 0);
+}
+
 TEST_CASE("what all ask for is served while servers end for another reason") {
   Fleet Under("");
   const TimePoint Until = readSteadyClock() + AskingTime;
