--- a/test/sessions/ending.sh
+++ b/test/sessions/ending.sh
@@ -26,14 +26,17 @@
       --ends_under /pay/fatal
   done
 }
+# Each time from another address: callers are many machines, or sit behind many.
+Asked=0
 askFatal() { # DAEMON
-  request "$1" POST /pay/fatal -d order
+  request "$1" POST /pay/fatal -d order --interface "127.0.0.$((2 + Asked % 90))"
 }
 
 say "-- it comes again at any daemon"
 for _ in $(seq 12); do
   for Daemon in d1 d2 d3; do
     Last="$(askFatal "$Daemon")"
+    Asked=$((Asked + 1))
     sleep 0.1
     restartEnded
   done
