--- a/unittests/Admission/SuspectTableTest.cpp
+++ b/unittests/Admission/SuspectTableTest.cpp
@@ -221,6 +221,7 @@
   const bool Holds = rc::check([] {
     const int Ends = *rc::gen::inRange(0, 8);
     std::vector<std::pair<bool, double>> Told;
+    Told.reserve(9);
     for (int I = 0; I < Ends; ++I)
       Told.emplace_back(false, *rc::gen::inRange(0, 3000) / 100.0);
     if (*rc::gen::arbitrary<bool>())
