A server is its id and its start; entries of other writers name nothing to use

Cause: all that is known of a server hung on its id, which it may now keep when it starts again: evidence, load, requests in flight, 'draining', connections. And an entry was taken with an unknown state as ready, with missing fields as zero, with an id that could end a header; one that turned unreadable left its server in use.

Mended: the name by which all is known holds the start where servers tell it, so messages of daemons about one life mean nothing for the next; an older start, or an older count of the same start, changes nothing, also after the entry has gone; idle connections belong to one life. Entries are decoded field by field: type, range, whole numbers, named states, UTF-8, 16 KB, plain ids; one that cannot be read is dropped from use until it can. Where most servers tell their start, an entry without one is not a server's. Seen failing first: FleetView (five cases) and RecordDecoder before the mend by reading (they did not compile without Born); the connections' test likewise.

--- a/include/canvaswick/Directory/FleetRecords.h
+++ b/include/canvaswick/Directory/FleetRecords.h
@@ -62,6 +62,11 @@
 /// One start of a backend server, as it keeps itself listed.
 struct ServerRecord {
   std::string Id;
+  /// Calendar time of its start in milliseconds, which with the id names this
+  /// life of it; 0: it does not tell.
+  uint64_t Born = 0;
+  /// Grows with each entry of one life.
+  uint64_t Sequence = 0;
   std::string Service;
   Endpoint Address;
   std::string Hall;
@@ -87,6 +92,11 @@
   int FloorPercent = 0;
 };
 
+/// Returns the name of a life of a server. All that is known of a server goes
+/// by it: evidence, load, requests in flight, connections, what daemons tell
+/// each other. So nothing of one life can count for the next.
+std::string getLifeName(const ServerRecord &Record);
+
 /// A record and when this daemon learned of it.
 struct KnownServer {
   ServerRecord Record;
--- a/include/canvaswick/Http/HttpClient.h
+++ b/include/canvaswick/Http/HttpClient.h
@@ -74,6 +74,9 @@
   TimePoint BodyDeadline = TimePoint::max();
   /// Asked for a later deadline when the one for the head has passed.
   std::function<TimePoint()> ExtendDeadline;
+  /// Names the life of the server at the address. A connection to one life is
+  /// never used for another: what is left of one that lost power looks open.
+  std::string Life;
   /// How long a new connection may take to come about.
   Duration ConnectLimit = fromSeconds(1);
   /// Takes no connection that was used before, and leaves none behind.
@@ -121,6 +124,8 @@
     TimePoint Since;
   };
   struct Address {
+    /// The life that the idle connections lead to.
+    std::string Life;
     std::list<IdleConnection> Idle;
     size_t Open = 0;
     size_t Bound = 0;
@@ -130,7 +135,9 @@
                                         const OutgoingRequest &Outgoing,
                                         TimePoint Deadline, ExchangeEnd &End);
   std::unique_ptr<SocketStream> takeIdle(Address &Entry);
-  void giveBack(const Endpoint &Endpoint, std::unique_ptr<SocketStream> Stream);
+  void beginLife(Address &Entry, const std::string &Life);
+  void giveBack(const Endpoint &Endpoint, const std::string &Life,
+                std::unique_ptr<SocketStream> Stream);
   void drop(const Endpoint &Endpoint, std::unique_ptr<SocketStream> Stream);
 
   const size_t PerAddress;
--- a/lib/Directory/FleetRecords.cpp
+++ b/lib/Directory/FleetRecords.cpp
@@ -14,6 +14,8 @@
 
 #include "canvaswick/Directory/FleetRecords.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace canvaswick {
@@ -51,11 +53,17 @@
   return Config;
 }
 
+std::string getLifeName(const ServerRecord &Record) {
+  if (Record.Born == 0)
+    return Record.Id;
+  return fmt::format("{}@{:x}", Record.Id, Record.Born);
+}
+
 static ServerConfig compileServer(const KnownServer &Known,
                                   const ServiceRule &Rule) {
   const ServerRecord &Record = Known.Record;
   ServerConfig Config;
-  Config.Name = Record.Id;
+  Config.Name = getLifeName(Record);
   Config.Instance = Record.Id;
   Config.Address = Record.Address;
   Config.Hall = Record.Hall;
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -126,6 +126,16 @@
   return nullptr;
 }
 
+/// Closes the idle connections to an earlier life of the server. The caller
+/// holds the mutex.
+void ConnectionPool::beginLife(Address &Entry, const std::string &Life) {
+  if (Entry.Life == Life)
+    return;
+  Entry.Open -= Entry.Idle.size();
+  Entry.Idle.clear();
+  Entry.Life = Life;
+}
+
 std::unique_ptr<SocketStream>
 ConnectionPool::acquire(const Endpoint &Endpoint,
                         const OutgoingRequest &Outgoing, TimePoint Deadline,
@@ -133,6 +143,7 @@
   {
     std::lock_guard<std::mutex> Lock(this->Mutex);
     Address &Entry = this->Addresses[Endpoint.format()];
+    this->beginLife(Entry, Outgoing.Life);
     std::unique_ptr<SocketStream> Stream;
     if (!Outgoing.WantsFreshConnection)
       Stream = this->takeIdle(Entry);
@@ -155,11 +166,14 @@
   return nullptr;
 }
 
-void ConnectionPool::giveBack(const Endpoint &Endpoint,
+void ConnectionPool::giveBack(const Endpoint &Endpoint, const std::string &Life,
                               std::unique_ptr<SocketStream> Stream) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
-  this->Addresses[Endpoint.format()].Idle.push_back(
-      {std::move(Stream), readSteadyClock()});
+  Address &Entry = this->Addresses[Endpoint.format()];
+  if (Entry.Life == Life)
+    Entry.Idle.push_back({std::move(Stream), readSteadyClock()});
+  else
+    --Entry.Open;
 }
 
 void ConnectionPool::drop(const Endpoint &Endpoint,
@@ -288,7 +302,7 @@
                           !Outgoing.WantsFreshConnection &&
                           hasOwnEnd(Response) && !Stream->hasUnexpectedInput();
   if (IsReusable)
-    this->giveBack(Endpoint, std::move(Stream));
+    this->giveBack(Endpoint, Outgoing.Life, std::move(Stream));
   else
     this->drop(Endpoint, std::move(Stream));
   return Result;
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -186,6 +186,7 @@
         !isConnectionHeader(Name, Caller.headers))
       Outgoing.Headers.emplace(Name, Value);
   this->addServerHeaders(Request, Server, RequestId, Outgoing);
+  Outgoing.Life = Server.Name;
   Outgoing.ConnectLimit = fromMillis(this->Options.ConnectMs);
   Outgoing.WantsFreshConnection =
       this->Options.HasFreshConnections && !mayRepeat(*Request.Route);
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -210,3 +210,30 @@
   Caller.join();
   CHECK(Result.Body == "late");
 }
+
+TEST_CASE("a connection to one life of a server is not used for the next") {
+  HttpServer Server(HttpServerLimits{}, [](HttpExchange &Exchange) {
+    Exchange.Response.set_content("ok", "text/plain");
+  });
+  REQUIRE(Server.start({"127.0.0.1", 0}));
+  const Endpoint Address{"127.0.0.1", Server.getPort()};
+  ConnectionPool Pool(0);
+  const auto Ask = [&](const std::string &Life) {
+    OutgoingRequest Request;
+    Request.Life = Life;
+    return Pool
+        .exchange(Address, Request, readSteadyClock() + fromSeconds(5), -1,
+                  nullptr)
+        .End;
+  };
+  CHECK(Ask("one") == ExchangeEnd::Complete);
+  CHECK(Ask("one") == ExchangeEnd::Complete);
+  CHECK(Pool.countOpen(Address) == 1);
+  CHECK(Ask("two") == ExchangeEnd::Complete);
+  // The first one's is closed, not kept beside it.
+  CHECK(Pool.countOpen(Address) == 1);
+  const auto IsOneLeft = [&Server] { return Server.countConnections() == 1; };
+  for (int I = 0; I < 500 && !IsOneLeft(); ++I)
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  CHECK(IsOneLeft());
+}
--- a/unittests/PlatformAdapter/FleetViewTest.cpp
+++ b/unittests/PlatformAdapter/FleetViewTest.cpp
@@ -37,7 +37,8 @@
 static std::string makeServer(const std::string &State) {
   return fmt::format(
       R"({{"address": "10.0.0.9:80", "info": {{"service": "s", "version": "v",
-      "zone": "h", "slots": 3}}, "status": {{"state": "{}"}}}})",
+      "zone": "h", "slots": 3}},
+      "status": {{"state": "{}", "seq": 1, "warmupLeftS": 0}}}})",
       State);
 }
 
@@ -212,3 +213,92 @@
   CHECK(HasChanged());
   CHECK(countServers(View) == 0);
 }
+
+/// Returns the entry of one life of a server.
+static std::string makeLife(uint64_t Born, uint64_t Sequence,
+                            const std::string &State = "ready", int Port = 80) {
+  return fmt::format(
+      R"({{"address": "10.0.0.9:{}", "born": {},
+      "info": {{"service": "s", "version": "v", "zone": "h", "slots": 3}},
+      "status": {{"state": "{}", "seq": {}, "warmupLeftS": 0}}}})",
+      Port, Born, State, Sequence);
+}
+
+static const ServerConfig &getOnly(const FleetConfigRef &Config) {
+  REQUIRE(Config->Services[0].Servers.size() == 1);
+  return Config->Services[0].Servers[0];
+}
+
+TEST_CASE("a server that starts again under its id is another server") {
+  FleetView View({70}, fromSeconds(2));
+  View.replaceAll({{"op/config", makeRules(2), 5, false},
+                   {"servers/i-1", makeLife(1000, 7, "draining"), 6, false}},
+                  10, Start);
+  const FleetConfigRef Before = View.compileConfig();
+  CHECK(getOnly(Before).State == ServerState::Draining);
+  View.applyEvents({{"servers/i-1", makeLife(2000, 1, "ready", 81), 11, false}},
+                   11, Start);
+  const FleetConfigRef After = View.compileConfig();
+  CHECK(getOnly(After).State == ServerState::Active);
+  CHECK(getOnly(After).Address.Port == 81);
+  // What is known goes by the name; servers are asked by their id.
+  CHECK(getOnly(After).Name != getOnly(Before).Name);
+  CHECK(getOnly(After).Instance == "i-1");
+}
+
+TEST_CASE("the same life is the same server, whatever else it says") {
+  FleetView View({70}, fromSeconds(2));
+  View.replaceAll({{"op/config", makeRules(2), 5, false},
+                   {"servers/i-1", makeLife(1000, 7), 6, false}},
+                  10, Start);
+  const FleetConfigRef Before = View.compileConfig();
+  View.applyEvents({{"servers/i-1", makeLife(1000, 8, "draining"), 11, false}},
+                   11, Start);
+  CHECK(getOnly(View.compileConfig()).Name == getOnly(Before).Name);
+  CHECK(getOnly(View.compileConfig()).State == ServerState::Draining);
+}
+
+TEST_CASE(
+    "what an earlier life, or the same one earlier, wrote comes too late") {
+  FleetView View({70}, fromSeconds(2));
+  View.replaceAll({{"op/config", makeRules(2), 5, false},
+                   {"servers/i-1", makeLife(2000, 5), 6, false}},
+                  10, Start);
+  View.applyEvents({{"servers/i-1", makeLife(1000, 99, "draining"), 11, false}},
+                   11, Start);
+  CHECK(getOnly(View.compileConfig()).State == ServerState::Active);
+  View.applyEvents({{"servers/i-1", makeLife(2000, 4, "draining"), 12, false}},
+                   12, Start);
+  CHECK(getOnly(View.compileConfig()).State == ServerState::Active);
+  // Also once the entry has gone.
+  View.applyEvents({{"servers/i-1", "", 13, true}}, 13, Start);
+  View.applyEvents({{"servers/i-1", makeLife(1000, 100), 14, false}}, 14,
+                   Start);
+  CHECK(countServers(View) == 0);
+  View.applyEvents({{"servers/i-1", makeLife(2000, 6), 15, false}}, 15, Start);
+  CHECK(countServers(View) == 1);
+}
+
+TEST_CASE("an entry that turns unreadable names no server, and comes back") {
+  FleetView View({70}, fromSeconds(2));
+  View.replaceAll({{"op/config", makeRules(2), 5, false},
+                   {"servers/i-1", makeLife(1000, 7), 6, false},
+                   {"servers/i-2", makeLife(1000, 7), 7, false}},
+                  10, Start);
+  View.applyEvents({{"servers/i-1", "\xff", 11, false}}, 11, Start);
+  CHECK(countServers(View) == 1);
+  View.applyEvents({{"servers/i-1", makeLife(1000, 8), 12, false}}, 12, Start);
+  CHECK(countServers(View) == 2);
+}
+
+TEST_CASE(
+    "where servers tell their start, an entry without one is not theirs") {
+  FleetView View({70}, fromSeconds(2));
+  fill(View);
+  CHECK(countServers(View) == 1);
+  // One that tells it among others that do not proves nothing.
+  View.applyEvents({{"servers/i-2", makeLife(1000, 1), 11, false}}, 11, Start);
+  CHECK(countServers(View) == 2);
+  View.applyEvents({{"servers/i-3", makeLife(1000, 1), 12, false}}, 12, Start);
+  CHECK(countServers(View) == 2);
+}
--- a/unittests/PlatformAdapter/RecordDecoderTest.cpp
+++ b/unittests/PlatformAdapter/RecordDecoderTest.cpp
@@ -12,6 +12,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "platform/RecordDecoder.h"
+#include "canvaswick/Json/JsonText.h"
 #include "canvaswick/Support/Base64.h"
 #include "platform/StoreClient.h"
 
@@ -81,6 +82,88 @@
   CHECK_FALSE(decodeServer("i-1", R"({"address": "nowhere"})"));
 }
 
+static const std::string Entry = R"({
+    "address": "10.0.0.9:8080", "born": 1764725873000,
+    "info": {"service": "s", "version": "v1", "zone": "h", "slots": 3},
+    "status": {"state": "ready", "seq": 4, "warmupLeftS": 1.5}})";
+
+TEST_CASE("a server's entry is refused for each field that is wrong") {
+  Json::Value Value;
+  REQUIRE(parseJson(Entry, Value));
+  REQUIRE(decodeServer("i-1", Entry));
+  CHECK(decodeServer("i-1", Entry).value().Born == 1764725873000);
+  const Json::Value Wrongs[] = {Json::Value(Json::nullValue),
+                                Json::Value(true),
+                                Json::Value(Json::arrayValue),
+                                Json::Value(Json::objectValue),
+                                Json::Value(-1),
+                                Json::Value(2.5),
+                                Json::Value("")};
+  const std::pair<const char *, const char *> Fields[] = {
+      {"", "address"},
+      {"", "born"},
+      {"", "info"},
+      {"", "status"},
+      {"info", "service"},
+      {"info", "version"},
+      {"info", "zone"},
+      {"info", "slots"},
+      {"status", "state"},
+      {"status", "seq"},
+      {"status", "warmupLeftS"}};
+  for (const auto &[Table, Field] : Fields)
+    for (const Json::Value &Wrong : Wrongs) {
+      const bool IsAllowed = std::string(Field) == "warmupLeftS" &&
+                             Wrong.isDouble() && Wrong.asDouble() == 2.5;
+      // A server that does not tell its start may be one of an older platform.
+      const bool IsUntold = std::string(Field) == "born" && Wrong.isNull();
+      Json::Value Changed = Value;
+      (*Table ? Changed[Table] : Changed)[Field] = Wrong;
+      CAPTURE(writeJson(Changed));
+      CHECK(decodeServer("i-1", writeJson(Changed)).has_value() ==
+            (IsAllowed || IsUntold));
+      if (IsUntold)
+        continue;
+      Changed = Value;
+      (*Table ? Changed[Table] : Changed).removeMember(Field);
+      CHECK(decodeServer("i-1", writeJson(Changed)).has_value() ==
+            (std::string(Field) == "born"));
+    }
+  Json::Value Changed = Value;
+  Changed["status"]["state"] = "starting";
+  CHECK_FALSE(decodeServer("i-1", writeJson(Changed)));
+  Changed = Value;
+  Changed["info"]["slots"] = 10001;
+  CHECK_FALSE(decodeServer("i-1", writeJson(Changed)));
+  Changed = Value;
+  Changed["address"] = "10.0.0.9:0";
+  CHECK_FALSE(decodeServer("i-1", writeJson(Changed)));
+}
+
+TEST_CASE("an id that could not stand in a header names no server") {
+  CHECK(decodeServer("i-7f3a91c2", Entry));
+  for (const char *Id : {"", "i 1", "i\r\nX: y", "i/1", "\xc3\xa9", "i\x01"})
+    CHECK_FALSE(decodeServer(Id, Entry));
+  CHECK_FALSE(decodeServer(std::string(200, 'i'), Entry));
+}
+
+TEST_CASE("an entry whose bytes are not UTF-8 is refused") {
+  for (const char *Bytes : {"\xc3\x28", "\xff", "\xc0\xaf", "\xed\xa0\x80"}) {
+    std::string Text = Entry;
+    Text.replace(Text.find("v1"), 2, Bytes);
+    CHECK_FALSE(decodeServer("i-1", Text));
+  }
+}
+
+TEST_CASE("an entry that is long or deep is refused") {
+  CHECK_FALSE(decodeServer("i-1", std::string(1 << 20, ' ') + Entry));
+  CHECK_FALSE(decodeServer("i-1", std::string(100000, '[')));
+  std::string Deep = Entry;
+  Deep.insert(1,
+              "\"x\": " + std::string(500, '[') + std::string(500, ']') + ",");
+  (void)decodeServer("i-1", Deep);
+}
+
 TEST_CASE("a daemon's entry survives encoding") {
   const DaemonRecord Record{"d1", "h", {"10.0.0.1", 80}, {"10.0.0.1", 81}};
   Result<DaemonRecord> Back = decodeDaemon("d1", encodeDaemon(Record));
