Time counts suspensions, and a daemon knows that it stood still

Cause: the one clock was std::chrono::steady_clock, which does not count a suspension: after one, ages, leases, copies and evidence looked fresher than they were, and deadlines came later. It reads CLOCK_BOOTTIME now; waits of the system, which stand still too, are cut into half seconds.

A daemon that stood still for a second or more (suspension, stop, freeze) notices by its missing rounds: it closes kept connections, holds the store's answers for old until the next one, and drops what peers' datagrams said meanwhile, whose ages would count from now. Line stood-still, counter standstills. Not done by a real suspension; what a caller's request waited in the system's queue before it was read is not known.

--- a/include/canvaswick/Daemon/Gateway.h
+++ b/include/canvaswick/Daemon/Gateway.h
@@ -26,6 +26,7 @@
 #include "canvaswick/Proxy/RequestGuard.h"
 #include "canvaswick/Settings/DaemonConfig.h"
 
+#include <functional>
 #include <memory>
 
 namespace canvaswick {
@@ -47,8 +48,10 @@
   void setDaemons(const std::vector<DaemonRecord> &Daemons);
 
   /// Sets who answers peers that ask for the copy of the store, and who hears
-  /// each message of a peer. Call before start.
-  void setHooks(ChangesSource Source, PeerLink::Handler Heard);
+  /// each message of a peer. StoodStill is called when the process goes on
+  /// after a standstill. Call before start.
+  void setHooks(ChangesSource Source, PeerLink::Handler Heard,
+                std::function<void()> StoodStill);
 
   /// Says where this daemon stands with the store. IsNews: peers are told at
   /// once.
--- a/include/canvaswick/Daemon/PeerLink.h
+++ b/include/canvaswick/Daemon/PeerLink.h
@@ -93,6 +93,7 @@
 
 private:
   void runThread();
+  size_t dropReceived() const;
   void receive(const std::string &Text);
   PeerMessage makeMessage();
   bool isNew(const PeerMessage &Message);
--- a/include/canvaswick/Metrics/Counters.h
+++ b/include/canvaswick/Metrics/Counters.h
@@ -64,6 +64,7 @@
   PeerDatagramsRefused,
   PeerSendFailures,
   FleetBuilds,
+  Standstills,
   RepeatsLent,
   RepeatsBorrowed,
   RepeatsAskedInVain,
--- a/include/canvaswick/Support/Time.h
+++ b/include/canvaswick/Support/Time.h
@@ -19,19 +19,38 @@
 #include <chrono>
 #include <cstdint>
 
+#include <time.h>
+
 namespace canvaswick {
 
 /// A length of time in microseconds.
 using Duration = std::chrono::microseconds;
 
+/// The steady clock of this product: it never goes back, and counts the time in
+/// which the machine was suspended, as std::chrono::steady_clock does not here.
+/// After a suspension of ten seconds each age, lease and deadline is ten
+/// seconds older; with the other clock all that was known before looked fresh.
+struct MachineClock {
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<MachineClock, duration>;
+  static constexpr bool is_steady = true;
+
+  static time_point now() {
+    timespec Now{};
+    ::clock_gettime(CLOCK_BOOTTIME, &Now);
+    return time_point(std::chrono::seconds(Now.tv_sec) +
+                      std::chrono::duration_cast<duration>(
+                          std::chrono::nanoseconds(Now.tv_nsec)));
+  }
+};
+
 /// An instant of the steady clock. Zero is an arbitrary start.
-using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+using TimePoint = MachineClock::time_point;
 
 /// Reads the steady clock. Only input/output code may call this.
-inline TimePoint readSteadyClock() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
-}
+inline TimePoint readSteadyClock() { return MachineClock::now(); }
 
 /// Reads the calendar clock in whole milliseconds since the epoch.
 inline int64_t readCalendarMillis() {
--- a/lib/Daemon/Daemon.cpp
+++ b/lib/Daemon/Daemon.cpp
@@ -24,6 +24,7 @@
 #include "canvaswick/Proxy/RequestProxy.h"
 #include "canvaswick/Support/Log.h"
 #include "canvaswick/Support/RoundThread.h"
+#include "canvaswick/Support/StandstillWatch.h"
 
 namespace canvaswick {
 
@@ -82,6 +83,8 @@
   std::mutex BuildMutex;
   uint64_t BuiltForMembers = 0;
   std::atomic<bool> IsStopping{false};
+  /// Used by housekeeping only.
+  StandstillWatch Standstills{HousekeepingInterval};
   RoundThread Threads[7];
 };
 
@@ -212,7 +215,14 @@
 void Daemon::Impl::housekeep() {
   const TimePoint Now = readSteadyClock();
   this->rebuildIfMembersChanged();
-  this->Upstreams.closeIdleSince(Now - UpstreamIdleLimit);
+  const Duration Stood = this->Standstills.noteRound(Now);
+  if (Stood > Duration::zero()) {
+    this->Counters.add(Counter::Standstills);
+    logWarning("stood-still", "ms={}", toMillis(Stood));
+  }
+  // What was kept open before a standstill may have ended on the other side.
+  this->Upstreams.closeIdleSince(
+      Stood > Duration::zero() ? Now : Now - UpstreamIdleLimit);
   this->Caller->closeIdle(Now);
   this->Proxy->forgetIdle(Now);
 }
--- a/lib/Daemon/Gateway.cpp
+++ b/lib/Daemon/Gateway.cpp
@@ -19,6 +19,7 @@
 #include "canvaswick/Proxy/RequestProxy.h"
 #include "canvaswick/Support/Log.h"
 #include "canvaswick/Support/RoundThread.h"
+#include "canvaswick/Support/StandstillWatch.h"
 
 #include <algorithm>
 
@@ -83,6 +84,7 @@
 
   ChangesSource Source;
   PeerLink::Handler Heard;
+  std::function<void()> StoodStill;
   const DaemonConfig Config;
   DaemonRecord Self;
   CounterTable Counters;
@@ -92,6 +94,7 @@
   void build(const FleetConfigRef &Next);
   void giveRepeats(const FleetRuntime &Runtime);
   void runHealthRound();
+  void noteStandstill(TimePoint Now);
   void housekeep();
   StoreState getStoreState();
   OwnFigures getOwnFigures();
@@ -122,6 +125,8 @@
   RepeatAllowance Repeats;
   std::atomic<bool> IsStopping{false};
   std::atomic<bool> IsStopped{false};
+  /// Used by the health rounds only.
+  StandstillWatch Standstills{HealthInterval};
   RoundThread HealthRounds;
   RoundThread HousekeepingRounds;
 };
@@ -332,9 +337,23 @@
           this->getGuard().describe()};
 }
 
+/// What was kept open before a standstill may have ended on the other side, and
+/// what was known of the store is as old as it was long.
+void Gateway::Impl::noteStandstill(TimePoint Now) {
+  const Duration Stood = this->Standstills.noteRound(Now);
+  if (Stood == Duration::zero())
+    return;
+  this->Counters.add(Counter::Standstills);
+  logWarning("stood-still", "ms={}", toMillis(Stood));
+  this->Upstreams.closeIdleSince(Now);
+  if (this->StoodStill)
+    this->StoodStill();
+}
+
 /// Looks for late requests and tells peers what was seen since the last round.
 void Gateway::Impl::runHealthRound() {
   const TimePoint Now = readSteadyClock();
+  this->noteStandstill(Now);
   if (Now - this->Started >= SettingsPatience)
     this->Callers->beginAccepting();
   const FleetRuntimeRef Current = this->Fleet.get();
@@ -404,9 +423,11 @@
   this->Implementation->setRepeats(Allowance);
 }
 
-void Gateway::setHooks(ChangesSource Source, PeerLink::Handler Heard) {
+void Gateway::setHooks(ChangesSource Source, PeerLink::Handler Heard,
+                       std::function<void()> StoodStill) {
   this->Implementation->Source = std::move(Source);
   this->Implementation->Heard = std::move(Heard);
+  this->Implementation->StoodStill = std::move(StoodStill);
 }
 
 void Gateway::setStoreState(const StoreState &State, bool IsNews) {
--- a/lib/Daemon/PeerLink.cpp
+++ b/lib/Daemon/PeerLink.cpp
@@ -13,6 +13,7 @@
 
 #include "canvaswick/Daemon/PeerLink.h"
 #include "canvaswick/Support/Log.h"
+#include "canvaswick/Support/StandstillWatch.h"
 
 #include <algorithm>
 #include <iterator>
@@ -287,11 +288,29 @@
   this->Handle(Taken);
 }
 
+/// Throws away what has come so far. After a standstill that is what peers said
+/// during it: taken now, its ages would count from now.
+size_t PeerLink::dropReceived() const {
+  char Byte = 0;
+  size_t Dropped = 0;
+  while (::recv(this->Descriptor, &Byte, sizeof(Byte), MSG_DONTWAIT) >= 0)
+    ++Dropped;
+  return Dropped;
+}
+
 void PeerLink::runThread() {
   std::string Buffer;
+  StandstillWatch Watch(fromMillis(ReceiveMillis));
   while (!this->IsStopping) {
     pollfd Poll{this->Descriptor, POLLIN, 0};
-    if (::poll(&Poll, 1, ReceiveMillis) <= 0)
+    const int Ready = ::poll(&Poll, 1, ReceiveMillis);
+    const Duration Stood = Watch.noteRound(readSteadyClock());
+    if (Stood > Duration::zero()) {
+      logWarning("peer-messages-dropped", "count={} stood-ms={}",
+                 this->dropReceived(), toMillis(Stood));
+      continue;
+    }
+    if (Ready <= 0)
       continue;
     Buffer.resize(MaxDatagramBytes * 2);
     const ssize_t Count =
--- a/lib/Http/SocketStream.cpp
+++ b/lib/Http/SocketStream.cpp
@@ -113,6 +113,11 @@
   return ::poll(&Poll, 1, 0) != 0;
 }
 
+/// The system's own waits stand still while the machine is suspended. After so
+/// long it is looked at the clock again, which does not: a request whose time
+/// was up meanwhile ends within this time.
+static constexpr int64_t LongestPollMillis = 500;
+
 /// Waits until the socket is ready. Notes the failure if it never is.
 bool SocketStream::waitFor(short Events) {
   TimePoint Until = this->Deadline;
@@ -131,7 +136,7 @@
     }
     pollfd Polls[2] = {{this->Descriptor, Events, 0},
                        {this->Watched, POLLRDHUP, 0}};
-    const int64_t Millis = toMillis(Left) + 1;
+    const int64_t Millis = std::min(toMillis(Left) + 1, LongestPollMillis);
     const int Count =
         ::poll(Polls, this->Watched >= 0 ? 2 : 1, static_cast<int>(Millis));
     if (Count < 0 && errno != EINTR) {
--- a/lib/Metrics/Counters.cpp
+++ b/lib/Metrics/Counters.cpp
@@ -59,6 +59,7 @@
     {Counter::PeerDatagramsRefused, "peer_datagrams_refused"},
     {Counter::PeerSendFailures, "peer_send_failures"},
     {Counter::FleetBuilds, "fleet_builds"},
+    {Counter::Standstills, "standstills"},
     {Counter::RepeatsLent, "repeats_lent"},
     {Counter::RepeatsBorrowed, "repeats_borrowed"},
     {Counter::RepeatsAskedInVain, "repeats_asked_in_vain"},
--- /dev/null
+++ b/unittests/Support/StandstillWatchTest.cpp
@@ -0,0 +1,35 @@
+//===- StandstillWatchTest.cpp - Tests of clocks and standstills ----------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// The clock counts suspensions; rounds that are missing are noticed once.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Support/StandstillWatch.h"
+
+#include <doctest/doctest.h>
+
+using namespace canvaswick;
+
+TEST_CASE("the clock is the one that counts the time of suspensions") {
+  timespec Boot{};
+  REQUIRE(::clock_gettime(CLOCK_BOOTTIME, &Boot) == 0);
+  const Duration Since = readSteadyClock().time_since_epoch();
+  CHECK(Since >= std::chrono::seconds(Boot.tv_sec));
+  CHECK(Since < std::chrono::seconds(Boot.tv_sec + 60));
+}
+
+TEST_CASE("rounds that are missing are noticed, late ones are not") {
+  const TimePoint Start(fromSeconds(100));
+  StandstillWatch Watch(fromMillis(50));
+  CHECK(Watch.noteRound(Start) == Duration::zero());
+  CHECK(Watch.noteRound(Start + fromMillis(900)) == Duration::zero());
+  CHECK(Watch.noteRound(Start + fromMillis(10900)) == fromSeconds(10));
+  CHECK(Watch.noteRound(Start + fromMillis(10950)) == Duration::zero());
+}
