--- a/unittests/PlatformAdapter/FleetViewTest.cpp
+++ b/unittests/PlatformAdapter/FleetViewTest.cpp
@@ -17,7 +17,9 @@
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
+#include <rapidcheck.h>
 
+#include <algorithm>
 #include <utility>
 
 using namespace canvaswick;
@@ -302,3 +304,53 @@
   View.applyEvents({{"servers/i-3", makeLife(1000, 1), 12, false}}, 12, Start);
   CHECK(countServers(View) == 2);
 }
+
+/// Returns a real value with some bytes changed, or another text altogether.
+static std::string drawForeign(const std::string &Real) {
+  if (*rc::gen::inRange(0, 4) == 0)
+    return *rc::gen::arbitrary<std::string>();
+  std::string Text = Real;
+  const auto Places = *rc::gen::container<std::vector<size_t>>(
+      rc::gen::inRange<size_t>(0, Real.size()));
+  for (const size_t Place : Places)
+    Text[Place] =
+        *rc::gen::elementOf(std::string("{}[]\":,0-9.enta \xff\x01\xc3\x28\\"));
+  return Text;
+}
+
+TEST_CASE("entries of other writers change nothing about the others") {
+  CHECK(rc::check([] {
+    FleetView View({70}, fromSeconds(2));
+    fill(View);
+    const DaemonRecord Peer{"d1", "h", {"10.0.0.1", 80}, {"10.0.0.1", 81}};
+    View.applyEvents({{"canvaswick/daemons/d1", encodeDaemon(Peer), 11, false}},
+                     11, Start);
+    const std::string Keys[] = {"servers/i-2",
+                                "canvaswick/daemons/d2",
+                                "servers/" + *rc::gen::arbitrary<std::string>(),
+                                "op/other",
+                                "canvaswick/suspects",
+                                *rc::gen::arbitrary<std::string>()};
+    uint64_t Revision = 12;
+    const int Steps = *rc::gen::inRange(1, 8);
+    for (int Step = 0; Step < Steps; ++Step, ++Revision) {
+      const std::string &Key = Keys[*rc::gen::inRange(0, 6)];
+      if (Key == "servers/i-1" || Key == "op/config")
+        continue;
+      const std::string Real =
+          *rc::gen::arbitrary<bool>() ? makeLife(1000, 5) : encodeDaemon(Peer);
+      View.applyEvents({{Key, drawForeign(Real), Revision, false}}, Revision,
+                       Start);
+    }
+    const FleetConfigRef Config = View.compileConfig();
+    RC_ASSERT(Config->Version == 2u);
+    RC_ASSERT(Config->Routes.size() == 1u);
+    const auto &Servers = Config->Services[0].Servers;
+    const auto IsSound = [](const ServerConfig &Server) {
+      return Server.Name == "i-1" && Server.Address.Port == 80;
+    };
+    RC_ASSERT(std::count_if(Servers.begin(), Servers.end(), IsSound) == 1);
+    const std::vector<DaemonRecord> Daemons = View.listDaemons();
+    RC_ASSERT(std::count(Daemons.begin(), Daemons.end(), Peer) == 1);
+  }));
+}
