--- a/include/canvaswick/Metrics/Counters.h
+++ b/include/canvaswick/Metrics/Counters.h
@@ -65,6 +65,7 @@
   PeerSendFailures,
   FleetBuilds,
   Standstills,
+  EntriesRefused,
   RepeatsLent,
   RepeatsBorrowed,
   RepeatsAskedInVain,
--- a/include/canvaswick/Support/Time.h
+++ b/include/canvaswick/Support/Time.h
@@ -35,6 +35,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<MachineClock, duration>;
+  // Named so by the requirements on clocks.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool is_steady = true;
 
   static time_point now() {
--- a/lib/Metrics/Counters.cpp
+++ b/lib/Metrics/Counters.cpp
@@ -60,6 +60,7 @@
     {Counter::PeerSendFailures, "peer_send_failures"},
     {Counter::FleetBuilds, "fleet_builds"},
     {Counter::Standstills, "standstills"},
+    {Counter::EntriesRefused, "entries_refused"},
     {Counter::RepeatsLent, "repeats_lent"},
     {Counter::RepeatsBorrowed, "repeats_borrowed"},
     {Counter::RepeatsAskedInVain, "repeats_asked_in_vain"},
--- a/unittests/PlatformAdapter/FleetViewTest.cpp
+++ b/unittests/PlatformAdapter/FleetViewTest.cpp
@@ -289,6 +289,8 @@
                   10, Start);
   View.applyEvents({{"servers/i-1", "\xff", 11, false}}, 11, Start);
   CHECK(countServers(View) == 1);
+  CHECK(View.takeRefused() == 1);
+  CHECK(View.takeRefused() == 0);
   View.applyEvents({{"servers/i-1", makeLife(1000, 8), 12, false}}, 12, Start);
   CHECK(countServers(View) == 2);
 }
