canvaswickctl suspects and entries: two tables over logs

Which requests were cut off more than once or held back, at which servers, and whether they were answered elsewhere; which entries at the platform could not be read, by how many daemons. For the platform, where no operators' calls are served. Tests with lines as daemons write them. No daemon code has changed.

--- a/include/canvaswick/Operator/Commands.h
+++ b/include/canvaswick/Operator/Commands.h
@@ -60,6 +60,8 @@
 /// Queries of the daemons' logs.
 Result<std::string> runRequest(const OperatorOptions &Options);
 Result<std::string> runLosses(const OperatorOptions &Options);
+Result<std::string> runEntries(const OperatorOptions &Options);
+Result<std::string> runSuspects(const OperatorOptions &Options);
 
 /// Changes of the settings.
 Result<std::string> runPut(const OperatorOptions &Options);
--- a/lib/Operator/FleetCommands.cpp
+++ b/lib/Operator/FleetCommands.cpp
@@ -229,6 +229,9 @@
        "ID LOG...: what the daemons' logs tell of one request"},
       {"losses", runLosses,
        "LOG...: attempts that did not go well, by what was known"},
+      {"suspects", runSuspects, "LOG...: requests under which servers ended"},
+      {"entries", runEntries,
+       "LOG...: entries at the platform that could not be read"},
   };
   return Commands;
 }
--- a/lib/Operator/LogCommands.cpp
+++ b/lib/Operator/LogCommands.cpp
@@ -12,6 +12,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Operator/Commands.h"
+#include "canvaswick/Operator/Findings.h"
 #include "canvaswick/Operator/LossTable.h"
 
 namespace canvaswick {
@@ -26,11 +27,26 @@
   return tellRequest(Options.Words[0], Lines);
 }
 
-Result<std::string> runLosses(const OperatorOptions &Options) {
+/// Makes a table over the logs that the command names.
+static Result<std::string>
+tabulate(const OperatorOptions &Options,
+         std::string (*Make)(const std::vector<LogLine> &)) {
   if (Options.Words.empty())
     return makeError(ErrorKind::InvalidArgument, "needs the files to look in");
   BOOST_OUTCOME_TRY(std::vector<LogLine> Lines, readLogs(Options.Words));
-  return makeLossTable(Lines);
+  return Make(Lines);
+}
+
+Result<std::string> runLosses(const OperatorOptions &Options) {
+  return tabulate(Options, makeLossTable);
+}
+
+Result<std::string> runEntries(const OperatorOptions &Options) {
+  return tabulate(Options, makeEntryTable);
+}
+
+Result<std::string> runSuspects(const OperatorOptions &Options) {
+  return tabulate(Options, makeSuspectTable);
 }
 
 } // namespace canvaswick
--- /dev/null
+++ b/unittests/Operator/FindingsTest.cpp
@@ -0,0 +1,57 @@
+//===- FindingsTest.cpp - Tests of tables over logs -----------------------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Entries that were refused and requests under which servers ended, by lines
+/// as daemons write them.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Operator/Findings.h"
+
+#include <doctest/doctest.h>
+
+using namespace canvaswick;
+
+static std::vector<LogLine> parseAll(const std::vector<std::string> &Texts) {
+  std::vector<LogLine> Lines;
+  for (const std::string &Text : Texts)
+    if (const std::optional<LogLine> Line = parseLogLine(Text, "file"))
+      Lines.push_back(*Line);
+  return Lines;
+}
+
+TEST_CASE("refused entries are counted by whose they are") {
+  CHECK(makeEntryTable({}) == "no entry was refused\n");
+  CHECK(makeEntryTable(parseAll({
+            "1 d1 6.0 error server-refused server=\"i-1\" revision=3 "
+            "what=\"slots: expected a whole number\"",
+            "1 d2 6.1 error server-refused server=\"i-1\" revision=3 "
+            "what=\"slots: expected a whole number\"",
+            "1 d1 7.0 error daemon-refused daemon=\"d9\" what=\"not UTF-8\"",
+            "1 d1 8.0 info settings-taken version=3",
+        })) == "daemon \"d9\": refused 1 times by 1 daemons, last \"not "
+               "UTF-8\"\n"
+               "server \"i-1\": refused 2 times by 2 daemons, last \"slots: "
+               "expected a whole number\"\n");
+}
+
+TEST_CASE("requests under which servers ended are told with what speaks for "
+          "them") {
+  CHECK(makeSuspectTable(parseAll({
+            "1 d1 6.0 info request id=a asks=7 route=r ms=2 "
+            "tries=i-1:cut-off:2ms:share=1,i-2:cut-off:2ms:share=1",
+            "1 d2 6.1 info request id=b asks=7 route=r ms=2 "
+            "tries=i-3:cut-off:2ms:share=1",
+            "1 d2 6.2 warning request-held-back asks=7 ends=3",
+            "1 d2 6.3 info request id=c asks=8 route=r ms=2 "
+            "tries=i-3:cut-off:2ms:share=1,i-1:good:5ms:share=1",
+        })) == "asks 7: route r, 2 requests, 3 cut off at 3 servers, 0 "
+               "answered, held back at 1 daemons\n"
+               "  i-1 i-2 i-3\n");
+}
