--- a/test/session-lib.sh
+++ b/test/session-lib.sh
@@ -213,3 +213,24 @@
     echo "burst = 100000"
   } >"$File"
 }
+
+# Starts the platform, the named backend servers behind one service, and two daemons
+# of one hall that know each other.
+startTwoDaemons() { # NAMES...
+  local Name Daemon
+  startPlatform
+  for Name in "$@"; do startBackend "$Name"; done
+  writeTree "$Work/tree.ini" "$@"
+  say "publish: $(publish "$Work/tree.ini" 0 first)"
+  startDaemon d1 a
+  startDaemon d2 a "$(controlOf d1)"
+  for Daemon in d1 d2; do
+    eventually "$Daemon is ready" isReady "$Daemon"
+    eventually "$Daemon knows two members" hasMetric "$Daemon" members 2
+  done
+}
+
+shareIs() { # DAEMON SERVER SHARE
+  curl -s "http://$(controlOf "$1")/metrics" |
+    grep -q "canvaswick_share{service=\"s\",server=\"$2\"} $3"
+}
--- a/test/sessions/gray.sh
+++ b/test/sessions/gray.sh
@@ -18,10 +18,6 @@
   startProgram "load-$Daemon" canvaswick-load --proxy "$(callersOf $Daemon)" \
     --targets "GET /read/1" --rate 60 --seconds 200 --threads 8 >/dev/null
 done
-shareIs() { # DAEMON SERVER SHARE
-  curl -s "http://$(controlOf "$1")/metrics" |
-    grep -q "canvaswick_share{service=\"s\",server=\"$2\"} $3"
-}
 
 say "-- one server fails behind green health"
 setBackend b1 '{"fail":true}'
--- a/test/sessions/leaving.sh
+++ b/test/sessions/leaving.sh
@@ -1,20 +1,7 @@
 # A leaving backend server gets no new work, whichever sign comes first.
 source "$(dirname "$0")/../session-lib.sh"
 
-startPlatform
-for Name in b1 b2; do startBackend "$Name"; done
-writeTree "$Work/tree.ini" b1 b2
-say "publish: $(publish "$Work/tree.ini" 0 first)"
-startDaemon d1 a
-startDaemon d2 a "$(controlOf d1)"
-for Daemon in d1 d2; do
-  eventually "$Daemon is ready" isReady "$Daemon"
-  eventually "$Daemon knows two members" hasMetric "$Daemon" members 2
-done
-shareIs() { # DAEMON SERVER SHARE
-  curl -s "http://$(controlOf "$1")/metrics" |
-    grep -q "canvaswick_share{service=\"s\",server=\"$2\"} $3"
-}
+startTwoDaemons b1 b2
 # Sends requests through both daemons and says how many b1 ran.
 countNewWork() {
   local Before After
--- a/test/sessions/onesided.sh
+++ b/test/sessions/onesided.sh
@@ -13,10 +13,6 @@
   startProgram "load-$Daemon" canvaswick-load --proxy "$(callersOf $Daemon)" \
     --targets "GET /read/1" --rate 60 --seconds 120 --threads 24 >/dev/null
 done
-shareIs() { # DAEMON SERVER SHARE
-  curl -s "http://$(controlOf "$1")/metrics" |
-    grep -q "canvaswick_share{service=\"s\",server=\"$2\"} $3"
-}
 
 setBackend b1 '{"fail":true,"only-daemon":"d1"}'
 eventually "b1 has lost d1's traffic" shareIs d1 b1 0.00
--- a/test/sessions/standstill.sh
+++ b/test/sessions/standstill.sh
@@ -1,16 +1,7 @@
 # A daemon that stood still notices it, and goes on with what is new.
 source "$(dirname "$0")/../session-lib.sh"
 
-startPlatform
-for Name in b1 b2; do startBackend "$Name"; done
-writeTree "$Work/tree.ini" b1 b2
-say "publish: $(publish "$Work/tree.ini" 0 first)"
-startDaemon d1 a
-startDaemon d2 a "$(controlOf d1)"
-for Daemon in d1 d2; do
-  eventually "$Daemon is ready" isReady "$Daemon"
-  eventually "$Daemon knows two members" hasMetric "$Daemon" members 2
-done
+startTwoDaemons b1 b2
 say "served: $(request d1 GET /read/1)"
 
 say "-- it stands still while servers start again and settings change"
