The policy bench in three files: a run, its messages, what runs show

Moved, not changed: BenchRun.h and .cpp (requests, ticks), BenchExchange.cpp (reports and digests with bytes, delays and losses).

--- /dev/null
+++ b/lib/Bench/BenchExchange.cpp
@@ -0,0 +1,99 @@
+//===- BenchExchange.cpp - What daemons of a run tell each other ----------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Reports and digests, with their bytes, delays and losses.
+///
+//===----------------------------------------------------------------------===//
+
+#include "BenchRun.h"
+#include "canvaswick/Daemon/EvidenceAgent.h"
+#include "canvaswick/Json/JsonText.h"
+
+namespace canvaswick {
+
+/// HTTP heads, signature and JSON-RPC frame of a call and its answer, measured
+/// between two daemons; see docs/CAPACITY.md.
+static constexpr size_t CallOverheadBytes = 430;
+
+/// Sends a message, which may be lost on its way.
+void BenchRun::send(const Json::Value &Message, std::function<void()> Deliver) {
+  this->ControlBytes += CallOverheadBytes + writeJson(Message).size();
+  std::uniform_real_distribution<double> Draw(0, 1);
+  if (Draw(this->Network) < this->Under.ExchangeLoss)
+    return;
+  const Duration Delay = fromSeconds(toSeconds(this->Under.ExchangeDelay) *
+                                     (0.5 + Draw(this->Network)));
+  this->schedule(this->Now + Delay, std::move(Deliver));
+}
+
+void BenchRun::exchange(BenchDaemon &Daemon) {
+  PooledPolicy *Policy = std::get_if<PooledPolicy>(&Daemon.Policy);
+  if (!Policy)
+    return;
+  if (const std::optional<EvidenceReport> Report =
+          Policy->makeReport(this->Now))
+    for (BenchDaemon &Owner : this->Daemons) {
+      if (!Owner.Pool)
+        continue;
+      if (&Owner == &Daemon) {
+        this->deliverReport(Owner, Daemon, *Report);
+        continue;
+      }
+      this->send(encodeReport(*Report), [this, &Owner, &Daemon, R = *Report] {
+        this->deliverReport(Owner, Daemon, R);
+      });
+    }
+  if (Daemon.Pool)
+    this->advancePool(Daemon);
+}
+
+void BenchRun::deliverReport(BenchDaemon &Owner, BenchDaemon &Source,
+                             const EvidenceReport &Report) {
+  Owner.Pool->takeReport(Report, this->Now);
+  Owner.Pool->advance(this->Now);
+  if (!Owner.Pool->hasSuspects())
+    return;
+  // The digest rides on the answer of the report.
+  const EvidenceDigest Digest = Owner.Pool->makeDigest(Source.Hall);
+  if (&Owner == &Source) {
+    this->deliverDigest(Source, Digest);
+    return;
+  }
+  this->ControlBytes -= CallOverheadBytes;
+  this->send(encodeDigest(Digest),
+             [this, &Source, Digest] { this->deliverDigest(Source, Digest); });
+}
+
+void BenchRun::deliverDigest(BenchDaemon &Reader,
+                             const EvidenceDigest &Digest) {
+  std::get<PooledPolicy>(Reader.Policy).takeDigest(Digest, this->Now);
+}
+
+void BenchRun::advancePool(BenchDaemon &Owner) {
+  Owner.Pool->advance(this->Now);
+  for (const std::string &Hall : Owner.Pool->getHalls()) {
+    if (!Owner.Pool->hasNews(Hall))
+      continue;
+    const EvidenceDigest Digest = Owner.Pool->makeDigest(Hall);
+    Owner.Pool->noteSent(Hall);
+    for (BenchDaemon &Reader : this->Daemons) {
+      if (Reader.Hall != Hall)
+        continue;
+      if (&Reader == &Owner) {
+        this->deliverDigest(Reader, Digest);
+        continue;
+      }
+      this->send(encodeDigest(Digest), [this, &Reader, Digest] {
+        this->deliverDigest(Reader, Digest);
+      });
+    }
+  }
+}
+
+} // namespace canvaswick
