What servers say of themselves is read, remembered and logged

Read at the head of every answer to the daemon's own request, before it is passed on, on both interfaces: a limit and a leaving from any answer, a rest from a 503. Not read of an answer to another request (it may be old) nor of a 421 (another server has the address). Remembered by a server's life and for all versions of the settings, since a request that began under an earlier one hears for the later. No decision follows from it yet. A line for each change, three counters, a gauge.

--- a/include/canvaswick/Daemon/ControlContext.h
+++ b/include/canvaswick/Daemon/ControlContext.h
@@ -36,6 +36,8 @@
   /// Runs calls that nobody waits for.
   WorkerPool &Calls;
   FleetRuntimeSlot &Fleet;
+  /// What servers say of themselves.
+  ServerNoticeBoard &Notices;
   /// Calendar time of the process's start, in milliseconds.
   uint64_t StartMillis = 0;
 };
--- /dev/null
+++ b/include/canvaswick/Proxy/NoticeReader.h
@@ -0,0 +1,41 @@
+//===- NoticeReader.h - Reads a server's notice off an answer ---*- C++ -*-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// What of an answer's head concerns its server, not the request.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef CANVASWICK_PROXY_NOTICEREADER_H
+#define CANVASWICK_PROXY_NOTICEREADER_H
+
+#include "canvaswick/Proxy/ProxyOptions.h"
+#include "canvaswick/Routing/ServerNotices.h"
+
+#include <httplib.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace canvaswick {
+
+/// Reads a Retry-After (RFC 9110, 10.2.3): seconds, fractions allowed, or a
+/// date, counted from CalendarMillis. A date in the past is no wait. Returns
+/// nothing for any other text.
+std::optional<Duration> readRetryAfter(const std::string &Text,
+                                       int64_t CalendarMillis);
+
+/// Reads a notice. Words that cannot be understood are logged and left out.
+ServerNotice readServerNotice(const httplib::Response &Response,
+                              const HeaderDialect &Names,
+                              int64_t CalendarMillis);
+
+} // namespace canvaswick
+
+#endif // CANVASWICK_PROXY_NOTICEREADER_H
--- a/include/canvaswick/Proxy/ProxyOptions.h
+++ b/include/canvaswick/Proxy/ProxyOptions.h
@@ -27,6 +27,9 @@
 inline constexpr const char *OutcomeHeader = "Canvaswick-Outcome";
 inline constexpr const char *ReasonHeader = "Canvaswick-Reason";
 
+/// What a server that leaves puts in HeaderDialect::ServerLeaving.
+inline constexpr const char *LeavingValue = "1";
+
 /// Names of headers. An empty name means that there is no such header.
 struct HeaderDialect {
   /// Names a request; a server may echo it to prove whose answer it is.
@@ -48,6 +51,11 @@
   std::string AnswerProof;
   /// The server's load: requests running, requests waiting, slots.
   std::string ServerLoad;
+  /// Names the requests a second that the server takes from all daemons
+  /// together, for as long as it does so.
+  std::string ServerLimit = "Canvaswick-Server-Limit";
+  /// Says, with LeavingValue, that the server leaves.
+  std::string ServerLeaving = "Canvaswick-Server-Leaving";
   /// Says that the server did not run the request. An empty value: any does.
   std::string NotRun = OutcomeHeader;
   std::string NotRunValue = "not-run";
--- a/include/canvaswick/Proxy/RequestProxy.h
+++ b/include/canvaswick/Proxy/RequestProxy.h
@@ -146,6 +146,9 @@
   // RequestAttempts.cpp.
   void runAttempts(Flow &Request, AnswerRelay &Relay);
   void tellChange(TimePoint Now) const;
+  void hearServer(const Flow &Request, const Attempt &Current,
+                  const std::string &RequestId,
+                  const httplib::Response &Response);
   RequestOutcome tryOnce(Flow &Request, AnswerRelay &Relay, Attempt &Current);
   RelayRules makeRelayRules(const Flow &Request) const;
   OutgoingRequest buildOutgoing(Flow &Request, const AnswerRelay &Relay,
--- a/include/canvaswick/Proxy/ServiceRuntime.h
+++ b/include/canvaswick/Proxy/ServiceRuntime.h
@@ -22,6 +22,7 @@
 #include "canvaswick/Health/LatencyTable.h"
 #include "canvaswick/Health/SpellPolicy.h"
 #include "canvaswick/Metrics/ServiceMetrics.h"
+#include "canvaswick/Proxy/ServerNoticeBoard.h"
 #include "canvaswick/Routing/ServerSelector.h"
 #include "canvaswick/Routing/SubsetChooser.h"
 
@@ -107,6 +108,9 @@
   RepeatAllowance Repeats;
   TimePoint Started{};
   PolicySwitches Switches;
+  /// What servers say of themselves. Null: the previous version's, or one of
+  /// the service alone.
+  ServerNoticeBoardRef Notices;
 };
 
 class ServiceRuntime;
@@ -211,6 +215,11 @@
   void setLeavingAddresses(const std::set<std::string> &Addresses,
                            TimePoint Now);
 
+  /// Takes what the answer of an attempt says of its server. Returns what of it
+  /// is new.
+  std::vector<NoticeChange>
+  noteNotice(const Attempt &From, const ServerNotice &Notice, TimePoint Now);
+
   /// Takes a load report of a server.
   void noteLoad(size_t Server, double Load, TimePoint Now);
 
@@ -264,8 +273,15 @@
   int computePacePercent(const Attempt &Ended, TimePoint Now) const;
   ShareExplanation explain(size_t Server, TimePoint Now) const;
 
+  static ServerNoticeBoardRef chooseBoard(const DaemonIdentity &Identity,
+                                          const ServiceRuntime *Previous);
+  NoticedServer makeNoticed(size_t Server) const;
+
   const ServiceConfig Config;
   const ServerSubset Subset;
+  /// The names of the servers in messages and notices.
+  const std::vector<ServerId> Ids;
+  const ServerNoticeBoardRef Notices;
   const PolicySwitches Switches;
   mutable std::mutex Mutex;
   Policies Policy;
--- a/lib/Daemon/CheckAnswers.cpp
+++ b/lib/Daemon/CheckAnswers.cpp
@@ -91,6 +91,18 @@
   return Text;
 }
 
+std::string formatNotices(const NoticeCounts &Notices) {
+  std::string Text;
+  const auto Add = [&Text](NoticeKind Kind, size_t Count) {
+    Text += fmt::format("canvaswick_server_notices{{kind=\"{}\"}} {}\n",
+                        getName(Kind), Count);
+  };
+  Add(NoticeKind::Limit, Notices.Limited);
+  Add(NoticeKind::Leaving, Notices.Leaving);
+  Add(NoticeKind::Rest, Notices.Resting);
+  return Text;
+}
+
 static std::string formatMetrics(const OwnFigures &Own,
                                  const FleetRuntime *Current) {
   std::string Text = Own.Counters.format();
@@ -98,6 +110,7 @@
   Text += formatWorkers(Own.Workers);
   Text += formatSuspects(Own.Suspects);
   Text += formatOrganisations(Own.Organisations);
+  Text += formatNotices(Own.Notices);
   Text +=
       fmt::format("canvaswick_log_lines_dropped {}\n", countDroppedLogLines());
   if (!Current)
--- a/lib/Daemon/CheckAnswers.h
+++ b/lib/Daemon/CheckAnswers.h
@@ -35,6 +35,8 @@
   std::vector<SuspectStatus> Suspects;
   /// The busiest organisations, at most MostOrganisations.
   std::vector<AllowanceStatus> Organisations;
+  /// How many servers say what of themselves.
+  NoticeCounts Notices;
 };
 
 /// Organisations that metrics and tools name: enough to see who sends much, and
@@ -45,6 +47,9 @@
 std::string
 formatOrganisations(const std::vector<AllowanceStatus> &Organisations);
 
+/// Writes how many servers say what of themselves as metrics.
+std::string formatNotices(const NoticeCounts &Notices);
+
 /// Writes the suspects as metrics.
 std::string formatSuspects(const std::vector<SuspectStatus> &Suspects);
 
--- a/lib/Daemon/Daemon.cpp
+++ b/lib/Daemon/Daemon.cpp
@@ -66,6 +66,7 @@
   std::unique_ptr<PeerCaller> Caller;
   std::unique_ptr<PlatformClient> Platform;
   std::unique_ptr<WorkerPool> Calls;
+  const ServerNoticeBoardRef Notices{new ServerNoticeBoard};
   FleetRuntimeSlot Fleet;
   std::unique_ptr<ControlContext> Context;
   std::unique_ptr<MembershipAgent> Members;
@@ -104,7 +105,8 @@
       WorkerPoolLimits{.Most = CallThreads, .Queue = CallQueue});
   this->Context.reset(new ControlContext{
       this->Config, this->Counters, *this->Caller, *this->Platform,
-      *this->Calls, this->Fleet, static_cast<uint64_t>(readCalendarMillis())});
+      *this->Calls, this->Fleet, *this->Notices,
+      static_cast<uint64_t>(readCalendarMillis())});
 
   // The control address comes first: its port is part of what peers learn.
   HttpServerLimits ControlLimits;
@@ -200,6 +202,7 @@
   DaemonIdentity Identity;
   Identity.Name = this->Config.Name;
   Identity.Hall = this->Config.Hall;
+  Identity.Notices = this->Notices;
   Identity.Daemons = this->Members->getWorking();
   Identity.ExpectedDaemons = this->Config.ExpectedDaemons;
   Identity.StartMillis = this->Context->StartMillis;
@@ -233,6 +236,7 @@
       Stood > Duration::zero() ? Now : Now - UpstreamIdleLimit);
   this->Caller->closeIdle(Now);
   this->Proxy->forgetIdle(Now);
+  this->Notices->forgetOld(Now);
 }
 
 void Daemon::Impl::handleControl(HttpExchange &Exchange) {
--- a/lib/Daemon/Gateway.cpp
+++ b/lib/Daemon/Gateway.cpp
@@ -105,6 +105,7 @@
   Result<void> startControl();
 
   const TimePoint Started = readSteadyClock();
+  const ServerNoticeBoardRef Notices{new ServerNoticeBoard};
   FleetRuntimeSlot Fleet;
   ConnectionPool Upstreams{0};
   RequestProxy Proxy;
@@ -263,6 +264,7 @@
   DaemonIdentity Identity;
   Identity.Name = this->Config.Name;
   Identity.Hall = this->Config.Hall;
+  Identity.Notices = this->Notices;
   Identity.Daemons = this->DaemonNames;
   Identity.ExpectedDaemons = this->Config.ExpectedDaemons;
   Identity.Source = SettingsSource::Platform;
@@ -343,11 +345,15 @@
 
 OwnFigures Gateway::Impl::getOwnFigures() {
   const TimePoint Now = readSteadyClock();
-  return {this->Counters, this->getStoreState(), this->Callers->countThreads(),
+  return {this->Counters,
+          this->getStoreState(),
+          this->Callers->countThreads(),
           this->getGuard().describe(),
           this->Proxy.getOrganisations().with([Now](FleetAllowance &All) {
             return All.describe(MostOrganisations, Now);
-          })};
+          }),
+          this->Notices->with(
+              [Now](const ServerNotices &All) { return All.count(Now); })};
 }
 
 /// What was kept open before a standstill may have ended on the other side, and
@@ -386,6 +392,7 @@
   const TimePoint Now = readSteadyClock();
   this->Upstreams.closeIdleSince(Now - UpstreamIdleLimit);
   this->Proxy.forgetIdle(Now);
+  this->Notices->forgetOld(Now);
   this->Proxy.getGuard().forgetOld(Now);
 }
 
--- a/lib/Daemon/OperatorApi.cpp
+++ b/lib/Daemon/OperatorApi.cpp
@@ -190,6 +190,8 @@
       fmt::format("canvaswick_members {}\n", this->Members.getWorking().size());
   Text += formatSuspects(this->Guard.describe());
   Text += formatOrganisations(this->listOrganisations());
+  Text += formatNotices(this->Context.Notices.with(
+      [](const ServerNotices &All) { return All.count(readSteadyClock()); }));
   const FleetRuntimeRef Fleet = this->Context.Fleet.get();
   if (!Fleet)
     return Text;
--- /dev/null
+++ b/lib/Proxy/NoticeReader.cpp
@@ -0,0 +1,115 @@
+//===- NoticeReader.cpp - Reads a server's notice off an answer -----------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// A number is written in plain digits; signs, exponents, words and what does
+/// not fit a double are no numbers.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Proxy/NoticeReader.h"
+#include "canvaswick/Support/Log.h"
+
+#include <algorithm>
+#include <charconv>
+#include <ctime>
+
+namespace canvaswick {
+
+/// A server says that it is overloaded or away with this status, and may say
+/// for how long.
+static constexpr int UnavailableStatus = 503;
+
+/// Answers below this status are no failures of the server.
+static constexpr int FirstFailureStatus = 500;
+
+/// No wait is read to be longer, in seconds: it must fit a Duration.
+static constexpr double MostSeconds = 1e9;
+
+/// Reads a number that is not negative.
+static std::optional<double> readNumber(const std::string &Text) {
+  double Value = 0;
+  const char *End = Text.data() + Text.size();
+  const auto [Last, Failure] =
+      std::from_chars(Text.data(), End, Value, std::chars_format::fixed);
+  const bool IsDigit = !Text.empty() && Text[0] >= '0' && Text[0] <= '9';
+  if (Failure != std::errc() || Last != End || !IsDigit)
+    return std::nullopt;
+  return Value;
+}
+
+std::optional<Duration> readRetryAfter(const std::string &Text,
+                                       int64_t CalendarMillis) {
+  if (const std::optional<double> Seconds = readNumber(Text))
+    return fromSeconds(std::min(*Seconds, MostSeconds));
+  std::tm Date{};
+  const char *Rest =
+      ::strptime(Text.c_str(), "%a, %d %b %Y %H:%M:%S GMT", &Date);
+  if (!Rest || *Rest != '\0')
+    return std::nullopt;
+  const int64_t Until = static_cast<int64_t>(::timegm(&Date)) * 1000;
+  const auto Most = static_cast<int64_t>(MostSeconds * 1000);
+  return fromMillis(std::clamp<int64_t>(Until - CalendarMillis, 0, Most));
+}
+
+static void logMisread(const std::string &Name, const std::string &Text) {
+  logWarning("server-notice-misread", "header={} value={:?}", Name, Text);
+}
+
+/// Of a limit that is named more than once the lowest counts.
+static std::optional<double> readLimit(const httplib::Response &Response,
+                                       const std::string &Name) {
+  std::optional<double> Lowest;
+  const auto Range = Response.headers.equal_range(Name);
+  for (auto Each = Range.first; Each != Range.second; ++Each) {
+    const std::optional<double> Limit = readNumber(Each->second);
+    if (!Limit)
+      logMisread(Name, Each->second);
+    else
+      Lowest = std::min(Lowest.value_or(*Limit), *Limit);
+  }
+  return Lowest;
+}
+
+/// Of a rest that is asked for more than once the longest counts.
+static std::optional<Duration> readRest(const httplib::Response &Response,
+                                        int64_t CalendarMillis) {
+  static const std::string Name = "Retry-After";
+  std::optional<Duration> Longest;
+  const auto Range = Response.headers.equal_range(Name);
+  for (auto Each = Range.first; Each != Range.second; ++Each) {
+    const std::optional<Duration> Rest =
+        readRetryAfter(Each->second, CalendarMillis);
+    if (!Rest)
+      logMisread(Name, Each->second);
+    else
+      Longest = std::max(Longest.value_or(*Rest), *Rest);
+  }
+  if (Longest == Duration::zero())
+    return std::nullopt;
+  return Longest;
+}
+
+ServerNotice readServerNotice(const httplib::Response &Response,
+                              const HeaderDialect &Names,
+                              int64_t CalendarMillis) {
+  ServerNotice Notice;
+  if (!Names.ServerLimit.empty())
+    Notice.RequestsPerSecond = readLimit(Response, Names.ServerLimit);
+  Notice.IsLeaving =
+      !Names.ServerLeaving.empty() &&
+      Response.get_header_value(Names.ServerLeaving) == LeavingValue;
+  if (Response.status == UnavailableStatus)
+    Notice.Rest = readRest(Response, CalendarMillis);
+  // A limit that was named and could not be read is not taken back.
+  Notice.MayEndLimit = Response.status < FirstFailureStatus &&
+                       !Response.has_header(Names.ServerLimit);
+  return Notice;
+}
+
+} // namespace canvaswick
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -14,11 +14,13 @@
 //===----------------------------------------------------------------------===//
 
 #include "RequestFlow.h"
+#include "canvaswick/Proxy/NoticeReader.h"
 #include "canvaswick/Support/Text.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cassert>
 
 namespace canvaswick {
 
@@ -220,6 +222,40 @@
   return Rules;
 }
 
+static Counter getCounter(NoticeKind Kind) {
+  switch (Kind) {
+  case NoticeKind::Limit:
+    return Counter::LimitsHeard;
+  case NoticeKind::Leaving:
+    return Counter::LeavingsHeard;
+  case NoticeKind::Rest:
+    return Counter::RestsHeard;
+  }
+  assert(false && "notice without a counter");
+  return Counter::LimitsHeard;
+}
+
+/// Takes what an answer says of its server, before anything is passed on. One
+/// to another request may be old, and one that names another server is not of
+/// this one.
+void RequestProxy::hearServer(const Flow &Request, const Attempt &Current,
+                              const std::string &RequestId,
+                              const httplib::Response &Response) {
+  const HeaderDialect &Names = this->Options.Headers;
+  const std::string Echo = Response.get_header_value(Names.RequestId);
+  if ((!Echo.empty() && Echo != RequestId) ||
+      Response.status == MisdirectedStatus)
+    return;
+  const ServerNotice Notice =
+      readServerNotice(Response, Names, readCalendarMillis());
+  for (const NoticeChange &Each :
+       Request.Service->noteNotice(Current, Notice, readSteadyClock())) {
+    if (Each.Step != NoticeStep::Ended)
+      this->Counters.add(getCounter(Each.Kind));
+    logNotice(Each, RequestId);
+  }
+}
+
 RequestOutcome RequestProxy::tryOnce(Flow &Request, AnswerRelay &Relay,
                                      Attempt &Current) {
   const std::string RequestId =
@@ -228,7 +264,9 @@
           : fmt::format("{}-{}", this->DaemonName, this->NextRequest++);
   Relay.setRules(this->makeRelayRules(Request));
   Relay.beginAttempt(RequestId);
-  const AnswerSink Sink{[&Relay](const httplib::Response &Response) {
+  const AnswerSink Sink{[&](const httplib::Response &Response) {
+                          this->hearServer(Request, Current, RequestId,
+                                           Response);
                           return Relay.takeHead(Response);
                         },
                         [&Relay](const char *Data, size_t Size) {
--- /dev/null
+++ b/lib/Proxy/ServerNoticeBoard.cpp
@@ -0,0 +1,34 @@
+//===- ServerNoticeBoard.cpp - Servers' notices behind one lock -----------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// What changes is logged here, outside the lock.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Proxy/ServerNoticeBoard.h"
+#include "canvaswick/Support/Log.h"
+
+namespace canvaswick {
+
+void logNotice(const NoticeChange &Change, const std::string &RequestId) {
+  logInfo("server-notice", "server={} kind={} step={} value={:.3f} id={}",
+          Change.Key, getName(Change.Kind), getName(Change.Step), Change.Value,
+          RequestId.empty() ? "-" : RequestId);
+}
+
+void ServerNoticeBoard::forgetOld(TimePoint Now) {
+  if (this->isEmpty())
+    return;
+  const std::vector<NoticeChange> Ended =
+      this->with([Now](ServerNotices &All) { return All.forgetOld(Now); });
+  for (const NoticeChange &Each : Ended)
+    logNotice(Each, "");
+}
+
+} // namespace canvaswick
--- a/lib/Proxy/ServiceEvidence.cpp
+++ b/lib/Proxy/ServiceEvidence.cpp
@@ -74,10 +74,9 @@
   if (!Spells)
     return;
   for (const InFlightRequest &Each : Spells->getInFlight().getOwn())
-    Reports.push_back(
-        {getServerId(this->Config.Name, this->getServer(Each.Server).Name),
-         static_cast<int>(toMillis(Now - Each.Began)),
-         static_cast<int>(toMillis(Each.Usual))});
+    Reports.push_back({this->Ids[Each.Server],
+                       static_cast<int>(toMillis(Now - Each.Began)),
+                       static_cast<int>(toMillis(Each.Usual))});
 }
 
 void ServiceRuntime::takeInFlight(const std::string &Daemon, uint64_t Sequence,
@@ -115,6 +114,23 @@
   std::visit([Now](auto &Own) { Own.advance(Now); }, this->Policy);
 }
 
+/// Returns how notices name a server.
+NoticedServer ServiceRuntime::makeNoticed(size_t Server) const {
+  const ServerConfig &Config = this->getServer(Server);
+  return {this->Ids[Server], this->Config.Name + "/" + Config.Name,
+          Config.Hall};
+}
+
+std::vector<NoticeChange> ServiceRuntime::noteNotice(const Attempt &From,
+                                                     const ServerNotice &Notice,
+                                                     TimePoint Now) {
+  if (Notice.isEmpty() && this->Notices->isEmpty())
+    return {};
+  return this->Notices->with([&](ServerNotices &All) {
+    return All.note(this->makeNoticed(From.Server), Notice, From.Began, Now);
+  });
+}
+
 void ServiceRuntime::noteLoad(size_t Server, double Load, TimePoint Now) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   this->Selector.noteReportedLoad(Server, Load, Now);
@@ -154,7 +170,7 @@
   for (size_t I = 0; I < this->countServers(); ++I)
     if (Wants(I))
       Estimates.push_back(
-          {getServerId(this->Config.Name, this->getServer(I).Name),
+          {this->Ids[I],
            static_cast<int>(Spells.getSickness(I, Now) * EstimateParts),
            static_cast<int>(
                std::lround(Spells.getInFlight().getLoad(I, Now) * LoadParts))});
--- a/lib/Proxy/ServiceRuntime.cpp
+++ b/lib/Proxy/ServiceRuntime.cpp
@@ -36,13 +36,33 @@
                   static_cast<uint64_t>(Now.time_since_epoch().count()));
 }
 
+/// Returns the names that the servers of a subset have in messages.
+static std::vector<ServerId> makeIds(const ServiceConfig &Config,
+                                     const ServerSubset &Subset) {
+  std::vector<ServerId> Ids;
+  Ids.reserve(Subset.Servers.size());
+  for (const size_t Index : Subset.Servers)
+    Ids.push_back(getServerId(Config.Name, Config.Servers[Index].Name));
+  return Ids;
+}
+
+ServerNoticeBoardRef
+ServiceRuntime::chooseBoard(const DaemonIdentity &Identity,
+                            const ServiceRuntime *Previous) {
+  if (Identity.Notices)
+    return Identity.Notices;
+  return Previous ? Previous->Notices : new ServerNoticeBoard;
+}
+
 ServiceRuntime::ServiceRuntime(ServiceConfig Given,
                                const DaemonIdentity &Identity,
                                const ServiceRuntime *Previous, TimePoint Now)
     : Config(std::move(Given)),
       Subset(chooseSubset(this->Config, Identity.Name, Identity.Daemons,
                           Identity.ExpectedDaemons)),
-      Switches(Identity.Switches), Policy(this->makePolicy(Identity)),
+      Ids(makeIds(this->Config, this->Subset)),
+      Notices(chooseBoard(Identity, Previous)), Switches(Identity.Switches),
+      Policy(this->makePolicy(Identity)),
       Selector(this->makeSelectable(Identity, Previous, Now),
                fromMillis(this->Config.ColdStartMs)),
       Latency(fromMillis(this->Config.SlowAfterMs)),
@@ -163,11 +183,8 @@
   Setup.FirstSequence = Identity.StartMillis;
   Setup.FloorPercent = this->Config.FloorPercent;
   Setup.Switches = Identity.Switches;
-  for (size_t I = 0; I < this->Subset.Servers.size(); ++I) {
-    const ServerConfig &Server = this->getServer(I);
-    Setup.Servers.push_back(
-        {getServerId(this->Config.Name, Server.Name), Server.Slots});
-  }
+  for (size_t I = 0; I < this->Subset.Servers.size(); ++I)
+    Setup.Servers.push_back({this->Ids[I], this->getServer(I).Slots});
   return Setup;
 }
 
--- /dev/null
+++ b/unittests/Proxy/NoticeReaderTest.cpp
@@ -0,0 +1,89 @@
+//===- NoticeReaderTest.cpp - Reading servers' notices --------------------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Good words, bad words, and any bytes.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Proxy/NoticeReader.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace canvaswick;
+
+/// 1994-11-06 08:49:37 in milliseconds.
+static constexpr int64_t Calendar = 784111777000;
+
+static httplib::Response makeAnswer(int Status, httplib::Headers Headers) {
+  httplib::Response Response;
+  Response.status = Status;
+  Response.headers = std::move(Headers);
+  return Response;
+}
+
+static ServerNotice read(int Status, httplib::Headers Headers) {
+  return readServerNotice(makeAnswer(Status, std::move(Headers)),
+                          HeaderDialect(), Calendar);
+}
+
+TEST_CASE("a rest is a number of seconds or a date") {
+  CHECK(readRetryAfter("3", Calendar) == fromSeconds(3));
+  CHECK(readRetryAfter("0.25", Calendar) == fromMillis(250));
+  CHECK(readRetryAfter("0", Calendar) == fromSeconds(0));
+  CHECK(readRetryAfter("Sun, 06 Nov 1994 08:49:40 GMT", Calendar) ==
+        fromSeconds(3));
+  CHECK(readRetryAfter("Sun, 06 Nov 1994 08:49:30 GMT", Calendar) ==
+        fromSeconds(0));
+}
+
+TEST_CASE("words that are no time are no rest") {
+  for (const char *Text :
+       {"", "soon", "-1", "+1", "1e99", "nan", "inf", "0x10", "3s", " 3", "3 ",
+        ".5", "1,5", "--", "Sun, 06 Nov 1994 08:49:40 GMT x", "tomorrow"})
+    CHECK_MESSAGE(!readRetryAfter(Text, Calendar), Text);
+}
+
+TEST_CASE("only an answer that says the server is away asks for rest") {
+  CHECK(read(503, {{"Retry-After", "3"}}).Rest == fromSeconds(3));
+  CHECK(!read(503, {{"Retry-After", "0"}}).Rest);
+  for (const int Status : {200, 429, 500, 502, 504})
+    CHECK(!read(Status, {{"Retry-After", "3"}}).Rest);
+}
+
+TEST_CASE("any answer names a limit and says that the server leaves") {
+  for (const int Status : {200, 206, 404, 500, 503}) {
+    const ServerNotice Notice =
+        read(Status, {{"Canvaswick-Server-Limit", "1.8"},
+                      {"Canvaswick-Server-Leaving", "1"}});
+    CHECK(Notice.RequestsPerSecond == 1.8);
+    CHECK(Notice.IsLeaving);
+  }
+  CHECK(!read(200, {{"Canvaswick-Server-Leaving", "0"}}).IsLeaving);
+}
+
+TEST_CASE("of two limits the lower counts, and one that cannot be read ends "
+          "none") {
+  CHECK(read(200, {{"Canvaswick-Server-Limit", "4"},
+                   {"Canvaswick-Server-Limit", "2"}})
+            .RequestsPerSecond == 2);
+  const ServerNotice Misread = read(200, {{"Canvaswick-Server-Limit", "-4"}});
+  CHECK(!Misread.RequestsPerSecond);
+  CHECK(!Misread.MayEndLimit);
+  CHECK(read(200, {}).MayEndLimit);
+  CHECK(!read(500, {}).MayEndLimit);
+}
+
+TEST_CASE("whatever bytes a server sends, what is read is a bounded time") {
+  CHECK(rc::check([](const std::string &Text) {
+    const std::optional<Duration> Rest = readRetryAfter(Text, Calendar);
+    RC_ASSERT(!Rest ||
+              (*Rest >= Duration::zero() && *Rest <= fromSeconds(1e9)));
+  }));
+}
