--- a/include/canvaswick/Daemon/PeerLink.h
+++ b/include/canvaswick/Daemon/PeerLink.h
@@ -56,20 +56,24 @@
   void setPeers(std::vector<DaemonRecord> Peers);
 
   /// Tells the peers of this hall what was seen since the last message, all
-  /// that is in flight, and what organisations asked: at most
-  /// MostLevelsBesides, which leave room for the rest.
+  /// that is in flight, what organisations asked and what limits servers named:
+  /// at most MostLevelsBesides and MostLimitsBesides, which leave room for the
+  /// rest.
   void sendObservations(std::vector<Observation> Seen,
                         const std::vector<InFlightReport> &InFlight,
-                        std::vector<AllowanceLevel> Levels);
+                        std::vector<AllowanceLevel> Levels,
+                        std::vector<LimitReport> Limits);
   static constexpr size_t MostLevelsBesides = 10;
+  static constexpr size_t MostLimitsBesides = 5;
 
   /// Tells the other halls what organisations asked of this one. An empty list
   /// shows them that it is heard.
   void sendHallLevels(std::vector<AllowanceLevel> Levels);
 
-  /// Tells the other halls.
+  /// Tells the other halls. Limits: at most MostLimitsBesides.
   void sendEstimates(std::vector<Estimate> Estimates,
-                     std::vector<HallRate> Rates);
+                     std::vector<HallRate> Rates,
+                     std::vector<LimitReport> Limits);
 
   /// Tells the peers of this hall, for those that have just started.
   void sendNearEstimates(std::vector<Estimate> Estimates);
--- a/include/canvaswick/Daemon/PeerMessage.h
+++ b/include/canvaswick/Daemon/PeerMessage.h
@@ -17,6 +17,7 @@
 #include "canvaswick/Admission/FleetAllowance.h"
 #include "canvaswick/Daemon/SuspectReport.h"
 #include "canvaswick/Health/SpellPolicy.h"
+#include "canvaswick/Routing/ServerNotices.h"
 #include "canvaswick/Support/Error.h"
 #include "canvaswick/Support/Time.h"
 
@@ -64,6 +65,8 @@
   std::vector<AllowanceLevel> Levels;
   /// What they asked of its whole hall, if the message speaks of that.
   std::optional<std::vector<AllowanceLevel>> HallLevels;
+  /// Limits that servers have named or taken back.
+  std::vector<LimitReport> Limits;
   /// Requests under which servers ended, and what speaks for them.
   SuspectReport Suspects;
 
--- a/include/canvaswick/Health/HealthPolicy.h
+++ b/include/canvaswick/Health/HealthPolicy.h
@@ -61,6 +61,10 @@
   FleetEvidence,
   Leaving,
   KeptByFloor,
+  /// The server asked for rest.
+  Resting,
+  /// The server named a limit.
+  Limited,
 };
 
 /// Returns the name of a reason as reports print it.
--- a/include/canvaswick/Metrics/Counters.h
+++ b/include/canvaswick/Metrics/Counters.h
@@ -44,6 +44,7 @@
   LimitsHeard,
   LeavingsHeard,
   RestsHeard,
+  ServersLeftOut,
   ReportsSent,
   ReportsTaken,
   DigestsSent,
--- a/include/canvaswick/Proxy/ServiceRuntime.h
+++ b/include/canvaswick/Proxy/ServiceRuntime.h
@@ -69,6 +69,8 @@
   double Sickness = 0;
   double ServerLoad = 0;
   bool IsTest = false;
+  /// Servers that were left out of the choice by their own word.
+  size_t LeftOut = 0;
 };
 
 /// What of a request decides which server it may go to.
@@ -220,6 +222,10 @@
   std::vector<NoticeChange>
   noteNotice(const Attempt &From, const ServerNotice &Notice, TimePoint Now);
 
+  /// Takes what a peer tells of the limit of one of this service's servers.
+  /// Returns what of it is new.
+  std::vector<NoticeChange> takeLimit(const LimitReport &Given, TimePoint Now);
+
   /// Takes a load report of a server.
   void noteLoad(size_t Server, double Load, TimePoint Now);
 
@@ -276,6 +282,10 @@
   static ServerNoticeBoardRef chooseBoard(const DaemonIdentity &Identity,
                                           const ServiceRuntime *Previous);
   NoticedServer makeNoticed(size_t Server) const;
+  size_t applyNotices(std::vector<double> &Shares, TimePoint Now) const;
+  bool isHeld(size_t Server, TimePoint Now) const;
+  void explainNotice(size_t Server, ShareExplanation &Why, TimePoint Now) const;
+  std::optional<Duration> getHeldWait(TimePoint Now) const;
 
   const ServiceConfig Config;
   const ServerSubset Subset;
--- a/include/canvaswick/Routing/ServerNotices.h
+++ b/include/canvaswick/Routing/ServerNotices.h
@@ -18,6 +18,7 @@
 #define CANVASWICK_ROUTING_SERVERNOTICES_H
 
 #include "canvaswick/Health/Evidence.h"
+#include "canvaswick/Routing/LimitShare.h"
 #include "canvaswick/Support/Time.h"
 
 #include <cstddef>
@@ -82,15 +83,50 @@
   size_t Resting = 0;
 };
 
+/// What daemons tell each other of a server's limit.
+struct LimitReport {
+  ServerId Server = 0;
+  /// Requests a second; 0: the limit has ended.
+  double PerSecond = 0;
+  /// How long ago the server said so.
+  Duration Age{};
+
+  bool operator==(const LimitReport &) const = default;
+};
+
 /// What servers have said to one daemon. Not thread-safe.
 class ServerNotices {
 public:
+  /// Takes who there is: servers' limits are shared among them.
+  void setFleet(const FleetMap &Given, TimePoint Now);
+
   /// Takes the notice of an answer to a request that was sent at AskedAt.
   /// Returns what of it is new.
   std::vector<NoticeChange> note(const NoticedServer &From,
                                  const ServerNotice &Notice, TimePoint AskedAt,
                                  TimePoint Now);
 
+  /// Takes what a peer tells of a server's limit. Returns what of it is new.
+  std::vector<NoticeChange> takeReport(const NoticedServer &From,
+                                       const LimitReport &Given, TimePoint Now);
+
+  /// Returns what servers have said of their limits to this daemon itself and
+  /// peers have not heard of late, and takes it as told.
+  std::vector<LimitReport> takeNews(size_t Most, TimePoint Now);
+
+  /// Returns all limits of which word is new, and those that have just ended.
+  std::vector<LimitReport> listLimits(size_t Most, TimePoint Now) const;
+
+  /// Returns how many times its usual share a server may get now; 0: nothing
+  /// may be sent there.
+  double getFactor(ServerId Server, TimePoint Now) const;
+
+  /// Returns how long until something may be sent to a server.
+  Duration getWait(ServerId Server, TimePoint Now) const;
+
+  /// Notes that a request is sent to a server.
+  void noteSent(ServerId Server, TimePoint Now);
+
   /// Returns what a server says now that matters most, or nothing.
   std::optional<NoticeKind> getState(ServerId Server, TimePoint Now) const;
 
@@ -104,28 +140,33 @@
   bool isEmpty() const { return this->Entries.empty(); }
 
 private:
-  struct Limit {
-    double PerSecond = 0;
-    TimePoint HeardAt{};
-  };
   struct Entry {
     std::string Key;
     std::string Hall;
-    std::optional<Limit> Named;
+    std::optional<LimitShare> Limit;
+    /// When the last limit ended.
+    std::optional<TimePoint> LimitEndedAt;
+    /// Whether peers should hear of the limit, and when they last did.
+    bool HasNews = false;
+    TimePoint ToldAt{};
     std::optional<TimePoint> LeavingUntil;
     std::optional<TimePoint> RestUntil;
   };
-
-  static void noteLimit(Entry &Of, const ServerNotice &Notice,
-                        TimePoint AskedAt, TimePoint Now,
-                        std::vector<NoticeChange> &Changes);
-  static void noteLeaving(Entry &Of, TimePoint Now,
-                          std::vector<NoticeChange> &Changes);
-  static void noteRest(Entry &Of, Duration Rest, TimePoint Now,
-                       std::vector<NoticeChange> &Changes);
-  static void endOld(Entry &Of, TimePoint Now,
-                     std::vector<NoticeChange> &Changes);
-
+  using Changes = std::vector<NoticeChange>;
+
+  Entry &findEntry(const NoticedServer &Of);
+  void setLimit(Entry &Of, double PerSecond, TimePoint HeardAt, TimePoint Now,
+                Changes &All) const;
+  static void endLimit(Entry &Of, TimePoint At, Changes &All);
+  void noteLimit(Entry &Of, const ServerNotice &Notice, TimePoint AskedAt,
+                 TimePoint Now, Changes &All) const;
+  static void noteLeaving(Entry &Of, TimePoint Now, Changes &All);
+  static void noteRest(Entry &Of, Duration Rest, TimePoint Now, Changes &All);
+  static void endOld(Entry &Of, TimePoint Now, Changes &All);
+  static LimitReport makeReport(ServerId Server, const Entry &Of,
+                                TimePoint Now);
+
+  FleetMap Fleet;
   std::unordered_map<ServerId, Entry> Entries;
 };
 
--- a/include/canvaswick/Routing/SubsetChooser.h
+++ b/include/canvaswick/Routing/SubsetChooser.h
@@ -41,6 +41,11 @@
                           const std::vector<std::string> &Daemons,
                           int ExpectedDaemons);
 
+/// Returns how many of Daemons rank before Self for a server, whose Key is
+/// "service/server". The first ones are in chooseSubset's for it.
+int getDaemonRank(const std::string &Key, const std::string &Self,
+                  const std::vector<std::string> &Daemons);
+
 } // namespace canvaswick
 
 #endif // CANVASWICK_ROUTING_SUBSETCHOOSER_H
--- a/include/canvaswick/StandIn/BackendStandIn.h
+++ b/include/canvaswick/StandIn/BackendStandIn.h
@@ -52,6 +52,11 @@
   /// Answer without saying how long the body is.
   bool Unframed = false;
   bool Shed = false;
+  /// What it says of itself in its answers: its limit, whether it leaves, and
+  /// how long it wants rest, if it sheds. Empty: nothing.
+  std::string Limit;
+  bool SaysLeaving = false;
+  std::string Rest = "1";
   bool Drain = false;
   /// Answer health checks with red although all is well.
   bool HealthLiesRed = false;
--- a/lib/Daemon/Daemon.cpp
+++ b/lib/Daemon/Daemon.cpp
@@ -57,6 +57,7 @@
 private:
   void applyConfig(const FleetConfigRef &Compiled);
   void rebuildIfMembersChanged();
+  void shareLimits();
   void housekeep();
   void handleControl(HttpExchange &Exchange);
   void startAgents();
@@ -196,9 +197,22 @@
     Thread.stop();
 }
 
+/// Tells who shares servers' limits.
+void Daemon::Impl::shareLimits() {
+  FleetMap Fleet;
+  Fleet.Self = this->Config.Name;
+  Fleet.All = this->Members->getWorking();
+  for (const std::string &Name : Fleet.All)
+    if (const std::optional<MemberRecord> Member = this->Members->find(Name))
+      Fleet.Halls[Member->Hall].push_back(Name);
+  this->Notices->with(
+      [&](ServerNotices &All) { All.setFleet(Fleet, readSteadyClock()); });
+}
+
 void Daemon::Impl::applyConfig(const FleetConfigRef &Compiled) {
   std::lock_guard<std::mutex> Lock(this->BuildMutex);
   this->BuiltForMembers = this->Members->getWorkingVersion();
+  this->shareLimits();
   DaemonIdentity Identity;
   Identity.Name = this->Config.Name;
   Identity.Hall = this->Config.Hall;
--- a/lib/Daemon/Gateway.cpp
+++ b/lib/Daemon/Gateway.cpp
@@ -210,8 +210,8 @@
 Result<void> Gateway::Impl::startPeers() {
   this->Peers = std::make_unique<PeerExchange>(
       this->Self, this->Fleet, this->Proxy.getGuard(),
-      this->Proxy.getOrganisations(), this->Counters, this->Heard,
-      this->Config.Policy);
+      this->Proxy.getOrganisations(), *this->Notices, this->Counters,
+      this->Heard, this->Config.Policy);
   this->Proxy.getGuard().setNewsListener(
       [this](const SuspectNews &News, TimePoint Now) {
         this->Peers->tellSuspects(News, Now);
@@ -305,9 +305,23 @@
     this->Callers->beginAccepting();
 }
 
+static FleetMap makeFleetMap(const std::string &Self,
+                             const std::vector<DaemonRecord> &Daemons) {
+  FleetMap Fleet;
+  Fleet.Self = Self;
+  for (const DaemonRecord &Each : Daemons) {
+    Fleet.Halls[Each.Hall].push_back(Each.Name);
+    Fleet.All.push_back(Each.Name);
+  }
+  return Fleet;
+}
+
 void Gateway::Impl::setDaemons(const std::vector<DaemonRecord> &Daemons) {
   if (this->Peers)
     this->Peers->setPeers(Daemons);
+  this->Notices->with([&](ServerNotices &All) {
+    All.setFleet(makeFleetMap(this->Config.Name, Daemons), readSteadyClock());
+  });
   std::vector<std::string> Names;
   Names.reserve(Daemons.size());
   for (const DaemonRecord &Daemon : Daemons)
--- a/lib/Daemon/PeerExchange.cpp
+++ b/lib/Daemon/PeerExchange.cpp
@@ -63,11 +63,12 @@
 PeerExchange::PeerExchange(const DaemonRecord &Self,
                            const FleetRuntimeSlot &Fleet, RequestGuard &Guard,
                            OrganisationGate &Organisations,
-                           CounterTable &Counters, PeerLink::Handler Heard,
+                           ServerNoticeBoard &Notices, CounterTable &Counters,
+                           PeerLink::Handler Heard,
                            const PolicySwitches &Switches)
     : Name(Self.Name), Hall(Self.Hall), Fleet(Fleet), Guard(Guard),
-      Organisations(Organisations), Counters(Counters), Heard(std::move(Heard)),
-      Switches(Switches), Rights(MostRights),
+      Organisations(Organisations), Notices(Notices), Counters(Counters),
+      Heard(std::move(Heard)), Switches(Switches), Rights(MostRights),
       Loans(std::random_device()(), Counters,
             [this](const RepeatLoan &Loan, bool AsksFar) {
               this->Link.askForRepeat(Loan, AsksFar);
@@ -133,8 +134,14 @@
       this->Organisations.with([Now](FleetAllowance &All) {
         return All.takeNews(PeerLink::MostLevelsBesides, Now);
       });
+  std::vector<LimitReport> Limits;
+  if (!this->Notices.isEmpty())
+    Limits = this->Notices.with([Now](ServerNotices &All) {
+      return All.takeNews(PeerLink::MostLimitsBesides, Now);
+    });
   if (this->Switches.isOn(Mechanism::PooledObservations))
-    this->Link.sendObservations(std::move(Seen), InFlight, std::move(Levels));
+    this->Link.sendObservations(std::move(Seen), InFlight, std::move(Levels),
+                                std::move(Limits));
 }
 
 void PeerExchange::tellChange(TimePoint Now) {
@@ -246,7 +253,13 @@
     Estimates.insert(Estimates.end(), More.begin(), More.end());
     Rates.push_back(Service->getRate(Now));
   }
-  this->Link.sendEstimates(std::move(Estimates), std::move(Rates));
+  std::vector<LimitReport> Limits;
+  if (!this->Notices.isEmpty())
+    Limits = this->Notices.with([Now](const ServerNotices &All) {
+      return All.listLimits(PeerLink::MostLimitsBesides, Now);
+    });
+  this->Link.sendEstimates(std::move(Estimates), std::move(Rates),
+                           std::move(Limits));
 }
 
 /// Tells daemons of this hall that have just started what it thinks of all
@@ -294,6 +307,9 @@
       Service.takeEstimate(Each, Now);
   for (const HallRate &Each : Message.Rates)
     Service.takeRate(Message.Hall, Each, Now);
+  for (const LimitReport &Each : Message.Limits)
+    for (const NoticeChange &Change : Service.takeLimit(Each, Now))
+      logNotice(Change, "");
 }
 
 /// Takes what a peer says of organisations. Any message of this hall shows that
--- a/lib/Daemon/PeerExchange.h
+++ b/lib/Daemon/PeerExchange.h
@@ -38,8 +38,8 @@
   /// message, on the link's thread.
   PeerExchange(const DaemonRecord &Self, const FleetRuntimeSlot &Fleet,
                RequestGuard &Guard, OrganisationGate &Organisations,
-               CounterTable &Counters, PeerLink::Handler Heard,
-               const PolicySwitches &Switches);
+               ServerNoticeBoard &Notices, CounterTable &Counters,
+               PeerLink::Handler Heard, const PolicySwitches &Switches);
 
   /// Binds the socket and starts to receive. Fails with Io.
   Result<void> start();
@@ -92,6 +92,7 @@
   const FleetRuntimeSlot &Fleet;
   RequestGuard &Guard;
   OrganisationGate &Organisations;
+  ServerNoticeBoard &Notices;
   CounterTable &Counters;
   const PeerLink::Handler Heard;
   std::atomic<bool> IsWatching{false};
--- a/lib/Daemon/PeerLink.cpp
+++ b/lib/Daemon/PeerLink.cpp
@@ -157,14 +157,17 @@
 
 void PeerLink::sendObservations(std::vector<Observation> Seen,
                                 const std::vector<InFlightReport> &InFlight,
-                                std::vector<AllowanceLevel> Levels) {
+                                std::vector<AllowanceLevel> Levels,
+                                std::vector<LimitReport> Limits) {
   PeerMessage First = this->makeMessage();
   First.Levels = std::move(Levels);
+  First.Limits = std::move(Limits);
   First.InFlight = InFlight;
   // One that has more than this out says little by each of them.
   if (First.InFlight->size() > MaxInFlight)
     First.InFlight->resize(MaxInFlight);
-  const size_t Taken = First.InFlight->size() + First.Levels.size();
+  const size_t Taken =
+      First.InFlight->size() + First.Levels.size() + First.Limits.size();
   First.Seen = takeSome(Seen, MaxListed - std::min(MaxListed, Taken));
   this->sendWithinHall(encodePeerMessage(First));
   while (!Seen.empty()) {
@@ -183,11 +186,13 @@
 }
 
 void PeerLink::sendEstimates(std::vector<Estimate> Estimates,
-                             std::vector<HallRate> Rates) {
+                             std::vector<HallRate> Rates,
+                             std::vector<LimitReport> Limits) {
   while (!Estimates.empty() || !Rates.empty()) {
     PeerMessage Message = this->makeMessage();
+    Message.Limits = std::exchange(Limits, {});
     Message.Rates = takeSome(Rates, MaxRates);
-    Message.Estimates = takeSome(Estimates, MaxListed);
+    Message.Estimates = takeSome(Estimates, MaxListed - Message.Limits.size());
     this->sendToOtherHalls(encodePeerMessage(Message));
   }
 }
--- a/lib/Daemon/PeerMessage.cpp
+++ b/lib/Daemon/PeerMessage.cpp
@@ -53,6 +53,20 @@
   return Rows;
 }
 
+/// Limits travel in thousandths of a request a second, their ages in whole
+/// milliseconds.
+static Json::Value encodeLimits(const std::vector<LimitReport> &Limits) {
+  Json::Value Rows(Json::arrayValue);
+  for (const LimitReport &Each : Limits) {
+    Json::Value Row(Json::arrayValue);
+    Row.append(fmt::format("{:x}", Each.Server));
+    Row.append(static_cast<Json::Int64>(std::llround(Each.PerSecond * 1000)));
+    Row.append(static_cast<Json::Int64>(toMillis(Each.Age)));
+    Rows.append(Row);
+  }
+  return Rows;
+}
+
 std::string encodePeerMessage(const PeerMessage &Message) {
   Json::Value Value;
   Value["from"] = Message.Source;
@@ -99,6 +113,8 @@
     Value["orgs"] = encodeLevels(Message.Levels);
   if (Message.HallLevels)
     Value["hall-orgs"] = encodeLevels(*Message.HallLevels);
+  if (!Message.Limits.empty())
+    Value["limits"] = encodeLimits(Message.Limits);
   encodeSuspects(Message.Suspects, Value);
   return writeJson(Value);
 }
@@ -112,6 +128,15 @@
          decodeHex(Row[0], Rate.Service);
 }
 
+static bool decodeLimit(const Json::Value &Row, LimitReport &Limit) {
+  if (!Row.isArray() || Row.size() != 3 || !Row[1].isInt() || !Row[2].isInt() ||
+      Row[1].asInt() < 0 || Row[2].asInt() < 0)
+    return false;
+  Limit.PerSecond = Row[1].asInt() / 1000.0;
+  Limit.Age = fromMillis(Row[2].asInt());
+  return decodeHex(Row[0], Limit.Server);
+}
+
 static bool decodeLoan(const Json::Value &Row, RepeatLoan &Loan) {
   if (!Row.isArray() || Row.size() != 2 || !Row[1].isUInt64())
     return false;
@@ -235,6 +260,8 @@
                                        "not a right given", Message.Lent));
   BOOST_OUTCOME_TRY(decodeOptionalList(Value["orgs"], decodeLevel,
                                        "not a level", Message.Levels));
+  BOOST_OUTCOME_TRY(decodeOptionalList(
+      Value["limits"], decodeLimit, "not a limit of a server", Message.Limits));
   if (!Value["hall-orgs"].isNull()) {
     Message.HallLevels.emplace();
     BOOST_OUTCOME_TRY(decodeOptionalList(Value["hall-orgs"], decodeLevel,
--- a/lib/Health/HealthPolicy.cpp
+++ b/lib/Health/HealthPolicy.cpp
@@ -25,13 +25,15 @@
     {PolicyKind::Pooled, "pooled"},
 }};
 
-static constexpr EnumNames<ShareReason, 6> ShareReasonNames = {{
+static constexpr EnumNames<ShareReason, 8> ShareReasonNames = {{
     {ShareReason::Healthy, "healthy"},
     {ShareReason::OwnEvidence, "own-evidence"},
     {ShareReason::HallEvidence, "hall-evidence"},
     {ShareReason::FleetEvidence, "fleet-evidence"},
     {ShareReason::Leaving, "leaving"},
     {ShareReason::KeptByFloor, "kept-by-floor"},
+    {ShareReason::Resting, "resting"},
+    {ShareReason::Limited, "limited"},
 }};
 
 const char *getName(PolicyKind Kind) {
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -122,6 +122,7 @@
       Request.HasNoServer = Needs.Tried.empty();
       break;
     }
+    this->Counters.add(Counter::ServersLeftOut, Current.LeftOut);
     this->tellChange(Now);
     const RequestOutcome Outcome = this->tryOnce(Request, Relay, Current);
     Current.Load = Relay.getLoad();
--- a/lib/Proxy/RequestProxy.cpp
+++ b/lib/Proxy/RequestProxy.cpp
@@ -253,6 +253,8 @@
   const Refusal Refused = Request.Service->admit(
       Request.Route->Name, Request.Deadline - Request.Began, Request.Began,
       Wait);
+  if (Refused == Refusal::NoServer)
+    Wait = chooseHeldWait(Request.CallerId, Wait);
   if (Refused != Refusal::None) {
     this->refuseUnadmitted(Request, Refused, Wait);
     return;
--- a/lib/Proxy/ServiceEvidence.cpp
+++ b/lib/Proxy/ServiceEvidence.cpp
@@ -114,23 +114,6 @@
   std::visit([Now](auto &Own) { Own.advance(Now); }, this->Policy);
 }
 
-/// Returns how notices name a server.
-NoticedServer ServiceRuntime::makeNoticed(size_t Server) const {
-  const ServerConfig &Config = this->getServer(Server);
-  return {this->Ids[Server], this->Config.Name + "/" + Config.Name,
-          Config.Hall};
-}
-
-std::vector<NoticeChange> ServiceRuntime::noteNotice(const Attempt &From,
-                                                     const ServerNotice &Notice,
-                                                     TimePoint Now) {
-  if (Notice.isEmpty() && this->Notices->isEmpty())
-    return {};
-  return this->Notices->with([&](ServerNotices &All) {
-    return All.note(this->makeNoticed(From.Server), Notice, From.Began, Now);
-  });
-}
-
 void ServiceRuntime::noteLoad(size_t Server, double Load, TimePoint Now) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   this->Selector.noteReportedLoad(Server, Load, Now);
@@ -254,9 +237,13 @@
 }
 
 ShareExplanation ServiceRuntime::explain(size_t Server, TimePoint Now) const {
+  ShareExplanation Why;
   if (const auto *Spells = std::get_if<SpellPolicy>(&this->Policy))
-    return Spells->explain(Server, Now);
-  return std::get<PooledPolicy>(this->Policy).explain(Server);
+    Why = Spells->explain(Server, Now);
+  else
+    Why = std::get<PooledPolicy>(this->Policy).explain(Server);
+  this->explainNotice(Server, Why, Now);
+  return Why;
 }
 
 std::vector<ServerStatus> ServiceRuntime::describe(TimePoint Now) const {
--- /dev/null
+++ b/lib/Proxy/ServiceNotices.cpp
@@ -0,0 +1,126 @@
+//===- ServiceNotices.cpp - What a service's servers say of themselves ----===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// The part of ServiceRuntime that takes notices and keeps to them. Every
+/// choice of a server passes applyNotices, whatever it is for.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Proxy/ServiceRuntime.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace canvaswick {
+
+ServerNoticeBoardRef
+ServiceRuntime::chooseBoard(const DaemonIdentity &Identity,
+                            const ServiceRuntime *Previous) {
+  if (Identity.Notices)
+    return Identity.Notices;
+  return Previous ? Previous->Notices : new ServerNoticeBoard;
+}
+
+/// Returns how notices name a server.
+NoticedServer ServiceRuntime::makeNoticed(size_t Server) const {
+  const ServerConfig &Config = this->getServer(Server);
+  return {this->Ids[Server], this->Config.Name + "/" + Config.Name,
+          Config.Hall};
+}
+
+std::vector<NoticeChange> ServiceRuntime::noteNotice(const Attempt &From,
+                                                     const ServerNotice &Notice,
+                                                     TimePoint Now) {
+  if (Notice.isEmpty() && this->Notices->isEmpty())
+    return {};
+  return this->Notices->with([&](ServerNotices &All) {
+    return All.note(this->makeNoticed(From.Server), Notice, From.Began, Now);
+  });
+}
+
+std::vector<NoticeChange> ServiceRuntime::takeLimit(const LimitReport &Given,
+                                                    TimePoint Now) {
+  const auto Found =
+      std::find(this->Ids.begin(), this->Ids.end(), Given.Server);
+  if (Found == this->Ids.end())
+    return {};
+  const auto Server = static_cast<size_t>(Found - this->Ids.begin());
+  return this->Notices->with([&](ServerNotices &All) {
+    return All.takeReport(this->makeNoticed(Server), Given, Now);
+  });
+}
+
+/// Takes servers that may be sent nothing now out of the choice, and gives
+/// those to which this daemon sends for others more. Returns how many are left
+/// out.
+size_t ServiceRuntime::applyNotices(std::vector<double> &Shares,
+                                    TimePoint Now) const {
+  size_t LeftOut = 0;
+  if (this->Notices->isEmpty())
+    return LeftOut;
+  this->Notices->with([&](const ServerNotices &All) {
+    for (size_t I = 0; I < Shares.size(); ++I) {
+      const double Factor = All.getFactor(this->Ids[I], Now);
+      Shares[I] *= Factor;
+      LeftOut += Factor <= 0 ? 1 : 0;
+    }
+  });
+  return LeftOut;
+}
+
+/// Returns whether a server may be sent nothing now.
+bool ServiceRuntime::isHeld(size_t Server, TimePoint Now) const {
+  return !this->Notices->isEmpty() &&
+         this->Notices->with([&](const ServerNotices &All) {
+           return All.getFactor(this->Ids[Server], Now) <= 0;
+         });
+}
+
+/// Returns how long no server may be sent anything, or nothing if one may.
+std::optional<Duration> ServiceRuntime::getHeldWait(TimePoint Now) const {
+  if (this->Notices->isEmpty() || this->Ids.empty())
+    return std::nullopt;
+  Duration Least = Duration::max();
+  this->Notices->with([&](const ServerNotices &All) {
+    for (const ServerId Id : this->Ids)
+      Least = std::min(Least, All.getWait(Id, Now));
+  });
+  if (Least <= Duration::zero())
+    return std::nullopt;
+  return Least;
+}
+
+static ShareReason getReason(NoticeKind Kind) {
+  switch (Kind) {
+  case NoticeKind::Limit:
+    return ShareReason::Limited;
+  case NoticeKind::Leaving:
+    return ShareReason::Leaving;
+  case NoticeKind::Rest:
+    return ShareReason::Resting;
+  }
+  assert(false && "notice without a reason");
+  return ShareReason::Healthy;
+}
+
+/// What a server says of itself explains its share before all else.
+void ServiceRuntime::explainNotice(size_t Server, ShareExplanation &Why,
+                                   TimePoint Now) const {
+  if (this->Notices->isEmpty())
+    return;
+  this->Notices->with([&](const ServerNotices &All) {
+    const std::optional<NoticeKind> Said = All.getState(this->Ids[Server], Now);
+    if (!Said)
+      return;
+    Why.Reason = getReason(*Said);
+    Why.Share *= All.getFactor(this->Ids[Server], Now);
+  });
+}
+
+} // namespace canvaswick
--- a/lib/Proxy/ServiceRepeats.cpp
+++ b/lib/Proxy/ServiceRepeats.cpp
@@ -107,7 +107,8 @@
     const bool WasTried = std::find(Needs.Tried.begin(), Needs.Tried.end(),
                                     I) != Needs.Tried.end();
     // Few go far away: what is there is no reason to leave.
-    if (I == Each.Server || WasTried || !this->Selector.isNear(I))
+    if (I == Each.Server || WasTried || !this->Selector.isNear(I) ||
+        this->isHeld(I, Now))
       continue;
     if (Best < 0 || Worths[I] > Worths[static_cast<size_t>(Best)])
       Best = static_cast<int>(I);
--- a/lib/Proxy/ServiceRuntime.cpp
+++ b/lib/Proxy/ServiceRuntime.cpp
@@ -24,6 +24,10 @@
 /// When nothing can take a request now, coming back sooner makes no sense.
 static constexpr Duration BusyWait = fromSeconds(1);
 
+/// Bounds of the wait that is told where no server may be sent anything now.
+static constexpr Duration LeastHeldWait = fromMillis(100);
+static constexpr Duration MostHeldWait = fromSeconds(30);
+
 /// Part of a near server's share that one in another hall gets on the users'
 /// platform: bytes between halls have a price there, and a large answer costs
 /// more than it is worth.
@@ -46,14 +50,6 @@
   return Ids;
 }
 
-ServerNoticeBoardRef
-ServiceRuntime::chooseBoard(const DaemonIdentity &Identity,
-                            const ServiceRuntime *Previous) {
-  if (Identity.Notices)
-    return Identity.Notices;
-  return Previous ? Previous->Notices : new ServerNoticeBoard;
-}
-
 ServiceRuntime::ServiceRuntime(ServiceConfig Given,
                                const DaemonIdentity &Identity,
                                const ServiceRuntime *Previous, TimePoint Now)
@@ -205,6 +201,10 @@
   Wait = BusyWait;
   if (!hasChance(Left, this->Latency.getMedian(Route)))
     return Refusal::DeadlineTooShort;
+  if (const std::optional<Duration> Held = this->getHeldWait(Now)) {
+    Wait = std::clamp(*Held, LeastHeldWait, MostHeldWait);
+    return Refusal::NoServer;
+  }
   if (!this->InFlight.tryBegin())
     return Refusal::ServiceBusy;
   this->Retries.noteRequest(Now);
@@ -240,6 +240,7 @@
   Shares.reserve(Granted.size());
   for (const ServerShare &Each : Granted)
     Shares.push_back(Each.Share);
+  Next.LeftOut = this->applyNotices(Shares, Now);
   const SelectionRules Rules = this->makeSelectionRules(Needs.Class);
   const int Server =
       this->Selector.pick(Shares, Needs.Tried, Now, this->Random, Rules);
@@ -253,6 +254,9 @@
   Next.WasGivenUp = false;
   Next.Share = Granted[Next.Server].Share;
   Next.IsTest = Granted[Next.Server].IsTest;
+  if (!this->Notices->isEmpty())
+    this->Notices->with(
+        [&](ServerNotices &All) { All.noteSent(this->Ids[Next.Server], Now); });
   this->Selector.begin(Next.Server);
   this->beginInFlight(Next, Needs, Now);
   this->Attempts.push_back(Next);
--- a/lib/Routing/ServerNotices.cpp
+++ b/lib/Routing/ServerNotices.cpp
@@ -27,6 +27,13 @@
 /// A limit that nobody has named for this long is forgotten.
 static constexpr Duration LimitLife = fromSeconds(300);
 
+/// That a limit has ended is remembered this long, for peers that hear of it
+/// late.
+static constexpr Duration EndedLife = fromSeconds(5);
+
+/// How often peers hear of one limit: a few times while their word is new.
+static constexpr Duration ReportInterval = fromMillis(500);
+
 /// A server that leaves is gone well before; one that is still there then is
 /// asked again.
 static constexpr Duration LeavingLife = fromSeconds(300);
@@ -59,41 +66,70 @@
   return Until && Now < *Until;
 }
 
+void ServerNotices::setFleet(const FleetMap &Given, TimePoint Now) {
+  if (Given == this->Fleet)
+    return;
+  this->Fleet = Given;
+  for (auto &[Id, Of] : this->Entries)
+    if (Of.Limit)
+      Of.Limit->setFleet(Given, Now);
+}
+
+ServerNotices::Entry &ServerNotices::findEntry(const NoticedServer &Of) {
+  Entry &Found = this->Entries[Of.Id];
+  Found.Key = Of.Key;
+  Found.Hall = Of.Hall;
+  return Found;
+}
+
+void ServerNotices::setLimit(Entry &Of, double Asked, TimePoint HeardAt,
+                             TimePoint Now, Changes &All) const {
+  const double Named = std::clamp(Asked, LeastLimit, MostLimit);
+  if (!Of.Limit) {
+    All.push_back({Of.Key, NoticeKind::Limit, NoticeStep::Begun, Named});
+    Of.Limit.emplace(Of.Key, Of.Hall, Named, HeardAt, this->Fleet, Now);
+    return;
+  }
+  if (Of.Limit->getPerSecond() != Named)
+    All.push_back({Of.Key, NoticeKind::Limit, NoticeStep::Changed, Named});
+  Of.Limit->hear(Named, HeardAt, this->Fleet, Now);
+}
+
+void ServerNotices::endLimit(Entry &Of, TimePoint At, Changes &All) {
+  All.push_back(
+      {Of.Key, NoticeKind::Limit, NoticeStep::Ended, Of.Limit->getPerSecond()});
+  Of.Limit.reset();
+  Of.LimitEndedAt = At;
+}
+
 void ServerNotices::noteLimit(Entry &Of, const ServerNotice &Notice,
                               TimePoint AskedAt, TimePoint Now,
-                              std::vector<NoticeChange> &Changes) {
-  if (!Notice.RequestsPerSecond) {
-    // An answer that was on its way before the word came says nothing of it.
-    const bool IsTakenBack =
-        Of.Named && Notice.MayEndLimit && AskedAt > Of.Named->HeardAt;
-    if (!IsTakenBack)
-      return;
-    Changes.push_back(
-        {Of.Key, NoticeKind::Limit, NoticeStep::Ended, Of.Named->PerSecond});
-    Of.Named.reset();
+                              Changes &All) const {
+  if (Notice.RequestsPerSecond) {
+    this->setLimit(Of, *Notice.RequestsPerSecond, Now, Now, All);
+    Of.HasNews = true;
     return;
   }
-  const double Named =
-      std::clamp(*Notice.RequestsPerSecond, LeastLimit, MostLimit);
-  if (!Of.Named)
-    Changes.push_back({Of.Key, NoticeKind::Limit, NoticeStep::Begun, Named});
-  else if (Of.Named->PerSecond != Named)
-    Changes.push_back({Of.Key, NoticeKind::Limit, NoticeStep::Changed, Named});
-  Of.Named = {Named, Now};
+  // An answer that was on its way before the word came says nothing of it.
+  const bool IsTakenBack =
+      Of.Limit && Notice.MayEndLimit && AskedAt > Of.Limit->getHeardAt();
+  if (!IsTakenBack)
+    return;
+  endLimit(Of, Now, All);
+  Of.HasNews = true;
 }
 
-void ServerNotices::noteLeaving(Entry &Of, TimePoint Now,
-                                std::vector<NoticeChange> &Changes) {
+void ServerNotices::noteLeaving(Entry &Of, TimePoint Now, Changes &All) {
   if (!isAhead(Of.LeavingUntil, Now))
-    Changes.push_back({Of.Key, NoticeKind::Leaving, NoticeStep::Begun, 0});
+    All.push_back({Of.Key, NoticeKind::Leaving, NoticeStep::Begun, 0});
   Of.LeavingUntil = Now + LeavingLife;
 }
 
 void ServerNotices::noteRest(Entry &Of, Duration Rest, TimePoint Now,
-                             std::vector<NoticeChange> &Changes) {
+                             Changes &All) {
   const TimePoint Until = Now + std::clamp(Rest, Duration::zero(), MostRest);
   if (!isAhead(Of.RestUntil, Now))
-    Changes.push_back(
+    All.push_back(
         {Of.Key, NoticeKind::Rest, NoticeStep::Begun, toSeconds(Until - Now)});
   // Each wish holds to its end, whatever a later one says.
   Of.RestUntil = Of.RestUntil ? std::max(*Of.RestUntil, Until) : Until;
@@ -103,18 +139,90 @@
                                               const ServerNotice &Notice,
                                               TimePoint AskedAt,
                                               TimePoint Now) {
-  std::vector<NoticeChange> Changes;
+  Changes All;
   if (Notice.isEmpty() && this->Entries.count(From.Id) == 0)
-    return Changes;
-  Entry &Of = this->Entries[From.Id];
-  Of.Key = From.Key;
-  Of.Hall = From.Hall;
-  noteLimit(Of, Notice, AskedAt, Now, Changes);
+    return All;
+  Entry &Of = this->findEntry(From);
+  this->noteLimit(Of, Notice, AskedAt, Now, All);
   if (Notice.IsLeaving)
-    noteLeaving(Of, Now, Changes);
+    noteLeaving(Of, Now, All);
   if (Notice.Rest)
-    noteRest(Of, *Notice.Rest, Now, Changes);
-  return Changes;
+    noteRest(Of, *Notice.Rest, Now, All);
+  return All;
+}
+
+std::vector<NoticeChange> ServerNotices::takeReport(const NoticedServer &From,
+                                                    const LimitReport &Given,
+                                                    TimePoint Now) {
+  Changes All;
+  const TimePoint SaidAt = Now - Given.Age;
+  const auto Found = this->Entries.find(From.Id);
+  const bool IsKnown = Found != this->Entries.end();
+  const bool IsOld =
+      IsKnown &&
+      ((Found->second.Limit && Found->second.Limit->getHeardAt() >= SaidAt) ||
+       (Found->second.LimitEndedAt && *Found->second.LimitEndedAt >= SaidAt));
+  const bool HasLimit = IsKnown && Found->second.Limit;
+  if (IsOld || (Given.PerSecond <= 0 && !HasLimit))
+    return All;
+  Entry &Of = this->findEntry(From);
+  if (Given.PerSecond > 0)
+    this->setLimit(Of, Given.PerSecond, SaidAt, Now, All);
+  else
+    endLimit(Of, SaidAt, All);
+  return All;
+}
+
+LimitReport ServerNotices::makeReport(ServerId Server, const Entry &Of,
+                                      TimePoint Now) {
+  if (Of.Limit)
+    return {Server, Of.Limit->getPerSecond(), Now - Of.Limit->getHeardAt()};
+  return {Server, 0, Now - Of.LimitEndedAt.value_or(Now)};
+}
+
+std::vector<LimitReport> ServerNotices::takeNews(size_t Most, TimePoint Now) {
+  std::vector<LimitReport> News;
+  for (auto &[Id, Of] : this->Entries) {
+    if (!Of.HasNews || News.size() >= Most || Now - Of.ToldAt < ReportInterval)
+      continue;
+    Of.HasNews = false;
+    Of.ToldAt = Now;
+    News.push_back(makeReport(Id, Of, Now));
+  }
+  return News;
+}
+
+std::vector<LimitReport> ServerNotices::listLimits(size_t Most,
+                                                   TimePoint Now) const {
+  std::vector<LimitReport> Limits;
+  for (const auto &[Id, Of] : this->Entries) {
+    const bool IsFresh =
+        Of.Limit ? Of.Limit->isFresh(Now) : Of.LimitEndedAt.has_value();
+    if (IsFresh && Limits.size() < Most)
+      Limits.push_back(makeReport(Id, Of, Now));
+  }
+  return Limits;
+}
+
+double ServerNotices::getFactor(ServerId Server, TimePoint Now) const {
+  const auto Found = this->Entries.find(Server);
+  if (Found == this->Entries.end() || !Found->second.Limit)
+    return 1;
+  const LimitShare &Limit = *Found->second.Limit;
+  return Limit.maySend(Now) ? Limit.getBoost() : 0;
+}
+
+Duration ServerNotices::getWait(ServerId Server, TimePoint Now) const {
+  const auto Found = this->Entries.find(Server);
+  if (Found == this->Entries.end() || !Found->second.Limit)
+    return Duration::zero();
+  return Found->second.Limit->getWait(Now);
+}
+
+void ServerNotices::noteSent(ServerId Server, TimePoint Now) {
+  const auto Found = this->Entries.find(Server);
+  if (Found != this->Entries.end() && Found->second.Limit)
+    Found->second.Limit->noteSent(Now);
 }
 
 std::optional<NoticeKind> ServerNotices::getState(ServerId Server,
@@ -127,44 +235,42 @@
     return NoticeKind::Leaving;
   if (isAhead(Of.RestUntil, Now))
     return NoticeKind::Rest;
-  if (Of.Named)
+  if (Of.Limit)
     return NoticeKind::Limit;
   return std::nullopt;
 }
 
 /// Ends the words of a server that no longer hold.
-void ServerNotices::endOld(Entry &Of, TimePoint Now,
-                           std::vector<NoticeChange> &Changes) {
-  if (Of.Named && Now - Of.Named->HeardAt > LimitLife) {
-    Changes.push_back(
-        {Of.Key, NoticeKind::Limit, NoticeStep::Ended, Of.Named->PerSecond});
-    Of.Named.reset();
-  }
+void ServerNotices::endOld(Entry &Of, TimePoint Now, Changes &All) {
+  if (Of.Limit && Now - Of.Limit->getHeardAt() > LimitLife)
+    endLimit(Of, Now, All);
+  if (Of.LimitEndedAt && Now - *Of.LimitEndedAt > EndedLife)
+    Of.LimitEndedAt.reset();
   if (Of.LeavingUntil && !isAhead(Of.LeavingUntil, Now)) {
-    Changes.push_back({Of.Key, NoticeKind::Leaving, NoticeStep::Ended, 0});
+    All.push_back({Of.Key, NoticeKind::Leaving, NoticeStep::Ended, 0});
     Of.LeavingUntil.reset();
   }
   if (Of.RestUntil && !isAhead(Of.RestUntil, Now)) {
-    Changes.push_back({Of.Key, NoticeKind::Rest, NoticeStep::Ended, 0});
+    All.push_back({Of.Key, NoticeKind::Rest, NoticeStep::Ended, 0});
     Of.RestUntil.reset();
   }
 }
 
 std::vector<NoticeChange> ServerNotices::forgetOld(TimePoint Now) {
-  std::vector<NoticeChange> Changes;
+  Changes All;
   for (auto &[Id, Of] : this->Entries)
-    endOld(Of, Now, Changes);
+    endOld(Of, Now, All);
   std::erase_if(this->Entries, [](const auto &Each) {
     const Entry &Of = Each.second;
-    return !Of.Named && !Of.LeavingUntil && !Of.RestUntil;
+    return !Of.Limit && !Of.LimitEndedAt && !Of.LeavingUntil && !Of.RestUntil;
   });
-  return Changes;
+  return All;
 }
 
 NoticeCounts ServerNotices::count(TimePoint Now) const {
   NoticeCounts Counts;
   for (const auto &[Id, Of] : this->Entries) {
-    Counts.Limited += Of.Named ? 1 : 0;
+    Counts.Limited += Of.Limit ? 1 : 0;
     Counts.Leaving += isAhead(Of.LeavingUntil, Now) ? 1 : 0;
     Counts.Resting += isAhead(Of.RestUntil, Now) ? 1 : 0;
   }
--- a/lib/Routing/SubsetChooser.cpp
+++ b/lib/Routing/SubsetChooser.cpp
@@ -28,9 +28,8 @@
   return std::max(1, Usable / LeastConnectionsPerDaemon);
 }
 
-/// Returns how many of Daemons rank before Self for a server.
-static int computeRank(const std::string &Key, const std::string &Self,
-                       const std::vector<std::string> &Daemons) {
+int getDaemonRank(const std::string &Key, const std::string &Self,
+                  const std::vector<std::string> &Daemons) {
   const uint64_t KeyHash = hashText(Key);
   const uint64_t Own = hashText(Self, KeyHash);
   int Rank = 0;
@@ -54,7 +53,7 @@
     const int Sharers = countSharers(Server);
     int Rank = 0;
     if (Count > Sharers)
-      Rank = computeRank(Service.Name + "/" + Server.Name, Self, Daemons);
+      Rank = getDaemonRank(Service.Name + "/" + Server.Name, Self, Daemons);
     if (Rank < BestRank) {
       BestRank = Rank;
       BestServer = I;
--- a/lib/StandIn/BackendStandIn.cpp
+++ b/lib/StandIn/BackendStandIn.cpp
@@ -188,17 +188,27 @@
   return true;
 }
 
-static void refuseAsNotRun(HttpExchange &Exchange) {
+static void refuseAsNotRun(HttpExchange &Exchange, const std::string &Rest) {
   Exchange.Response.status = 503;
   Exchange.Response.set_header("Canvaswick-Outcome", "not-run");
-  Exchange.Response.set_header("Retry-After", "1");
+  if (!Rest.empty())
+    Exchange.Response.set_header("Retry-After", Rest);
+}
+
+/// Says what the stand-in is to say of itself.
+static void speakOfItself(HttpExchange &Exchange, const BackendFaults &Active) {
+  if (!Active.Limit.empty())
+    Exchange.Response.set_header("Canvaswick-Server-Limit", Active.Limit);
+  if (Active.SaysLeaving)
+    Exchange.Response.set_header("Canvaswick-Server-Leaving", "1");
 }
 
 void BackendStandIn::run(HttpExchange &Exchange, const std::string &Body,
                          const BackendFaults &Active) {
   static constexpr Duration HangTime = fromSeconds(300);
+  speakOfItself(Exchange, Active);
   if (Active.Shed || Active.Drain) {
-    refuseAsNotRun(Exchange);
+    refuseAsNotRun(Exchange, Active.Rest);
     return;
   }
   const std::string DeadlineText =
@@ -208,7 +218,7 @@
     Deadline = readSteadyClock() +
                fromMillis(std::strtoll(DeadlineText.c_str(), nullptr, 10));
   if (!this->takeSlot(Deadline)) {
-    refuseAsNotRun(Exchange);
+    refuseAsNotRun(Exchange, "1");
     return;
   }
   Duration Length = fromMillis(this->Setup.ServiceMs + Active.SlowMs);
@@ -344,6 +354,9 @@
     Set.LoseAnswer = Wanted.get("lose-answer", false).asBool();
     Set.Unframed = Wanted.get("unframed", false).asBool();
     Set.Shed = Wanted.get("shed", false).asBool();
+    Set.Limit = Wanted.get("limit", "").asString();
+    Set.SaysLeaving = Wanted.get("says-leaving", false).asBool();
+    Set.Rest = Wanted.get("rest", "1").asString();
     Set.Drain = Wanted.get("drain", false).asBool();
     Set.HealthLiesRed = Wanted.get("health-lies-red", false).asBool();
     this->setFaults(Set);
--- a/unittests/Daemon/PeerLinkTest.cpp
+++ b/unittests/Daemon/PeerLinkTest.cpp
@@ -87,18 +87,21 @@
     return false;
   };
   All[0]->Link.sendObservations({{5, RequestOutcome::Failed, 2}},
-                                {{7, 120, 200}}, {{0xffffffffffff, 1, 2}});
+                                {{7, 120, 200}}, {{0xffffffffffff, 1, 2}},
+                                {{6, 1.5, fromMillis(20)}});
   CHECK(WaitFor(1, 2, 1));
   for (size_t I = 1; I < 3; ++I) {
     REQUIRE(All[I]->Heard[0].InFlight.has_value());
     CHECK(All[I]->Heard[0].InFlight->size() == 1);
     CHECK(All[I]->Heard[0].Levels.size() == 1);
+    CHECK(All[I]->Heard[0].Limits.size() == 1);
   }
-  All[0]->Link.sendEstimates({{9, 345}}, {});
+  All[0]->Link.sendEstimates({{9, 345}}, {}, {{6, 1.5, fromMillis(20)}});
   CHECK(WaitFor(3, 5, 1));
   for (size_t I = 3; I < 6; ++I) {
     CHECK(All[I]->Heard.size() == 1);
     CHECK(All[I]->Heard[0].Estimates.size() == 1);
+    CHECK(All[I]->Heard[0].Limits.size() == 1);
   }
   CHECK(All[0]->countHeard() == 0);
 }
--- a/unittests/Daemon/PeerMessageTest.cpp
+++ b/unittests/Daemon/PeerMessageTest.cpp
@@ -38,6 +38,7 @@
   Message.Lent = {{7, 8}, {9, 10}};
   Message.Levels = {{0xffffffffffff, 12.25, 7}, {3, 0, -2}};
   Message.HallLevels = {{5, 1, 1234567}};
+  Message.Limits = {{6, 1.8, fromMillis(250)}, {7, 0, fromMillis(0)}};
   Message.Suspects.Ends = {
       {0xfedcba9876543210, 0xfffffffe, 20, 300, 0xfffffffd}};
   Message.Suspects.Answers = {{0xfedcba9876543210, 0}};
--- a/unittests/Routing/ServerNoticesTest.cpp
+++ b/unittests/Routing/ServerNoticesTest.cpp
@@ -95,7 +95,12 @@
   All.IsLeaving = true;
   Notices.note(Server, All, Begin, Begin);
   CHECK(Notices.getState(7, Begin + fromSeconds(299)) == NoticeKind::Leaving);
-  CHECK(Notices.forgetOld(Begin + fromSeconds(301)).size() == 3);
+  const TimePoint After = Begin + fromSeconds(301);
+  CHECK(Notices.forgetOld(After).size() == 3);
+  CHECK(!Notices.getState(7, After));
+  CHECK(Notices.getFactor(7, After) == 1);
+  // That the limit has ended is remembered a little longer, for peers.
+  CHECK(Notices.forgetOld(After + fromSeconds(6)).empty());
   CHECK(Notices.isEmpty());
 }
 
--- a/unittests/ServerLimit/LimitPlay.h
+++ b/unittests/ServerLimit/LimitPlay.h
@@ -38,6 +38,24 @@
   std::optional<double> PerSecond;
 };
 
+/// What happens to some daemons for a while.
+enum class LimitTrouble : uint8_t {
+  /// They reach no other daemon; callers and servers reach them.
+  Cut,
+  /// They end, and come back at once having forgotten everything.
+  Restart,
+  /// They are gone, and the others do not know it yet.
+  Gone,
+};
+
+/// One stretch of trouble, for daemons whose index is a multiple of Each.
+struct LimitEvent {
+  LimitTrouble Kind = LimitTrouble::Cut;
+  int FromMs = 0;
+  int ForMs = 0;
+  size_t Each = 3;
+};
+
 /// One play.
 struct LimitScenario {
   int Halls = 3;
@@ -51,6 +69,7 @@
   int SurgeMs = 0;
   int WorkMs = 240;
   std::vector<LimitStep> Steps = {{5000, 1.5}};
+  std::vector<LimitEvent> Events;
   int LengthMs = 30000;
   uint64_t Seed = 1;
 };
@@ -64,6 +83,8 @@
   double Used = 0;
   /// Requests that no server could take.
   uint64_t Unplaced = 0;
+  /// Messages that held a limit.
+  uint64_t Messages = 0;
 };
 
 class LimitPlay {
@@ -75,14 +96,19 @@
       for (int I = 0; I < Given.DaemonsOfHall; ++I)
         this->Names.push_back(fmt::format("h{}-d{:02}", Hall, I));
     for (const std::string &Name : this->Names)
-      this->Daemons.emplace_back(this->makeService(Name), Given.Limited);
+      this->Daemons.emplace_back(this->makeBoard(Name), Given.Limited);
+    for (size_t I = 0; I < this->Daemons.size(); ++I)
+      this->Daemons[I].Service = this->makeService(I);
   }
 
   LimitOutcome run() {
     for (int Ms = 0; Ms < this->Scenario.LengthMs; Ms += StepMs) {
       this->Now = Begin + fromMillis(Ms);
       this->endRequests();
+      this->restart(Ms);
       this->send(Ms);
+      if (Ms % TellMs == 0)
+        this->tell();
     }
     this->endAll();
     return this->judge();
@@ -91,6 +117,8 @@
 private:
   static constexpr int StepMs = 5;
   static constexpr TimePoint Begin{fromSeconds(1000)};
+  static constexpr int TellMs = 50;
+  static constexpr int FarTellMs = 400;
   static constexpr int WindowMs = 4000;
   static constexpr int ToldMs = 500;
   static constexpr int ContactMs = 3000;
@@ -101,12 +129,13 @@
   };
 
   struct Daemon {
+    ServerNoticeBoardRef Board;
     ServiceRuntimeRef Service;
     std::list<Sent> Out;
     /// When each limited server first told it.
     std::vector<std::optional<TimePoint>> ToldAt;
-    Daemon(ServiceRuntimeRef Service, int Limited)
-        : Service(std::move(Service)), ToldAt(static_cast<size_t>(Limited)) {}
+    Daemon(ServerNoticeBoardRef Board, int Limited)
+        : Board(std::move(Board)), ToldAt(static_cast<size_t>(Limited)) {}
   };
 
   struct Arrival {
@@ -114,7 +143,23 @@
     bool IsTold = false;
   };
 
-  ServiceRuntimeRef makeService(const std::string &Name) const {
+  static std::string getHall(const std::string &Daemon) {
+    return Daemon.substr(0, 2);
+  }
+
+  ServerNoticeBoardRef makeBoard(const std::string &Name) const {
+    FleetMap Fleet;
+    Fleet.Self = Name;
+    Fleet.All = this->Names;
+    for (const std::string &Each : this->Names)
+      Fleet.Halls[getHall(Each)].push_back(Each);
+    ServerNoticeBoardRef Board(new ServerNoticeBoard);
+    Board->with([&](ServerNotices &All) { All.setFleet(Fleet, Begin); });
+    return Board;
+  }
+
+  ServiceRuntimeRef makeService(size_t Daemon) const {
+    const std::string &Name = this->Names[Daemon];
     ServiceConfig Config;
     Config.Name = "s";
     Config.FloorPercent = 70;
@@ -130,7 +175,8 @@
     }
     DaemonIdentity Identity;
     Identity.Name = Name;
-    Identity.Hall = Name.substr(0, 2);
+    Identity.Hall = getHall(Name);
+    Identity.Notices = this->Daemons[Daemon].Board;
     Identity.Daemons = this->Names;
     Identity.Source = SettingsSource::Platform;
     return new ServiceRuntime(Config, Identity, nullptr, Begin);
@@ -151,6 +197,38 @@
     this->endRequests();
   }
 
+  /// Returns whether a kind of trouble has hit a daemon now.
+  bool isHit(LimitTrouble Kind, size_t Daemon) const {
+    const int64_t Ms = toMillis(this->Now - Begin);
+    return std::any_of(this->Scenario.Events.begin(),
+                       this->Scenario.Events.end(),
+                       [&](const LimitEvent &Event) {
+                         return Event.Kind == Kind && Ms >= Event.FromMs &&
+                                Ms < Event.FromMs + Event.ForMs &&
+                                Daemon % Event.Each == 0;
+                       });
+  }
+
+  /// Has those forget everything that start anew now. What they have out goes
+  /// with them.
+  void restart(int Ms) {
+    for (const LimitEvent &Event : this->Scenario.Events)
+      for (size_t I = 0; I < this->Daemons.size(); ++I)
+        if (Event.Kind == LimitTrouble::Restart && Ms == Event.FromMs &&
+            I % Event.Each == 0)
+          this->restartOne(I);
+  }
+
+  void restartOne(size_t Index) {
+    Daemon &Each = this->Daemons[Index];
+    for (Sent &Request : Each.Out)
+      Each.Service->end(Request.Try, RequestOutcome::Canceled, this->Now);
+    Each.Out.clear();
+    std::fill(Each.ToldAt.begin(), Each.ToldAt.end(), std::nullopt);
+    Each.Board = this->makeBoard(this->Names[Index]);
+    Each.Service = this->makeService(Index);
+  }
+
   void endRequests() {
     for (Daemon &Each : this->Daemons)
       for (auto Request = Each.Out.begin(); Request != Each.Out.end();)
@@ -174,14 +252,51 @@
     return At.Out.erase(Request);
   }
 
+  /// Has each daemon tell its hall what it has heard, and a drawn one of each
+  /// hall the others. Some messages are lost.
+  void tell() {
+    for (size_t I = 0; I < this->Daemons.size(); ++I) {
+      if (this->isHit(LimitTrouble::Cut, I) ||
+          this->isHit(LimitTrouble::Gone, I))
+        continue;
+      const std::vector<LimitReport> News = this->Daemons[I].Board->with(
+          [&](ServerNotices &All) { return All.takeNews(5, this->Now); });
+      const std::vector<LimitReport> Known =
+          this->Daemons[I].Board->with([&](const ServerNotices &All) {
+            return All.listLimits(5, this->Now);
+          });
+      std::uniform_int_distribution<int> Turn(0, this->Scenario.DaemonsOfHall *
+                                                     FarTellMs / TellMs);
+      const bool TellsFar = Turn(this->Random) == 0;
+      for (size_t To = 0; To < this->Daemons.size(); ++To) {
+        const bool IsNear = getHall(this->Names[I]) == getHall(this->Names[To]);
+        if (To != I && (IsNear || TellsFar))
+          this->tellOne(IsNear ? News : Known, To);
+      }
+    }
+  }
+
+  void tellOne(const std::vector<LimitReport> &Reports, size_t To) {
+    std::bernoulli_distribution IsLost(0.02);
+    if (Reports.empty() || IsLost(this->Random) ||
+        this->isHit(LimitTrouble::Cut, To))
+      return;
+    ++this->Outcome.Messages;
+    for (const LimitReport &Each : Reports)
+      (void)this->Daemons[To].Service->takeLimit(Each, this->Now);
+  }
+
   void send(int Ms) {
     const double Times =
         Ms >= this->Scenario.SurgeMs ? this->Scenario.SurgeTimes : 1;
     std::poisson_distribution<int> Count(this->Scenario.RequestsPerSecond *
                                          Times * StepMs / 1000);
     std::uniform_int_distribution<size_t> Any(0, this->Daemons.size() - 1);
-    for (int Left = Count(this->Random); Left > 0; --Left)
-      this->sendFrom(this->Daemons[Any(this->Random)]);
+    for (int Left = Count(this->Random); Left > 0; --Left) {
+      const size_t From = Any(this->Random);
+      if (!this->isHit(LimitTrouble::Gone, From))
+        this->sendFrom(this->Daemons[From]);
+    }
   }
 
   void sendFrom(Daemon &From) {
@@ -210,12 +325,15 @@
   }
 
   /// Returns what a server's limits allow from an instant on for as long as a
-  /// window, in requests.
-  double getAllowed(TimePoint From) const {
+  /// window, in requests, or nothing if none is named for a part of it.
+  std::optional<double> getAllowed(TimePoint From) const {
     double Allowed = 0;
-    for (int Ms = 0; Ms < WindowMs; Ms += StepMs)
-      if (const auto Named = this->getLimit(From + fromMillis(Ms)))
-        Allowed += *Named * StepMs / 1000;
+    for (int Ms = 0; Ms < WindowMs; Ms += StepMs) {
+      const std::optional<double> Named = this->getLimit(From + fromMillis(Ms));
+      if (!Named)
+        return std::nullopt;
+      Allowed += *Named * StepMs / 1000;
+    }
     return Allowed;
   }
 
@@ -225,14 +343,13 @@
     const TimePoint Last =
         Begin + fromMillis(this->Scenario.LengthMs - WindowMs);
     for (TimePoint From = First; From <= Last; From += fromMillis(20)) {
-      // Without a limit there is no bound.
-      if (!this->getLimit(From) || !this->getLimit(From + fromMillis(WindowMs)))
+      const std::optional<double> Allowed = this->getAllowed(From);
+      if (!Allowed)
         continue;
-      const double Allowed = 1.5 * this->getAllowed(From) + 5;
       for (const std::vector<Arrival> &Of : this->Arrivals)
-        this->Outcome.WorstFill =
-            std::max(this->Outcome.WorstFill,
-                     static_cast<double>(countTold(Of, From)) / Allowed);
+        this->Outcome.WorstFill = std::max(
+            this->Outcome.WorstFill,
+            static_cast<double>(countTold(Of, From)) / (1.5 * *Allowed + 5));
     }
     this->Outcome.Used = this->getUsedPart(First);
     return this->Outcome;
