A server whose answer says that it leaves gets nothing more

Cause: the same as of the limit, an answer's word of its server had no reader. Who leaves was known from the list (platform) or from checks (own interface) alone, and marks of checks go by address.

Now the word counts by the server's life, on every way to it, in all versions of the settings at once, and the floor counts without the server. It is asked again five minutes after it last said so, as it should be gone by then. Where all servers leave, callers are refused at once and asked to look again in a second.

--- a/include/canvaswick/Proxy/ServiceRuntime.h
+++ b/include/canvaswick/Proxy/ServiceRuntime.h
@@ -284,6 +284,7 @@
   NoticedServer makeNoticed(size_t Server) const;
   size_t applyNotices(std::vector<double> &Shares, TimePoint Now) const;
   bool isHeld(size_t Server, TimePoint Now) const;
+  void updateLeaving(TimePoint Now);
   void explainNotice(size_t Server, ShareExplanation &Why, TimePoint Now) const;
   std::optional<Duration> getHeldWait(TimePoint Now) const;
 
@@ -304,6 +305,8 @@
   RandomSource Random;
   AttemptList Attempts;
   std::vector<bool> LeavingByList;
+  /// By the server's own word.
+  std::vector<bool> LeavingByNotice;
   std::vector<bool> IsLeaving;
   std::shared_ptr<ServiceMetrics> Metrics;
 };
--- a/lib/Proxy/ServiceEvidence.cpp
+++ b/lib/Proxy/ServiceEvidence.cpp
@@ -108,6 +108,7 @@
 
 void ServiceRuntime::advance(TimePoint Now) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->updateLeaving(Now);
   if (auto *Pooled = std::get_if<PooledPolicy>(&this->Policy))
     for (Attempt &Each : this->Attempts)
       noteLate(*Pooled, Each, this->Latency.getSlowAfter(Each.Route), Now);
--- a/lib/Proxy/ServiceNotices.cpp
+++ b/lib/Proxy/ServiceNotices.cpp
@@ -39,9 +39,32 @@
                                                      TimePoint Now) {
   if (Notice.isEmpty() && this->Notices->isEmpty())
     return {};
-  return this->Notices->with([&](ServerNotices &All) {
-    return All.note(this->makeNoticed(From.Server), Notice, From.Began, Now);
-  });
+  std::vector<NoticeChange> Changes =
+      this->Notices->with([&](ServerNotices &All) {
+        return All.note(this->makeNoticed(From.Server), Notice, From.Began,
+                        Now);
+      });
+  if (Notice.IsLeaving) {
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    this->updateLeaving(Now);
+  }
+  return Changes;
+}
+
+/// Tells the policy which servers leave by their own word: its floor counts
+/// without them. The caller holds the mutex.
+void ServiceRuntime::updateLeaving(TimePoint Now) {
+  for (size_t I = 0; I < this->Ids.size(); ++I) {
+    const bool IsLeaving =
+        !this->Notices->isEmpty() &&
+        this->Notices->with([&](const ServerNotices &All) {
+          return All.getState(this->Ids[I], Now) == NoticeKind::Leaving;
+        });
+    if (this->LeavingByNotice[I] == IsLeaving)
+      continue;
+    this->LeavingByNotice[I] = IsLeaving;
+    this->applyLeaving(I, Now);
+  }
 }
 
 std::vector<NoticeChange> ServiceRuntime::takeLimit(const LimitReport &Given,
--- a/lib/Proxy/ServiceRuntime.cpp
+++ b/lib/Proxy/ServiceRuntime.cpp
@@ -67,6 +67,7 @@
       InFlight(this->Config.MaxInFlight),
       Random(makeSeed(this->Config.Name, Identity.Name, Now)),
       LeavingByList(this->Subset.Servers.size(), false),
+      LeavingByNotice(this->Subset.Servers.size(), false),
       IsLeaving(this->Subset.Servers.size(), false),
       Metrics(Previous ? Previous->Metrics
                        : std::make_shared<ServiceMetrics>()) {
@@ -84,6 +85,7 @@
   }
   for (size_t I = 0; I < this->countServers(); ++I)
     this->applyLeaving(I, Now);
+  this->updateLeaving(Now);
   std::visit([Now](auto &Own) { Own.advance(Now); }, this->Policy);
 }
 
@@ -187,7 +189,7 @@
 void ServiceRuntime::applyLeaving(size_t Server, TimePoint Now) {
   const bool IsLeaving =
       this->getServer(Server).State == ServerState::Draining ||
-      this->LeavingByList[Server];
+      this->LeavingByList[Server] || this->LeavingByNotice[Server];
   if (this->IsLeaving[Server] && !IsLeaving)
     this->Selector.restartColdStart(Server, Now);
   this->IsLeaving[Server] = IsLeaving;
--- a/lib/Routing/ServerNotices.cpp
+++ b/lib/Routing/ServerNotices.cpp
@@ -38,6 +38,10 @@
 /// asked again.
 static constexpr Duration LeavingLife = fromSeconds(300);
 
+/// Where all servers leave, others may take their place at any time: callers
+/// are asked to look again after this.
+static constexpr Duration SuccessorWait = fromSeconds(1);
+
 /// No rest is taken to be longer.
 static constexpr Duration MostRest = fromSeconds(300);
 
@@ -206,17 +210,24 @@
 
 double ServerNotices::getFactor(ServerId Server, TimePoint Now) const {
   const auto Found = this->Entries.find(Server);
-  if (Found == this->Entries.end() || !Found->second.Limit)
+  if (Found == this->Entries.end())
+    return 1;
+  const Entry &Of = Found->second;
+  if (isAhead(Of.LeavingUntil, Now))
+    return 0;
+  if (!Of.Limit)
     return 1;
-  const LimitShare &Limit = *Found->second.Limit;
-  return Limit.maySend(Now) ? Limit.getBoost() : 0;
+  return Of.Limit->maySend(Now) ? Of.Limit->getBoost() : 0;
 }
 
 Duration ServerNotices::getWait(ServerId Server, TimePoint Now) const {
   const auto Found = this->Entries.find(Server);
-  if (Found == this->Entries.end() || !Found->second.Limit)
+  if (Found == this->Entries.end())
     return Duration::zero();
-  return Found->second.Limit->getWait(Now);
+  const Entry &Of = Found->second;
+  if (isAhead(Of.LeavingUntil, Now))
+    return SuccessorWait;
+  return Of.Limit ? Of.Limit->getWait(Now) : Duration::zero();
 }
 
 void ServerNotices::noteSent(ServerId Server, TimePoint Now) {
--- a/unittests/Proxy/ServiceBench.h
+++ b/unittests/Proxy/ServiceBench.h
@@ -75,6 +75,7 @@
                                   RequestOutcome Outcome = RequestOutcome::Good,
                                   const ServerNotice &Notice = {}) {
     std::map<std::string, int> Sent;
+    this->Service->advance(Now);
     for (int I = 0; I < Count; ++I) {
       Attempt Try;
       Now += fromMillis(1);
