A server that asks for rest is left alone, and is not taken for ill

Cause: a refusal was evidence of a spell and nothing else. Evidence fades, is tested after a second or two, kept by the floor and outweighed by peers' good answers; a wish has an end of its own. And where the wish was repeated, the evidence took the server's share away beyond it.

Now the wish holds to its end on every way to the server, before tests and the floor, and the refusal that carries it is no evidence. Rest goes before the floor: what is sent there is turned away, so it serves nobody. Where all rest, callers are refused at once with the time until the first is back, spread by half.

One check of RequestProxyTest had servers that ask for a second's rest and expected the next request to be sent to them: there they now ask for none, and a new case states what holds if they do.

--- a/include/canvaswick/Metrics/Counters.h
+++ b/include/canvaswick/Metrics/Counters.h
@@ -44,6 +44,7 @@
   LimitsHeard,
   LeavingsHeard,
   RestsHeard,
+  NoticesMisread,
   ServersLeftOut,
   ReportsSent,
   ReportsTaken,
--- a/include/canvaswick/Proxy/NoticeReader.h
+++ b/include/canvaswick/Proxy/NoticeReader.h
@@ -31,7 +31,7 @@
 std::optional<Duration> readRetryAfter(const std::string &Text,
                                        int64_t CalendarMillis);
 
-/// Reads a notice. Words that cannot be understood are logged and left out.
+/// Reads a notice. Words that cannot be understood are left out.
 ServerNotice readServerNotice(const httplib::Response &Response,
                               const HeaderDialect &Names,
                               int64_t CalendarMillis);
--- a/include/canvaswick/Proxy/RequestProxy.h
+++ b/include/canvaswick/Proxy/RequestProxy.h
@@ -146,7 +146,7 @@
   // RequestAttempts.cpp.
   void runAttempts(Flow &Request, AnswerRelay &Relay);
   void tellChange(TimePoint Now) const;
-  void hearServer(const Flow &Request, const Attempt &Current,
+  void hearServer(const Flow &Request, Attempt &Current,
                   const std::string &RequestId,
                   const httplib::Response &Response);
   RequestOutcome tryOnce(Flow &Request, AnswerRelay &Relay, Attempt &Current);
--- a/include/canvaswick/Proxy/ServiceRuntime.h
+++ b/include/canvaswick/Proxy/ServiceRuntime.h
@@ -69,6 +69,8 @@
   double Sickness = 0;
   double ServerLoad = 0;
   bool IsTest = false;
+  /// Whether its answer asked for rest.
+  bool WasAskedToRest = false;
   /// Servers that were left out of the choice by their own word.
   size_t LeftOut = 0;
 };
@@ -220,7 +222,7 @@
   /// Takes what the answer of an attempt says of its server. Returns what of it
   /// is new.
   std::vector<NoticeChange>
-  noteNotice(const Attempt &From, const ServerNotice &Notice, TimePoint Now);
+  noteNotice(Attempt &From, const ServerNotice &Notice, TimePoint Now);
 
   /// Takes what a peer tells of the limit of one of this service's servers.
   /// Returns what of it is new.
--- a/include/canvaswick/Routing/ServerNotices.h
+++ b/include/canvaswick/Routing/ServerNotices.h
@@ -40,9 +40,12 @@
   /// Whether a limit that it no longer names is taken back. A failure need not
   /// name it.
   bool MayEndLimit = false;
+  /// Whether it holds a word that cannot be understood.
+  bool IsMisread = false;
 
   bool isEmpty() const {
-    return !this->RequestsPerSecond && !this->IsLeaving && !this->Rest;
+    return !this->RequestsPerSecond && !this->IsLeaving && !this->Rest &&
+           !this->IsMisread;
   }
 };
 
@@ -56,7 +59,7 @@
 };
 
 /// What a server can say of itself.
-enum class NoticeKind : uint8_t { Limit, Leaving, Rest };
+enum class NoticeKind : uint8_t { Limit, Leaving, Rest, Misread };
 
 /// Returns the name of a kind as logs print it.
 const char *getName(NoticeKind Kind);
@@ -151,6 +154,7 @@
     TimePoint ToldAt{};
     std::optional<TimePoint> LeavingUntil;
     std::optional<TimePoint> RestUntil;
+    std::optional<TimePoint> MisreadUntil;
   };
   using Changes = std::vector<NoticeChange>;
 
@@ -162,6 +166,7 @@
                  TimePoint Now, Changes &All) const;
   static void noteLeaving(Entry &Of, TimePoint Now, Changes &All);
   static void noteRest(Entry &Of, Duration Rest, TimePoint Now, Changes &All);
+  static void noteMisread(Entry &Of, TimePoint Now, Changes &All);
   static void endOld(Entry &Of, TimePoint Now, Changes &All);
   static LimitReport makeReport(ServerId Server, const Entry &Of,
                                 TimePoint Now);
--- a/lib/Metrics/Counters.cpp
+++ b/lib/Metrics/Counters.cpp
@@ -39,6 +39,7 @@
     {Counter::LimitsHeard, "limits_heard"},
     {Counter::LeavingsHeard, "leavings_heard"},
     {Counter::RestsHeard, "rests_heard"},
+    {Counter::NoticesMisread, "notices_misread"},
     {Counter::ServersLeftOut, "servers_left_out"},
     {Counter::ReportsSent, "reports_sent"},
     {Counter::ReportsTaken, "reports_taken"},
--- a/lib/Proxy/NoticeReader.cpp
+++ b/lib/Proxy/NoticeReader.cpp
@@ -13,7 +13,6 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Proxy/NoticeReader.h"
-#include "canvaswick/Support/Log.h"
 
 #include <algorithm>
 #include <charconv>
@@ -57,20 +56,16 @@
   return fromMillis(std::clamp<int64_t>(Until - CalendarMillis, 0, Most));
 }
 
-static void logMisread(const std::string &Name, const std::string &Text) {
-  logWarning("server-notice-misread", "header={} value={:?}", Name, Text);
-}
-
 /// Of a limit that is named more than once the lowest counts.
 static std::optional<double> readLimit(const httplib::Response &Response,
-                                       const std::string &Name) {
+                                       const std::string &Name,
+                                       bool &IsMisread) {
   std::optional<double> Lowest;
   const auto Range = Response.headers.equal_range(Name);
   for (auto Each = Range.first; Each != Range.second; ++Each) {
     const std::optional<double> Limit = readNumber(Each->second);
-    if (!Limit)
-      logMisread(Name, Each->second);
-    else
+    IsMisread |= !Limit;
+    if (Limit)
       Lowest = std::min(Lowest.value_or(*Limit), *Limit);
   }
   return Lowest;
@@ -78,16 +73,15 @@
 
 /// Of a rest that is asked for more than once the longest counts.
 static std::optional<Duration> readRest(const httplib::Response &Response,
-                                        int64_t CalendarMillis) {
-  static const std::string Name = "Retry-After";
+                                        int64_t CalendarMillis,
+                                        bool &IsMisread) {
   std::optional<Duration> Longest;
-  const auto Range = Response.headers.equal_range(Name);
+  const auto Range = Response.headers.equal_range("Retry-After");
   for (auto Each = Range.first; Each != Range.second; ++Each) {
     const std::optional<Duration> Rest =
         readRetryAfter(Each->second, CalendarMillis);
-    if (!Rest)
-      logMisread(Name, Each->second);
-    else
+    IsMisread |= !Rest;
+    if (Rest)
       Longest = std::max(Longest.value_or(*Rest), *Rest);
   }
   if (Longest == Duration::zero())
@@ -100,12 +94,13 @@
                               int64_t CalendarMillis) {
   ServerNotice Notice;
   if (!Names.ServerLimit.empty())
-    Notice.RequestsPerSecond = readLimit(Response, Names.ServerLimit);
+    Notice.RequestsPerSecond =
+        readLimit(Response, Names.ServerLimit, Notice.IsMisread);
   Notice.IsLeaving =
       !Names.ServerLeaving.empty() &&
       Response.get_header_value(Names.ServerLeaving) == LeavingValue;
   if (Response.status == UnavailableStatus)
-    Notice.Rest = readRest(Response, CalendarMillis);
+    Notice.Rest = readRest(Response, CalendarMillis, Notice.IsMisread);
   // A limit that was named and could not be read is not taken back.
   Notice.MayEndLimit = Response.status < FirstFailureStatus &&
                        !Response.has_header(Names.ServerLimit);
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -231,6 +231,8 @@
     return Counter::LeavingsHeard;
   case NoticeKind::Rest:
     return Counter::RestsHeard;
+  case NoticeKind::Misread:
+    return Counter::NoticesMisread;
   }
   assert(false && "notice without a counter");
   return Counter::LimitsHeard;
@@ -239,7 +241,7 @@
 /// Takes what an answer says of its server, before anything is passed on. One
 /// to another request may be old, and one that names another server is not of
 /// this one.
-void RequestProxy::hearServer(const Flow &Request, const Attempt &Current,
+void RequestProxy::hearServer(const Flow &Request, Attempt &Current,
                               const std::string &RequestId,
                               const httplib::Response &Response) {
   const HeaderDialect &Names = this->Options.Headers;
--- a/lib/Proxy/ServiceNotices.cpp
+++ b/lib/Proxy/ServiceNotices.cpp
@@ -34,9 +34,10 @@
           Config.Hall};
 }
 
-std::vector<NoticeChange> ServiceRuntime::noteNotice(const Attempt &From,
+std::vector<NoticeChange> ServiceRuntime::noteNotice(Attempt &From,
                                                      const ServerNotice &Notice,
                                                      TimePoint Now) {
+  From.WasAskedToRest = Notice.Rest.has_value();
   if (Notice.isEmpty() && this->Notices->isEmpty())
     return {};
   std::vector<NoticeChange> Changes =
@@ -127,6 +128,8 @@
     return ShareReason::Leaving;
   case NoticeKind::Rest:
     return ShareReason::Resting;
+  case NoticeKind::Misread:
+    break;
   }
   assert(false && "notice without a reason");
   return ShareReason::Healthy;
--- a/lib/Proxy/ServiceRuntime.cpp
+++ b/lib/Proxy/ServiceRuntime.cpp
@@ -284,6 +284,10 @@
                          TimePoint Now) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   this->Attempts.erase(this->Attempts.iterator_to(Ended));
+  // A server that says how long it wants rest is left alone for that, and is
+  // not ill.
+  if (Ended.WasAskedToRest && Outcome == RequestOutcome::Shed)
+    Outcome = RequestOutcome::Canceled;
   this->Selector.end(Ended.Server, Outcome, Now);
   const Duration Took = Now - Ended.Began;
   // What its place in the queue added says nothing about the kind of request.
--- a/lib/Routing/ServerNotices.cpp
+++ b/lib/Routing/ServerNotices.cpp
@@ -38,6 +38,9 @@
 /// asked again.
 static constexpr Duration LeavingLife = fromSeconds(300);
 
+/// Of a server whose words cannot be understood it is said once in this time.
+static constexpr Duration MisreadLife = fromSeconds(60);
+
 /// Where all servers leave, others may take their place at any time: callers
 /// are asked to look again after this.
 static constexpr Duration SuccessorWait = fromSeconds(1);
@@ -45,10 +48,11 @@
 /// No rest is taken to be longer.
 static constexpr Duration MostRest = fromSeconds(300);
 
-static constexpr EnumNames<NoticeKind, 3> NoticeKindNames = {{
+static constexpr EnumNames<NoticeKind, 4> NoticeKindNames = {{
     {NoticeKind::Limit, "limit"},
     {NoticeKind::Leaving, "leaving"},
     {NoticeKind::Rest, "rest"},
+    {NoticeKind::Misread, "misread"},
 }};
 
 static constexpr EnumNames<NoticeStep, 3> NoticeStepNames = {{
@@ -139,6 +143,12 @@
   Of.RestUntil = Of.RestUntil ? std::max(*Of.RestUntil, Until) : Until;
 }
 
+void ServerNotices::noteMisread(Entry &Of, TimePoint Now, Changes &All) {
+  if (!isAhead(Of.MisreadUntil, Now))
+    All.push_back({Of.Key, NoticeKind::Misread, NoticeStep::Begun, 0});
+  Of.MisreadUntil = Now + MisreadLife;
+}
+
 std::vector<NoticeChange> ServerNotices::note(const NoticedServer &From,
                                               const ServerNotice &Notice,
                                               TimePoint AskedAt,
@@ -152,6 +162,8 @@
     noteLeaving(Of, Now, All);
   if (Notice.Rest)
     noteRest(Of, *Notice.Rest, Now, All);
+  if (Notice.IsMisread)
+    noteMisread(Of, Now, All);
   return All;
 }
 
@@ -213,7 +225,7 @@
   if (Found == this->Entries.end())
     return 1;
   const Entry &Of = Found->second;
-  if (isAhead(Of.LeavingUntil, Now))
+  if (isAhead(Of.LeavingUntil, Now) || isAhead(Of.RestUntil, Now))
     return 0;
   if (!Of.Limit)
     return 1;
@@ -227,7 +239,9 @@
   const Entry &Of = Found->second;
   if (isAhead(Of.LeavingUntil, Now))
     return SuccessorWait;
-  return Of.Limit ? Of.Limit->getWait(Now) : Duration::zero();
+  const Duration Rest =
+      isAhead(Of.RestUntil, Now) ? *Of.RestUntil - Now : Duration::zero();
+  return Of.Limit ? std::max(Rest, Of.Limit->getWait(Now)) : Rest;
 }
 
 void ServerNotices::noteSent(ServerId Server, TimePoint Now) {
@@ -265,6 +279,8 @@
     All.push_back({Of.Key, NoticeKind::Rest, NoticeStep::Ended, 0});
     Of.RestUntil.reset();
   }
+  if (!isAhead(Of.MisreadUntil, Now))
+    Of.MisreadUntil.reset();
 }
 
 std::vector<NoticeChange> ServerNotices::forgetOld(TimePoint Now) {
@@ -273,7 +289,8 @@
     endOld(Of, Now, All);
   std::erase_if(this->Entries, [](const auto &Each) {
     const Entry &Of = Each.second;
-    return !Of.Limit && !Of.LimitEndedAt && !Of.LeavingUntil && !Of.RestUntil;
+    return !Of.Limit && !Of.LimitEndedAt && !Of.LeavingUntil && !Of.RestUntil &&
+           !Of.MisreadUntil;
   });
   return All;
 }
--- a/unittests/Proxy/RequestProxyTest.cpp
+++ b/unittests/Proxy/RequestProxyTest.cpp
@@ -137,6 +137,7 @@
   ProxyBench Under;
   BackendFaults Shed;
   Shed.Shed = true;
+  Shed.Rest = "";
   Under.Backends[0]->setFaults(Shed);
   for (int I = 0; I < 10; ++I)
     CHECK(Under.send("POST", "/pay/1", {}, "order").Status == 200);
@@ -151,6 +152,22 @@
   CHECK(getHeader(Refused, OutcomeHeader) == "not-run");
 }
 
+TEST_CASE("where all servers want rest, the next request is refused at once") {
+  ProxyBench Under;
+  BackendFaults Shed;
+  Shed.Shed = true;
+  Shed.Rest = "2";
+  Under.setFaults(Shed);
+  const ExchangeResult Result = Under.send("POST", "/pay/1", {}, "order");
+  CHECK(Result.Status == 502);
+  CHECK(getHeader(Result, OutcomeHeader) == "not-run");
+  const ExchangeResult Refused = Under.send("POST", "/pay/1", {}, "order");
+  CHECK(Refused.Status == 503);
+  CHECK(getHeader(Refused, OutcomeHeader) == "not-run");
+  CHECK(std::stoi(getHeader(Refused, "Retry-After")) >= 2);
+  CHECK(Under.Counters.get(Counter::UpstreamSheds) == 2);
+}
+
 TEST_CASE("a cut answer is visible as cut") {
   ProxyBench Under;
   BackendFaults Cut;
