A connection at rest is not kept for as long as its server would close it

Connections were kept for 3 s (platform) or 30 s (own interface) whatever was said, so a request could meet the close on its way. Now 0.8 of what is said, if that is less.

--- a/include/canvaswick/Http/HttpClient.h
+++ b/include/canvaswick/Http/HttpClient.h
@@ -112,8 +112,9 @@
   /// Sets the bound for one address.
   void setBound(const Endpoint &Address, size_t Bound);
 
-  /// Closes connections that have been idle since before Limit.
-  void closeIdleSince(TimePoint Limit);
+  /// Closes connections that have been idle since before Limit, or for so long
+  /// that their servers may close them.
+  void closeIdle(TimePoint Limit, TimePoint Now);
 
   /// Returns how many connections to Address are open.
   size_t countOpen(const Endpoint &Address) const;
@@ -122,6 +123,8 @@
   struct IdleConnection {
     std::unique_ptr<SocketStream> Stream;
     TimePoint Since;
+    /// When the server may close it, by its own word.
+    TimePoint Until;
   };
   struct Address {
     /// The life that the idle connections lead to.
@@ -134,10 +137,10 @@
   std::unique_ptr<SocketStream> acquire(const Endpoint &Endpoint,
                                         const OutgoingRequest &Outgoing,
                                         TimePoint Deadline, ExchangeEnd &End);
-  std::unique_ptr<SocketStream> takeIdle(Address &Entry);
+  std::unique_ptr<SocketStream> takeIdle(Address &Entry, TimePoint Now);
   void beginLife(Address &Entry, const std::string &Life);
   void giveBack(const Endpoint &Endpoint, const std::string &Life,
-                std::unique_ptr<SocketStream> Stream);
+                std::unique_ptr<SocketStream> Stream, Duration RestLimit);
   void drop(const Endpoint &Endpoint, std::unique_ptr<SocketStream> Stream);
 
   const size_t PerAddress;
--- a/lib/Daemon/Daemon.cpp
+++ b/lib/Daemon/Daemon.cpp
@@ -246,8 +246,8 @@
     logWarning("stood-still", "ms={}", toMillis(Stood));
   }
   // What was kept open before a standstill may have ended on the other side.
-  this->Upstreams.closeIdleSince(
-      Stood > Duration::zero() ? Now : Now - UpstreamIdleLimit);
+  this->Upstreams.closeIdle(
+      Stood > Duration::zero() ? Now : Now - UpstreamIdleLimit, Now);
   this->Caller->closeIdle(Now);
   this->Proxy->forgetIdle(Now);
   this->Notices->forgetOld(Now);
--- a/lib/Daemon/Gateway.cpp
+++ b/lib/Daemon/Gateway.cpp
@@ -378,7 +378,7 @@
     return;
   this->Counters.add(Counter::Standstills);
   logWarning("stood-still", "ms={}", toMillis(Stood));
-  this->Upstreams.closeIdleSince(Now);
+  this->Upstreams.closeIdle(Now, Now);
   if (this->StoodStill)
     this->StoodStill();
 }
@@ -404,7 +404,7 @@
 
 void Gateway::Impl::housekeep() {
   const TimePoint Now = readSteadyClock();
-  this->Upstreams.closeIdleSince(Now - UpstreamIdleLimit);
+  this->Upstreams.closeIdle(Now - UpstreamIdleLimit, Now);
   this->Proxy.forgetIdle(Now);
   this->Notices->forgetOld(Now);
   this->Proxy.getGuard().forgetOld(Now);
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -19,6 +19,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 
 namespace canvaswick {
 
@@ -37,6 +38,13 @@
 
 static constexpr size_t MaxAnswerHeadBytes = 65536;
 
+/// Part of the time that a server keeps a connection at rest in which it is
+/// used again.
+static constexpr double UsedRestPart = 0.8;
+
+/// No connection is kept at rest for longer, whatever a server says.
+static constexpr Duration MostRest = fromSeconds(3600);
+
 /// Longest answer that is collected when nobody streams it.
 static constexpr size_t MaxCollectedBytes = 4 << 20;
 
@@ -102,24 +110,26 @@
   return Found == this->Addresses.end() ? 0 : Found->second.Open;
 }
 
-void ConnectionPool::closeIdleSince(TimePoint Limit) {
+void ConnectionPool::closeIdle(TimePoint Limit, TimePoint Now) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   for (auto &[Name, Entry] : this->Addresses) {
     const size_t Before = Entry.Idle.size();
-    Entry.Idle.remove_if([Limit](const IdleConnection &Connection) {
-      return Connection.Since < Limit;
+    Entry.Idle.remove_if([Limit, Now](const IdleConnection &Connection) {
+      return Connection.Since < Limit || Connection.Until <= Now;
     });
     Entry.Open -= Before - Entry.Idle.size();
   }
 }
 
-/// Returns an idle connection that nothing odd has arrived on, or null. The
-/// caller holds the mutex.
-std::unique_ptr<SocketStream> ConnectionPool::takeIdle(Address &Entry) {
+/// Returns an idle connection that its server still keeps and nothing odd has
+/// arrived on, or null. The caller holds the mutex.
+std::unique_ptr<SocketStream> ConnectionPool::takeIdle(Address &Entry,
+                                                       TimePoint Now) {
   while (!Entry.Idle.empty()) {
+    const bool IsKept = Now < Entry.Idle.back().Until;
     std::unique_ptr<SocketStream> Stream = std::move(Entry.Idle.back().Stream);
     Entry.Idle.pop_back();
-    if (!Stream->hasUnexpectedInput())
+    if (IsKept && !Stream->hasUnexpectedInput())
       return Stream;
     --Entry.Open;
   }
@@ -146,7 +156,7 @@
     this->beginLife(Entry, Outgoing.Life);
     std::unique_ptr<SocketStream> Stream;
     if (!Outgoing.WantsFreshConnection)
-      Stream = this->takeIdle(Entry);
+      Stream = this->takeIdle(Entry, readSteadyClock());
     if (Stream)
       return Stream;
     const size_t Bound = Entry.Bound ? Entry.Bound : this->PerAddress;
@@ -167,11 +177,13 @@
 }
 
 void ConnectionPool::giveBack(const Endpoint &Endpoint, const std::string &Life,
-                              std::unique_ptr<SocketStream> Stream) {
+                              std::unique_ptr<SocketStream> Stream,
+                              Duration RestLimit) {
+  const TimePoint Now = readSteadyClock();
   std::lock_guard<std::mutex> Lock(this->Mutex);
   Address &Entry = this->Addresses[Endpoint.format()];
   if (Entry.Life == Life)
-    Entry.Idle.push_back({std::move(Stream), readSteadyClock()});
+    Entry.Idle.push_back({std::move(Stream), Now, Now + RestLimit});
   else
     --Entry.Open;
 }
@@ -262,6 +274,23 @@
          Response.version == "HTTP/1.1";
 }
 
+/// Returns for how long a connection may be kept at rest after an answer: less
+/// than its server keeps it, so that no request meets the close on its way.
+static Duration readRestLimit(const httplib::Response &Response) {
+  static const std::string Parameter = "timeout=";
+  const std::string Text = Response.get_header_value("Keep-Alive");
+  const size_t At = Text.find(Parameter);
+  if (At == std::string::npos)
+    return MostRest;
+  int Seconds = 0;
+  const char *First = Text.data() + At + Parameter.size();
+  const auto [Last, Failure] =
+      std::from_chars(First, Text.data() + Text.size(), Seconds);
+  if (Failure != std::errc() || Seconds < 0)
+    return MostRest;
+  return std::min(MostRest, fromSeconds(Seconds * UsedRestPart));
+}
+
 ExchangeResult ConnectionPool::exchange(const Endpoint &Endpoint,
                                         const OutgoingRequest &Outgoing,
                                         TimePoint Deadline, int HangUp,
@@ -302,7 +331,8 @@
                           !Outgoing.WantsFreshConnection &&
                           hasOwnEnd(Response) && !Stream->hasUnexpectedInput();
   if (IsReusable)
-    this->giveBack(Endpoint, Outgoing.Life, std::move(Stream));
+    this->giveBack(Endpoint, Outgoing.Life, std::move(Stream),
+                   readRestLimit(Response));
   else
     this->drop(Endpoint, std::move(Stream));
   return Result;
--- a/lib/Rpc/PeerCaller.cpp
+++ b/lib/Rpc/PeerCaller.cpp
@@ -44,11 +44,11 @@
 }
 
 void PeerCaller::closeIdle(TimePoint Now) {
-  this->Pool.closeIdleSince(Now - PeerIdleLimit);
+  this->Pool.closeIdle(Now - PeerIdleLimit, Now);
 }
 
 void PeerCaller::closeIdleConnections() {
-  this->Pool.closeIdleSince(TimePoint::max());
+  this->Pool.closeIdle(TimePoint::max(), TimePoint::max());
 }
 
 static ErrorKind findErrorKind(const std::string &Name) {
