Only an answer that is proved the server's own takes a limit back

A spoiled answer that lost its headers would have ended a limit at the daemon that got it, and by its news at all others. On the platform the proof is the server's signature; on the own interface there is none. Found by reading; the new case of NoticeReader failed to hold before by the code (not run so).

--- a/lib/Proxy/NoticeReader.cpp
+++ b/lib/Proxy/NoticeReader.cpp
@@ -101,8 +101,11 @@
       Response.get_header_value(Names.ServerLeaving) == LeavingValue;
   if (Response.status == UnavailableStatus)
     Notice.Rest = readRest(Response, CalendarMillis, Notice.IsMisread);
-  // A limit that was named and could not be read is not taken back.
-  Notice.MayEndLimit = Response.status < FirstFailureStatus &&
+  // A limit that was named and could not be read is not taken back, nor by an
+  // answer that may not be the server's own.
+  const bool IsProved =
+      Names.AnswerProof.empty() || Response.has_header(Names.AnswerProof);
+  Notice.MayEndLimit = IsProved && Response.status < FirstFailureStatus &&
                        !Response.has_header(Names.ServerLimit);
   return Notice;
 }
--- a/unittests/Proxy/NoticeReaderTest.cpp
+++ b/unittests/Proxy/NoticeReaderTest.cpp
@@ -80,6 +80,18 @@
   CHECK(!read(500, {}).MayEndLimit);
 }
 
+TEST_CASE("only an answer that is proved the server's own ends a limit") {
+  HeaderDialect Names;
+  Names.AnswerProof = "Proof";
+  const auto MayEnd = [&Names](httplib::Headers Headers) {
+    return readServerNotice(makeAnswer(200, std::move(Headers)), Names,
+                            Calendar)
+        .MayEndLimit;
+  };
+  CHECK(MayEnd({{"Proof", "x"}}));
+  CHECK(!MayEnd({}));
+}
+
 TEST_CASE("whatever bytes a server sends, what is read is a bounded time") {
   CHECK(rc::check([](const std::string &Text) {
     const std::optional<Duration> Rest = readRetryAfter(Text, Calendar);
