--- a/lib/Daemon/Gateway.cpp
+++ b/lib/Daemon/Gateway.cpp
@@ -12,16 +12,9 @@
 ///
 //===----------------------------------------------------------------------===//
 
-#include "canvaswick/Daemon/Gateway.h"
 #include "CallerServer.h"
-#include "CheckAnswers.h"
-#include "PeerExchange.h"
-#include "canvaswick/Proxy/RequestProxy.h"
+#include "GatewayImpl.h"
 #include "canvaswick/Support/Log.h"
-#include "canvaswick/Support/RoundThread.h"
-#include "canvaswick/Support/StandstillWatch.h"
-
-#include <algorithm>
 
 namespace canvaswick {
 
@@ -35,10 +28,6 @@
 /// theirs after ten seconds, and one that a cut has broken hangs its request.
 static constexpr Duration UpstreamIdleLimit = fromSeconds(3);
 
-/// How often late requests are looked for and observations are sent: peers
-/// should know within a tenth of a second.
-static constexpr Duration HealthInterval = fromMillis(50);
-
 /// Threads for peers that ask for the copy of the store, and how long one such
 /// call may take.
 static constexpr size_t ControlWorkers = 4;
@@ -69,69 +58,6 @@
 /// How often idle connections and organisations are looked for.
 static constexpr Duration HousekeepingInterval = fromSeconds(1);
 
-class Gateway::Impl {
-public:
-  Impl(DaemonConfig Given, ProxyOptions Options);
-
-  Result<void> start();
-  void setFleet(const FleetConfigRef &Config);
-  void setDaemons(const std::vector<DaemonRecord> &Daemons);
-  void setRepeats(const RepeatAllowance &Allowance);
-  void setStoreState(const StoreState &State, bool IsNews);
-  void endStart();
-  void beginStop();
-  bool finishStop(TimePoint Deadline);
-
-  ChangesSource Source;
-  PeerLink::Handler Heard;
-  std::function<void()> StoodStill;
-  const DaemonConfig Config;
-  DaemonRecord Self;
-  CounterTable Counters;
-  RequestGuard &getGuard() { return this->Proxy.getGuard(); }
-
-private:
-  void build(const FleetConfigRef &Next);
-  void giveRepeats(const FleetRuntime &Runtime);
-  void runHealthRound();
-  void noteStandstill(TimePoint Now);
-  void housekeep();
-  StoreState getStoreState();
-  OwnFigures getOwnFigures();
-  Result<void> startPeers();
-  Result<void> startReady();
-  void startMetrics();
-  void boundCallers(const CallerLimits &Given);
-  Result<void> startControl();
-
-  const TimePoint Started = readSteadyClock();
-  const ServerNoticeBoardRef Notices{new ServerNoticeBoard};
-  FleetRuntimeSlot Fleet;
-  ConnectionPool Upstreams{0};
-  RequestProxy Proxy;
-  /// Null where peers share nothing.
-  std::unique_ptr<PeerExchange> Peers;
-  std::unique_ptr<HttpServer> Callers;
-  std::unique_ptr<HttpServer> Ready;
-  std::unique_ptr<HttpServer> Metrics;
-  JsonRpcDispatcher Dispatcher;
-  std::unique_ptr<ChangesAnswerer> Answerer;
-  std::unique_ptr<HttpServer> Control;
-  /// Guards the building of a new FleetRuntime and the names.
-  std::mutex BuildMutex;
-  std::vector<std::string> DaemonNames;
-  /// Guards Store; held for no call.
-  std::mutex StoreMutex;
-  StoreState Store;
-  RepeatAllowance Repeats;
-  std::atomic<bool> IsStopping{false};
-  std::atomic<bool> IsStopped{false};
-  /// Used by the health rounds only.
-  StandstillWatch Standstills{HealthInterval};
-  RoundThread HealthRounds;
-  RoundThread HousekeepingRounds;
-};
-
 /// The daemon's settings bound what the adapter's options do not.
 static ProxyOptions addBounds(ProxyOptions Options,
                               const DaemonConfig &Config) {
@@ -246,110 +172,6 @@
   return this->Control->start(this->Config.Control);
 }
 
-/// Puts the operators' bounds for callers in force; where they set none, the
-/// daemon's own hold.
-void Gateway::Impl::boundCallers(const CallerLimits &Given) {
-  const HttpServerLimits Own;
-  const auto OwnIdle =
-      fromSeconds(static_cast<double>(this->Config.IdleSeconds));
-  this->Callers->setCallerBounds(
-      Given.MaxHeadBytes > 0 ? static_cast<size_t>(Given.MaxHeadBytes)
-                             : Own.MaxHeadBytes,
-      Given.HeadMs > 0 ? fromMillis(Given.HeadMs) : Own.HeadTime,
-      Given.IdleMs > 0 ? fromMillis(Given.IdleMs) : OwnIdle);
-}
-
-/// Builds what serves Next. The caller holds BuildMutex.
-void Gateway::Impl::build(const FleetConfigRef &Next) {
-  DaemonIdentity Identity;
-  Identity.Name = this->Config.Name;
-  Identity.Hall = this->Config.Hall;
-  Identity.Notices = this->Notices;
-  Identity.Daemons = this->DaemonNames;
-  Identity.ExpectedDaemons = this->Config.ExpectedDaemons;
-  Identity.Source = SettingsSource::Platform;
-  Identity.Repeats = this->Repeats;
-  Identity.Started = this->Started;
-  Identity.Switches = this->Config.Policy;
-  const FleetRuntimeRef Previous = this->Fleet.get();
-  const FleetRuntimeRef Runtime(
-      new FleetRuntime(Next, Identity, Previous.get(), readSteadyClock()));
-  this->giveRepeats(*Runtime);
-  Runtime->boundConnections(this->Upstreams);
-  this->boundCallers(Next->Limits);
-  this->Proxy.configure(*Next);
-  this->Fleet.set(Runtime);
-  this->Counters.add(Counter::FleetBuilds);
-}
-
-/// Tells the services which part of the fleet's repeats is this daemon's. The
-/// caller holds BuildMutex.
-void Gateway::Impl::giveRepeats(const FleetRuntime &Runtime) {
-  // Names come in order.
-  const auto Rank = static_cast<size_t>(std::find(this->DaemonNames.begin(),
-                                                  this->DaemonNames.end(),
-                                                  this->Config.Name) -
-                                        this->DaemonNames.begin());
-  // A daemon that sees few others must not take their parts too.
-  const size_t Count =
-      std::max(this->DaemonNames.size(),
-               static_cast<size_t>(this->Config.ExpectedDaemons));
-  for (const ServiceRuntimeRef &Service : Runtime.getServices())
-    Service->setRepeats(this->Repeats, Count, Rank);
-}
-
-void Gateway::Impl::setFleet(const FleetConfigRef &Next) {
-  std::lock_guard<std::mutex> Lock(this->BuildMutex);
-  this->build(Next);
-  if (this->Callers)
-    this->Callers->beginAccepting();
-}
-
-static FleetMap makeFleetMap(const std::string &Self,
-                             const std::vector<DaemonRecord> &Daemons) {
-  FleetMap Fleet;
-  Fleet.Self = Self;
-  for (const DaemonRecord &Each : Daemons) {
-    Fleet.Halls[Each.Hall].push_back(Each.Name);
-    Fleet.All.push_back(Each.Name);
-  }
-  return Fleet;
-}
-
-void Gateway::Impl::setDaemons(const std::vector<DaemonRecord> &Daemons) {
-  if (this->Peers)
-    this->Peers->setPeers(Daemons);
-  this->Notices->with([&](ServerNotices &All) {
-    All.setFleet(makeFleetMap(this->Config.Name, Daemons), readSteadyClock());
-  });
-  std::vector<std::string> Names;
-  Names.reserve(Daemons.size());
-  for (const DaemonRecord &Daemon : Daemons)
-    Names.push_back(Daemon.Name);
-  std::lock_guard<std::mutex> Lock(this->BuildMutex);
-  if (Names == this->DaemonNames)
-    return;
-  this->DaemonNames = std::move(Names);
-  if (const FleetRuntimeRef Current = this->Fleet.get())
-    this->build(FleetConfigRef(&Current->getConfig()));
-}
-
-void Gateway::Impl::setRepeats(const RepeatAllowance &Allowance) {
-  std::lock_guard<std::mutex> Lock(this->BuildMutex);
-  this->Repeats = Allowance;
-  if (const FleetRuntimeRef Current = this->Fleet.get())
-    this->build(FleetConfigRef(&Current->getConfig()));
-}
-
-void Gateway::Impl::setStoreState(const StoreState &State, bool IsNews) {
-  {
-    std::lock_guard<std::mutex> Lock(this->StoreMutex);
-    this->Store = State;
-  }
-  if (this->Peers)
-    this->Peers->setStoreState(State, IsNews, readSteadyClock());
-}
-
 void Gateway::Impl::endStart() { this->Callers->beginAccepting(); }
 
 StoreState Gateway::Impl::getStoreState() {
