--- a/test/session-lib.sh
+++ b/test/session-lib.sh
@@ -230,6 +230,19 @@
   done
 }
 
+# Publishes the tree and starts two daemons of one hall and one of another.
+startThreeDaemons() {
+  local Daemon
+  say "publish: $(publish "$Work/tree.ini" 0 first)"
+  startDaemon d1 a
+  startDaemon d2 a "$(controlOf d1)"
+  startDaemon d3 b "$(controlOf d1)"
+  for Daemon in d1 d2 d3; do
+    eventually "$Daemon is ready" isReady "$Daemon"
+    eventually "$Daemon knows three members" hasMetric "$Daemon" members 3
+  done
+}
+
 shareIs() { # DAEMON SERVER SHARE
   curl -s "http://$(controlOf "$1")/metrics" |
     grep -q "canvaswick_share{service=\"s\",server=\"$2\"} $3"
--- a/test/sessions/allowances.sh
+++ b/test/sessions/allowances.sh
@@ -10,14 +10,7 @@
   echo "burst = 20"
   echo "key-digests = $(echo acme-key | ctl digest-key)"
 } >>"$Work/tree.ini"
-say "publish: $(publish "$Work/tree.ini" 0 first)"
-startDaemon d1 a
-startDaemon d2 a "$(controlOf d1)"
-startDaemon d3 b "$(controlOf d1)"
-for Daemon in d1 d2 d3; do
-  eventually "$Daemon is ready" isReady "$Daemon"
-  eventually "$Daemon knows three members" hasMetric "$Daemon" members 3
-done
+startThreeDaemons
 
 asAcme() { # DAEMON
   request "$1" GET /read/1 -H 'Authorization: Bearer acme-key'
--- a/test/sessions/ending.sh
+++ b/test/sessions/ending.sh
@@ -6,14 +6,7 @@
 Names="b1 b2 b3 b4 b5 b6"
 for Name in $Names; do startBackend "$Name" --ends_under /pay/fatal; done
 writeTree "$Work/tree.ini" $Names
-say "publish: $(publish "$Work/tree.ini" 0 first)"
-startDaemon d1 a
-startDaemon d2 a "$(controlOf d1)"
-startDaemon d3 b "$(controlOf d1)"
-for Daemon in d1 d2 d3; do
-  eventually "$Daemon is ready" isReady "$Daemon"
-  eventually "$Daemon knows three members" hasMetric "$Daemon" members 3
-done
+startThreeDaemons
 
 # Starts servers again that have ended, and counts their ends.
 Ends=0
--- a/test/sessions/gray.sh
+++ b/test/sessions/gray.sh
@@ -4,14 +4,7 @@
 startPlatform
 for Name in b1 b2 b3 b4; do startBackend "$Name"; done
 FLOOR=50 EXTRA='deadline-ms = 2000\n' writeTree "$Work/tree.ini" b1 b2 b3 b4
-say "publish: $(publish "$Work/tree.ini" 0 first)"
-startDaemon d1 a
-startDaemon d2 a "$(controlOf d1)"
-startDaemon d3 b "$(controlOf d1)"
-for Daemon in d1 d2 d3; do
-  eventually "$Daemon is ready" isReady "$Daemon"
-  eventually "$Daemon knows three members" hasMetric "$Daemon" members 3
-done
+startThreeDaemons
 
 # Callers that keep asking through each daemon until they are ended.
 for Daemon in d1 d2 d3; do
--- a/test/sessions/notices.sh
+++ b/test/sessions/notices.sh
@@ -4,14 +4,7 @@
 startPlatform
 for Name in b1 b2 b3 b4; do startBackend "$Name"; done
 writeTree "$Work/tree.ini" b1 b2 b3 b4
-say "publish: $(publish "$Work/tree.ini" 0 first)"
-startDaemon d1 a
-startDaemon d2 a "$(controlOf d1)"
-startDaemon d3 b "$(controlOf d1)"
-for Daemon in d1 d2 d3; do
-  eventually "$Daemon is ready" isReady "$Daemon"
-  eventually "$Daemon knows three members" hasMetric "$Daemon" members 3
-done
+startThreeDaemons
 
 # Sends thirty requests through each daemon. Says how many were not served and
 # whether a server ran no more than so many.
