--- a/unittests/Proxy/RequestNoticeTest.cpp
+++ b/unittests/Proxy/RequestNoticeTest.cpp
@@ -16,6 +16,8 @@
 
 #include <doctest/doctest.h>
 
+#include <thread>
+
 using namespace canvaswick;
 
 /// Sends requests one after the other. Returns how many were served.
@@ -52,3 +54,48 @@
   CHECK(getHeader(Refused, OutcomeHeader) == "not-run");
   CHECK(std::stoi(getHeader(Refused, "Retry-After")) >= 1);
 }
+
+/// Returns how often a leaving was heard from servers that all say so and do
+/// something wrong besides.
+static uint64_t countHeard(BackendFaults Faults) {
+  ProxyBench Under;
+  Faults.SaysLeaving = true;
+  Under.setFaults(Faults);
+  (void)Under.send("GET", "/read/1?bytes=200000");
+  return Under.Counters.get(Counter::LeavingsHeard);
+}
+
+TEST_CASE("a word counts whatever becomes of the answer that brought it") {
+  BackendFaults Failing;
+  Failing.Fail = true;
+  CHECK(countHeard(Failing) >= 1);
+  BackendFaults Cut;
+  Cut.CutAfter = 1000;
+  CHECK(countHeard(Cut) >= 1);
+  BackendFaults Shedding;
+  Shedding.Shed = true;
+  CHECK(countHeard(Shedding) >= 1);
+}
+
+TEST_CASE("an answer to another request says nothing of its server") {
+  BackendFaults Foreign;
+  Foreign.ForeignAnswer = true;
+  CHECK(countHeard(Foreign) == 0);
+}
+
+TEST_CASE("a word is heard before the answer's body is there") {
+  ProxyBench Under;
+  BackendFaults Stalling;
+  Stalling.SaysLeaving = true;
+  Stalling.StallAfter = 10;
+  Under.setFaults(Stalling);
+  std::thread Caller([&Under] {
+    (void)Under.sendRaw("GET /read/1?bytes=200000 HTTP/1.1\r\nHost: h\r\n\r\n");
+  });
+  const TimePoint Until = readSteadyClock() + fromSeconds(4);
+  while (Under.Counters.get(Counter::LeavingsHeard) == 0 &&
+         readSteadyClock() < Until)
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  CHECK(Under.Counters.get(Counter::LeavingsHeard) == 1);
+  Caller.join();
+}
