--- a/lib/Admission/AllowanceNews.cpp
+++ b/lib/Admission/AllowanceNews.cpp
@@ -32,9 +32,8 @@
 static constexpr Duration MostUntold = fromMillis(300);
 
 /// What a daemon may use is computed anew for each of its own requests, and for
-/// what others tell at most this often: a hall of 38 tells 2,000 levels a
-/// second, and a computation looks at all of it (processor time of 113 daemons
-/// 107 s on a day without allowances, 162 s with one for each level).
+/// what others tell at most this often: a large hall tells thousands of levels
+/// a second, and a computation looks at all of it.
 static constexpr Duration ReachLife = fromMillis(500);
 
 /// An organisation that asked less than this of late is told of no more.
@@ -127,13 +126,9 @@
 ///
 /// What was admitted before a source was first heard is as little known as what
 /// this daemon itself did before its start, but for the first window after
-/// that: then the first word charges what its teller was asked of late. Without
-/// that, a whole fleet that starts anew while an organisation sends ten times
-/// its usual fills up to 1.13 of the bound, with it 0.91 (model, 36 and 114
-/// daemons, 3 seeds); 2 to 3 in 100 more of what is owed is refused in such a
-/// start, nothing in calm ones. At any time it refused 3.0 in 100 requests of a
-/// quiet day in place of 2.2 (113 daemons, one play each, other changes
-/// beside).
+/// that: then the first word charges what its teller was asked of late, as a
+/// whole fleet may have started anew while an organisation sends far more than
+/// usual. Later it would charge a daemon that was only idle for some seconds.
 void FleetAllowance::takeLevel(Account &Of, size_t Source,
                                const std::string &Teller,
                                const AllowanceLevel &Given, bool WasSilent,
--- a/lib/Admission/AllowanceReach.cpp
+++ b/lib/Admission/AllowanceReach.cpp
@@ -35,8 +35,7 @@
 
 /// What those on the two sides of a cut think usual differs by what they heard
 /// last; while a part of the fleet is silent, each side uses this much of its
-/// part. Three halls of 12 that were apart filled 1.01 of the bound with the
-/// whole (model of a tenfold rise, 3 seeds).
+/// part.
 static constexpr double KeptWhileApart = 0.95;
 
 /// Who is cut off holds at least one request, since less is of no use.
--- a/lib/Admission/FleetAllowance.cpp
+++ b/lib/Admission/FleetAllowance.cpp
@@ -27,10 +27,8 @@
 /// Part of the burst that a bucket holds, and parts of the operators' slack
 /// that it holds besides, and that a daemon which has just started takes to be
 /// there. A large organisation loses half of its burst, once in a rise, for
-/// what is admitted before all have heard of it: a tenfold rise filled 0.915 of
-/// the bound with three quarters of the burst and a fifth of the slack, 0.894
-/// with these (model, 114 daemons, 173 requests a second, 2 seeds). A small
-/// one's slack makes up for that.
+/// what is admitted before all have heard of it. A small one's slack makes up
+/// for that.
 static constexpr double BurstPart = 0.5;
 static constexpr double SavedPart = 0.3;
 static constexpr double StartPart = 0.1;
--- a/lib/Daemon/Gateway.cpp
+++ b/lib/Daemon/Gateway.cpp
@@ -49,10 +49,7 @@
 /// Callers who come before a daemon that starts knows its settings wait for
 /// them in the system's queue, while nothing has failed, and no longer than
 /// this; then they are refused at once until it does. A start from the fleet's
-/// copy takes 0.2 s on a tenth of a core. Guards against: of 5,159 requests in
-/// the two seconds around a loss of power of 443 machines 585 were refused,
-/// most of them for good, where all were refused at once, and 6 where they
-/// waited (one play each).
+/// copy is shorter.
 static constexpr Duration SettingsPatience = fromMillis(500);
 
 /// How often idle connections and organisations are looked for.
