Test: the floor counts without a server that says it leaves

Does not fail with the policy not told (mutation): what a fully failing single server keeps does not depend on it there. Kept as a statement of what holds.

--- a/unittests/ServerLeaving/ServerLeavingTest.cpp
+++ b/unittests/ServerLeaving/ServerLeavingTest.cpp
@@ -74,6 +74,21 @@
   CHECK(Wait > Duration::zero());
 }
 
+TEST_CASE("the floor counts without a server that says it leaves") {
+  ServiceBench Under;
+  Under.Config.Servers.resize(2);
+  Under.Config.FloorPercent = 50;
+  Under.Config.Preference = Weighing::Detection;
+  Under.Identity.Source = SettingsSource::Own;
+  Under.Service.reset();
+  Under.rebuild(BenchBegin);
+  Under.say("b0", sayLeaving(), RequestOutcome::Good, BenchBegin);
+  // The other one alone is all that the floor may keep, however sick.
+  for (int I = 0; I < 20; ++I)
+    CHECK(Under.send(20, BenchBegin + fromSeconds(0.1 * I),
+                     RequestOutcome::Failed)[""] == 0);
+}
+
 TEST_CASE("a word that is five minutes old is asked for again") {
   ServiceBench Under;
   Under.say("b0", sayLeaving(), RequestOutcome::Good, BenchBegin);
