--- a/unittests/ServerRest/ServerRestTest.cpp
+++ b/unittests/ServerRest/ServerRestTest.cpp
@@ -93,7 +93,7 @@
   char Date[64];
   std::strftime(Date, sizeof(Date), "%a, %d %b %Y %H:%M:%S GMT",
                 std::gmtime(&Until));
-  for (const std::string Rest : {std::string("30"), std::string(Date)}) {
+  for (const std::string &Rest : {std::string("30"), std::string(Date)}) {
     ProxyBench Under;
     BackendFaults Resting;
     Resting.Shed = true;
