The own interface's words for servers' limits and leaving are its own

Canvaswick-Request-Limit and Canvaswick-Leaving: the former names ended in the platform's wire names, outside platform/. The platform's dialect sets its own, so nothing changes there.

--- a/include/canvaswick/Proxy/ProxyOptions.h
+++ b/include/canvaswick/Proxy/ProxyOptions.h
@@ -53,9 +53,9 @@
   std::string ServerLoad;
   /// Names the requests a second that the server takes from all daemons
   /// together, for as long as it does so.
-  std::string ServerLimit = "Canvaswick-Server-Limit";
+  std::string ServerLimit = "Canvaswick-Request-Limit";
   /// Says, with LeavingValue, that the server leaves.
-  std::string ServerLeaving = "Canvaswick-Server-Leaving";
+  std::string ServerLeaving = "Canvaswick-Leaving";
   /// Says that the server did not run the request. An empty value: any does.
   std::string NotRun = OutcomeHeader;
   std::string NotRunValue = "not-run";
--- a/lib/StandIn/BackendStandIn.cpp
+++ b/lib/StandIn/BackendStandIn.cpp
@@ -198,9 +198,9 @@
 /// Says what the stand-in is to say of itself.
 static void speakOfItself(HttpExchange &Exchange, const BackendFaults &Active) {
   if (!Active.Limit.empty())
-    Exchange.Response.set_header("Canvaswick-Server-Limit", Active.Limit);
+    Exchange.Response.set_header("Canvaswick-Request-Limit", Active.Limit);
   if (Active.SaysLeaving)
-    Exchange.Response.set_header("Canvaswick-Server-Leaving", "1");
+    Exchange.Response.set_header("Canvaswick-Leaving", "1");
 }
 
 void BackendStandIn::run(HttpExchange &Exchange, const std::string &Body,
--- a/unittests/Proxy/NoticeReaderTest.cpp
+++ b/unittests/Proxy/NoticeReaderTest.cpp
@@ -60,20 +60,20 @@
 TEST_CASE("any answer names a limit and says that the server leaves") {
   for (const int Status : {200, 206, 404, 500, 503}) {
     const ServerNotice Notice =
-        read(Status, {{"Canvaswick-Server-Limit", "1.8"},
-                      {"Canvaswick-Server-Leaving", "1"}});
+        read(Status, {{"Canvaswick-Request-Limit", "1.8"},
+                      {"Canvaswick-Leaving", "1"}});
     CHECK(Notice.RequestsPerSecond == 1.8);
     CHECK(Notice.IsLeaving);
   }
-  CHECK(!read(200, {{"Canvaswick-Server-Leaving", "0"}}).IsLeaving);
+  CHECK(!read(200, {{"Canvaswick-Leaving", "0"}}).IsLeaving);
 }
 
 TEST_CASE("of two limits the lower counts, and one that cannot be read ends "
           "none") {
-  CHECK(read(200, {{"Canvaswick-Server-Limit", "4"},
-                   {"Canvaswick-Server-Limit", "2"}})
+  CHECK(read(200, {{"Canvaswick-Request-Limit", "4"},
+                   {"Canvaswick-Request-Limit", "2"}})
             .RequestsPerSecond == 2);
-  const ServerNotice Misread = read(200, {{"Canvaswick-Server-Limit", "-4"}});
+  const ServerNotice Misread = read(200, {{"Canvaswick-Request-Limit", "-4"}});
   CHECK(!Misread.RequestsPerSecond);
   CHECK(!Misread.MayEndLimit);
   CHECK(read(200, {}).MayEndLimit);
