--- a/unittests/PlatformAdapter/PlatformBench.h
+++ b/unittests/PlatformAdapter/PlatformBench.h
@@ -75,12 +75,12 @@
     REQUIRE(this->Server->start({"127.0.0.1", 0}));
   }
 
-  std::string makeEntry(const std::string &State) const {
+  std::string makeEntry(const std::string &State, int Sequence = 1) const {
     return fmt::format(
         R"({{"address": "127.0.0.1:{}", "info": {{"service": "s",
         "version": "v1", "zone": "h", "slots": 3}},
-        "status": {{"state": "{}", "seq": 1, "warmupLeftS": 0}}}})",
-        this->Server->getPort(), State);
+        "status": {{"state": "{}", "seq": {}, "warmupLeftS": 0}}}})",
+        this->Server->getPort(), State, Sequence);
   }
 
   const std::string Id;
