--- a/include/canvaswick/Daemon/DirectoryCalls.h
+++ b/include/canvaswick/Daemon/DirectoryCalls.h
@@ -28,21 +28,23 @@
 
 namespace canvaswick {
 
-/// Returns what a table that is complete up to a revision lacks, and holds
-/// these large items.
-using ChangesSource =
-    std::function<ItemChanges(uint64_t After, const ItemRevisions &Held)>;
-
 /// What a peer asks.
 struct ChangesRequest {
-  /// Its copy is complete up to here; 0: it has none.
-  uint64_t After = 0;
+  /// Its copy is complete up to here; none: it has none.
+  StorePosition After;
   /// Whether it takes large values too.
   bool WantsLarge = true;
   /// The large items that it holds: their changes may be told as differences.
-  ItemRevisions Held;
+  /// All are of the era of After.
+  ItemPositions Held;
+  /// False: the peer knows no eras. It is taken to be in the one of whom it
+  /// asks.
+  bool NamesEra = true;
 };
 
+/// Returns what the peer lacks.
+using ChangesSource = std::function<ItemChanges(const ChangesRequest &)>;
+
 /// Answers peers that ask for the copy of the store. What is urgent is small (a
 /// server that leaves) and never waits behind what is large (a configuration):
 /// large values travel only if they are asked for and if this daemon has room
@@ -56,18 +58,18 @@
 
 private:
   struct PackedAnswer {
-    uint64_t AsOf = 0;
+    StorePosition AsOf;
     Json::Value Value;
   };
 
-  Json::Value packOnce(const ItemChanges &Changes, uint64_t After);
+  Json::Value packOnce(const ItemChanges &Changes, const StorePosition &After);
 
   const ChangesSource Source;
   const std::function<bool()> HasRoom;
   /// Guards Recent; held for no packing.
   std::mutex Mutex;
   /// What was packed of late, by After: a hall asks for the same.
-  std::map<uint64_t, PackedAnswer> Recent;
+  std::map<StorePosition, PackedAnswer> Recent;
 };
 
 /// Adds the method that peers call. Answerer must outlive the dispatcher's
--- a/include/canvaswick/Daemon/PeerMessage.h
+++ b/include/canvaswick/Daemon/PeerMessage.h
@@ -16,6 +16,7 @@
 
 #include "canvaswick/Admission/FleetAllowance.h"
 #include "canvaswick/Daemon/SuspectReport.h"
+#include "canvaswick/Directory/StorePosition.h"
 #include "canvaswick/Health/SpellPolicy.h"
 #include "canvaswick/Routing/ServerNotices.h"
 #include "canvaswick/Support/Error.h"
@@ -44,7 +45,7 @@
   /// Hall of the source.
   std::string Hall;
   /// How far the source's copy of the store goes.
-  uint64_t AsOf = 0;
+  StorePosition AsOf;
   /// How long ago the store last answered the source, in whole milliseconds, if
   /// the source watches the store itself. That it watches proves nothing: the
   /// store may have been silent ever since.
--- a/include/canvaswick/Daemon/SuspectAgent.h
+++ b/include/canvaswick/Daemon/SuspectAgent.h
@@ -41,6 +41,8 @@
   void spread(const SuspectNews &News, TimePoint Now);
   Json::Value answerNews(const Json::Value &Params);
   Result<BookPage> readPage() const;
+  Result<StorePosition> writePage(const std::string &Text,
+                                  const StorePosition &Expected) const;
 
   const ControlContext &Context;
   MembershipAgent &Members;
--- a/include/canvaswick/Daemon/SuspectBook.h
+++ b/include/canvaswick/Daemon/SuspectBook.h
@@ -18,6 +18,7 @@
 #define CANVASWICK_DAEMON_SUSPECTBOOK_H
 
 #include "canvaswick/Daemon/SuspectReport.h"
+#include "canvaswick/Directory/StorePosition.h"
 #include "canvaswick/Proxy/RequestGuard.h"
 
 #include <functional>
@@ -26,10 +27,10 @@
 
 namespace canvaswick {
 
-/// The value as it was last read. Revision 0: there is none.
+/// The value as it was last read, and where. Revision 0: there is none.
 struct BookPage {
   std::string Text;
-  uint64_t Revision = 0;
+  StorePosition At;
 };
 
 /// Thread-safe. Its mutex guards what it last took; no call is made under it.
@@ -37,8 +38,9 @@
 public:
   /// Reads the value, or returns the last known copy of it.
   using Reader = std::function<Result<BookPage>()>;
-  /// Writes the value if it still has the revision.
-  using Writer = std::function<Result<uint64_t>(const std::string &, uint64_t)>;
+  /// Writes the value if it is still where it was.
+  using Writer = std::function<Result<StorePosition>(const std::string &,
+                                                     const StorePosition &)>;
 
   SuspectBook(RequestGuard &Guard, Reader Read, Writer Write)
       : Guard(Guard), Read(std::move(Read)), Write(std::move(Write)) {}
@@ -55,14 +57,14 @@
 
 private:
   bool change(std::vector<SuspectRecord> &Records, const Instant &Now) const;
-  bool writeAll(const std::vector<SuspectRecord> &Records, uint64_t Revision,
-                const Instant &Now);
+  bool writeAll(const std::vector<SuspectRecord> &Records,
+                const StorePosition &Expected, const Instant &Now);
 
   RequestGuard &Guard;
   const Reader Read;
   const Writer Write;
   std::mutex Mutex;
-  uint64_t TakenRevision = 0;
+  StorePosition TakenAt;
   /// Used by runRound only.
   TimePoint RetryAt{};
 };
--- a/include/canvaswick/Directory/AheadPeers.h
+++ b/include/canvaswick/Directory/AheadPeers.h
@@ -16,6 +16,7 @@
 #ifndef CANVASWICK_DIRECTORY_AHEADPEERS_H
 #define CANVASWICK_DIRECTORY_AHEADPEERS_H
 
+#include "canvaswick/Directory/StorePosition.h"
 #include "canvaswick/Support/Time.h"
 
 #include <cstdint>
@@ -34,27 +35,27 @@
 
   /// Notes how far a peer's copy goes, if that is further than Known, this
   /// daemon's own. Returns whether it is.
-  bool note(const std::string &Peer, bool IsNear, uint64_t AsOf, uint64_t Known,
-            TimePoint Now);
+  bool note(const std::string &Peer, bool IsNear, const StorePosition &AsOf,
+            const StorePosition &Known, TimePoint Now);
 
   /// Returns a peer that is ahead of Known, drawn anew each time: one of the
   /// own hall if there is any.
-  std::optional<std::string> draw(uint64_t Known, TimePoint Now);
+  std::optional<std::string> draw(const StorePosition &Known, TimePoint Now);
 
   /// Returns since when this daemon has been behind, if it is.
-  std::optional<TimePoint> getBehindSince(uint64_t Known) const;
+  std::optional<TimePoint> getBehindSince(const StorePosition &Known) const;
 
   /// Forgets a peer that did not answer.
   void forget(const std::string &Peer) { this->Peers.erase(Peer); }
 
 private:
   struct Ahead {
-    uint64_t AsOf = 0;
+    StorePosition AsOf;
     bool IsNear = false;
     TimePoint HeardAt{};
   };
 
-  bool isAhead(uint64_t Known) const;
+  bool isAhead(const StorePosition &Known) const;
 
   std::map<std::string, Ahead> Peers;
   TimePoint BehindSince{};
--- a/include/canvaswick/Directory/FleetRecords.h
+++ b/include/canvaswick/Directory/FleetRecords.h
@@ -78,6 +78,8 @@
   bool IsDraining = false;
   /// How much longer it is slow, counted from when the record was written.
   Duration WarmupLeft{};
+
+  bool operator==(const ServerRecord &) const = default;
 };
 
 /// One daemon of the fleet, as it keeps itself listed.
--- a/include/canvaswick/Directory/ItemTable.h
+++ b/include/canvaswick/Directory/ItemTable.h
@@ -16,6 +16,7 @@
 #ifndef CANVASWICK_DIRECTORY_ITEMTABLE_H
 #define CANVASWICK_DIRECTORY_ITEMTABLE_H
 
+#include "canvaswick/Directory/StorePosition.h"
 #include "canvaswick/Support/Error.h"
 #include "canvaswick/Support/TextDelta.h"
 
@@ -31,8 +32,8 @@
 struct StoreItem {
   std::string Key;
   std::string Value;
-  /// The store's counter at the item's last change.
-  uint64_t Revision = 0;
+  /// The revision of the item's last change, in the era in which it was read.
+  StorePosition At;
   bool IsGone = false;
 
   bool operator==(const StoreItem &) const = default;
@@ -49,18 +50,18 @@
 /// A large item as the difference to the one that it took the place of.
 struct ItemDelta {
   std::string Key;
-  uint64_t Revision = 0;
-  /// Revision of the earlier item.
-  uint64_t Base = 0;
+  StorePosition At;
+  /// Position of the earlier item.
+  StorePosition Base;
   TextDelta Change;
 
   bool operator==(const ItemDelta &) const = default;
 };
 
-/// Revisions of items by key.
-using ItemRevisions = std::map<std::string, uint64_t>;
+/// Positions of items by key.
+using ItemPositions = std::map<std::string, StorePosition>;
 
-/// What changed between two revisions.
+/// What changed between two positions.
 struct ItemChanges {
   /// Whether Items are all there are, and not only those that changed.
   bool IsAll = false;
@@ -70,7 +71,7 @@
   std::vector<StoreItem> Items;
   /// Those that come as differences.
   std::vector<ItemDelta> Deltas;
-  uint64_t AsOf = 0;
+  StorePosition AsOf;
 };
 
 /// Items by key. Not thread-safe.
@@ -84,14 +85,19 @@
   /// Takes all items of the store as they were at AsOf, or later. Items that
   /// are not among them are gone, unless they are newer than AsOf. Returns
   /// whether the table changed.
-  bool replaceAll(const std::vector<StoreItem> &Items, uint64_t AsOf);
+  bool replaceAll(const std::vector<StoreItem> &Items,
+                  const StorePosition &AsOf);
+
+  /// Lets whatever is taken next replace what is known. For a store that has
+  /// lost something without a new era.
+  void distrust();
 
   /// Notes that all changes up to AsOf were taken.
-  void advanceTo(uint64_t AsOf);
+  void advanceTo(const StorePosition &AsOf);
 
-  /// Returns the revision up to which the table is complete; 0: nothing was
+  /// Returns the position up to which the table is complete; none: nothing was
   /// read yet.
-  uint64_t getAsOf() const { return this->AsOf; }
+  const StorePosition &getAsOf() const { return this->AsOf; }
 
   /// Returns an item, or null.
   const StoreItem *find(const std::string &Key) const;
@@ -102,11 +108,11 @@
   /// Returns what a table that is complete up to After must take to be as far
   /// as this one. Large items that took the place of one in Held, what that
   /// table has of them, come as differences.
-  ItemChanges getChangesAfter(uint64_t After,
-                              const ItemRevisions &Held = {}) const;
+  ItemChanges getChangesAfter(const StorePosition &After,
+                              const ItemPositions &Held = {}) const;
 
   /// Returns the large items that the table holds.
-  ItemRevisions listLarge() const;
+  ItemPositions listLarge() const;
 
   /// Makes an item of a difference. Fails with NotFound if the table does not
   /// hold the earlier one.
@@ -115,17 +121,17 @@
   const ItemMap &getItems() const { return this->Items; }
 
 private:
-  void noteRemoval(const std::string &Key, uint64_t Revision);
+  void noteRemoval(const std::string &Key, const StorePosition &At);
   bool wasRemovedSince(const StoreItem &News) const;
   void put(const StoreItem &News);
 
   ItemMap Items;
   /// What large items were before they changed last.
   ItemMap Earlier;
-  uint64_t AsOf = 0;
-  /// What was removed of late, oldest first, and the revision since when.
+  StorePosition AsOf;
+  /// What was removed of late, oldest first, and the position since when.
   std::deque<StoreItem> Removals;
-  uint64_t RemovalsSince = 0;
+  StorePosition RemovalsSince;
 };
 
 } // namespace canvaswick
--- /dev/null
+++ b/include/canvaswick/Directory/StorePosition.h
@@ -0,0 +1,79 @@
+//===- StorePosition.h - A place in the order of the store ------*- C++ -*-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// The store may lose what it has acknowledged and give the same revisions out
+/// again. It then counts a new era. So a revision alone orders nothing: what is
+/// compared or kept is a position, and no place compares anything else.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef CANVASWICK_DIRECTORY_STOREPOSITION_H
+#define CANVASWICK_DIRECTORY_STOREPOSITION_H
+
+#include <fmt/format.h>
+
+#include <compare>
+#include <cstdint>
+
+namespace canvaswick {
+
+/// A revision of the store in one of its eras. What was read in a later era
+/// comes after all that was read in an earlier one.
+struct StorePosition {
+  /// 0: the store does not tell its era.
+  uint64_t Era = 0;
+  /// 0: nothing was read, or the item does not exist.
+  uint64_t Revision = 0;
+
+  constexpr StorePosition() = default;
+  /// Both are told, so that no number is taken for a position.
+  constexpr StorePosition(uint64_t Era, uint64_t Revision)
+      : Era(Era), Revision(Revision) {}
+
+  bool isNone() const { return this->Revision == 0; }
+
+  friend auto operator<=>(const StorePosition &,
+                          const StorePosition &) = default;
+};
+
+/// How an answer of the store goes with the copy for which it was asked.
+enum class AnswerFit : uint8_t {
+  /// It is as far as the copy, or further.
+  Follows,
+  /// It was made in an era that is over: what it says may be lost.
+  Outdated,
+  /// The store has lost something that the copy holds.
+  HasLost,
+};
+
+/// Compares how far a copy was when the store was asked with how far the store
+/// was as it answered. Holds for linearizable answers only.
+inline AnswerFit compareAnswer(const StorePosition &Asked,
+                               const StorePosition &Answered) {
+  if (Answered.Era < Asked.Era)
+    return AnswerFit::Outdated;
+  if (Asked.isNone())
+    return AnswerFit::Follows;
+  const bool Holds =
+      Answered.Era == Asked.Era && Answered.Revision >= Asked.Revision;
+  return Holds ? AnswerFit::Follows : AnswerFit::HasLost;
+}
+
+} // namespace canvaswick
+
+/// Prints era and revision as logs show them.
+template <>
+struct fmt::formatter<canvaswick::StorePosition> : formatter<std::string_view> {
+  template <typename Context>
+  auto format(const canvaswick::StorePosition &Position, Context &Into) const {
+    return fmt::format_to(Into.out(), "{}:{}", Position.Era, Position.Revision);
+  }
+};
+
+#endif // CANVASWICK_DIRECTORY_STOREPOSITION_H
--- a/include/canvaswick/Directory/WatchDuty.h
+++ b/include/canvaswick/Directory/WatchDuty.h
@@ -19,6 +19,7 @@
 #ifndef CANVASWICK_DIRECTORY_WATCHDUTY_H
 #define CANVASWICK_DIRECTORY_WATCHDUTY_H
 
+#include "canvaswick/Directory/StorePosition.h"
 #include "canvaswick/Support/Time.h"
 
 #include <cstdint>
@@ -31,8 +32,8 @@
 
 /// Where a daemon stands with the store.
 struct StoreState {
-  /// The revision up to which its copy is complete.
-  uint64_t AsOf = 0;
+  /// The position up to which its copy is complete.
+  StorePosition AsOf;
   /// Whether it watches the store itself and, as far as it knows, reaches it.
   bool IsWatching = false;
   /// When the store last answered a read or a watch of its own; none yet:
--- a/lib/Daemon/PeerMessage.cpp
+++ b/lib/Daemon/PeerMessage.cpp
@@ -76,7 +76,8 @@
   if (Message.StoreHeardAgo)
     Value["heard-ms"] =
         static_cast<Json::UInt64>(toMillis(*Message.StoreHeardAgo));
-  Value["as-of"] = static_cast<Json::UInt64>(Message.AsOf);
+  Value["as-of"] = static_cast<Json::UInt64>(Message.AsOf.Revision);
+  Value["era"] = static_cast<Json::UInt64>(Message.AsOf.Era);
   Value["seq"] = static_cast<Json::UInt64>(Message.Sequence);
   Value["seen"] = Json::arrayValue;
   for (const Observation &Each : Message.Seen) {
@@ -227,6 +228,16 @@
       fromMillis(static_cast<int64_t>(Age.asUInt64())));
 }
 
+/// Decodes the era of a position. A daemon that knows of none names none, and
+/// is behind all that do.
+static Result<uint64_t> decodeEra(const Json::Value &Era) {
+  if (Era.isNull())
+    return uint64_t{0};
+  if (!Era.isUInt64())
+    return makeError(ErrorKind::InvalidArgument, "not an era");
+  return Era.asUInt64();
+}
+
 Result<PeerMessage> decodePeerMessage(const std::string &Text) {
   Json::Value Value;
   if (!parseJson(Text, Value) || !Value.isObject() ||
@@ -239,7 +250,8 @@
   Message.Sequence = Value["seq"].asUInt64();
   if (!Value["as-of"].isUInt64())
     return makeError(ErrorKind::InvalidArgument, "no revision");
-  Message.AsOf = Value["as-of"].asUInt64();
+  Message.AsOf.Revision = Value["as-of"].asUInt64();
+  BOOST_OUTCOME_TRY(Message.AsOf.Era, decodeEra(Value["era"]));
   BOOST_OUTCOME_TRY(Message.StoreHeardAgo, decodeHeardAgo(Value["heard-ms"]));
   Message.IsRelayed = Value["relayed"].isBool() && Value["relayed"].asBool();
   BOOST_OUTCOME_TRY(decodeList(Value["seen"], decodeObservation,
--- a/lib/Daemon/SuspectAgent.cpp
+++ b/lib/Daemon/SuspectAgent.cpp
@@ -37,8 +37,8 @@
     : Context(Context), Members(Members), Guard(Guard),
       Book(
           Guard, [this] { return this->readPage(); },
-          [this](const std::string &Text, uint64_t Expected) {
-            return this->Context.Platform.put(RecordsKey, Text, Expected);
+          [this](const std::string &Text, const StorePosition &Expected) {
+            return this->writePage(Text, Expected);
           }) {
   Guard.setNewsListener([this](const SuspectNews &News, TimePoint Now) {
     this->spread(News, Now);
@@ -57,12 +57,22 @@
 Result<BookPage> SuspectAgent::readPage() const {
   Result<PlatformValue> Value = this->Context.Platform.get(RecordsKey);
   if (Value)
-    return BookPage{std::move(Value.value().Value), Value.value().Revision};
+    return BookPage{std::move(Value.value().Value),
+                    {0, Value.value().Revision}};
   if (Value.error().Kind == ErrorKind::NotFound)
     return BookPage{};
   return outcome::failure(Value.error());
 }
 
+Result<StorePosition>
+SuspectAgent::writePage(const std::string &Text,
+                        const StorePosition &Expected) const {
+  BOOST_OUTCOME_TRY(
+      uint64_t Revision,
+      this->Context.Platform.put(RecordsKey, Text, Expected.Revision));
+  return StorePosition{0, Revision};
+}
+
 void SuspectAgent::runRound(const Instant &Now) {
   this->Guard.forgetOld(Now.Steady);
   const bool IsDue = !this->HasRead || !this->Guard.describe().empty();
--- a/lib/Daemon/SuspectBook.cpp
+++ b/lib/Daemon/SuspectBook.cpp
@@ -25,7 +25,7 @@
 /// Decodes a page. No page is one without records.
 static Result<std::vector<SuspectRecord>> decodePage(const BookPage &Page,
                                                      const Instant &Now) {
-  if (Page.Revision == 0)
+  if (Page.At.isNone())
     return std::vector<SuspectRecord>();
   return decodeRecords(Page.Text, Now);
 }
@@ -37,26 +37,31 @@
   Result<std::vector<SuspectRecord>> Records = decodePage(Page, Now);
   if (Records)
     return std::move(Records.value());
-  logWarning("suspects-replaced", "revision={} what={:?}", Page.Revision,
+  logWarning("suspects-replaced", "at={} what={:?}", Page.At,
              Records.error().Message);
   return {};
 }
 
 Result<void> SuspectBook::refresh(const Instant &Now) {
   BOOST_OUTCOME_TRY(BookPage Page, this->Read());
+  bool IsOfNewEra = false;
   {
     std::lock_guard<std::mutex> Lock(this->Mutex);
-    if (Page.Revision == this->TakenRevision)
+    if (Page.At == this->TakenAt)
       return outcome::success();
-    this->TakenRevision = Page.Revision;
+    IsOfNewEra = Page.At.Era != this->TakenAt.Era;
+    this->TakenAt = Page.At;
   }
+  // What was written may be lost: that it is missing clears nobody.
+  if (IsOfNewEra)
+    this->Guard.loseRecords();
   const Result<std::vector<SuspectRecord>> Records = decodePage(Page, Now);
   if (Records) {
     this->Guard.takeRecords(Records.value(), Now.Steady);
     return outcome::success();
   }
   // Somebody else wrote there: what is known stays, and is written again.
-  logWarning("suspects-refused", "revision={} what={:?}", Page.Revision,
+  logWarning("suspects-refused", "at={} what={:?}", Page.At,
              Records.error().Message);
   this->Guard.loseRecords();
   return outcome::success();
@@ -76,14 +81,15 @@
 }
 
 bool SuspectBook::writeAll(const std::vector<SuspectRecord> &Records,
-                           uint64_t Revision, const Instant &Now) {
-  Result<uint64_t> Written = this->Write(encodeRecords(Records, Now), Revision);
+                           const StorePosition &Expected, const Instant &Now) {
+  Result<StorePosition> Written =
+      this->Write(encodeRecords(Records, Now), Expected);
   if (Written) {
-    logInfo("suspects-written", "revision={} records={}", Written.value(),
+    logInfo("suspects-written", "at={} records={}", Written.value(),
             Records.size());
     return true;
   }
-  logWarning("suspects-not-written", "expected={} what={:?}", Revision,
+  logWarning("suspects-not-written", "expected={} what={:?}", Expected,
              Written.error().Message);
   return false;
 }
@@ -99,7 +105,7 @@
     return;
   std::vector<SuspectRecord> Records = decodeOldPage(Page.value(), Now);
   if (this->change(Records, Now))
-    this->writeAll(Records, Page.value().Revision, Now);
+    this->writeAll(Records, Page.value().At, Now);
 }
 
 bool SuspectBook::claimTry(const SuspectRecord &Record, const Instant &Now) {
@@ -116,7 +122,7 @@
   SuspectRecord Tried = Record;
   ++Tried.Tries;
   mergeRecord(Records, std::move(Tried), Now.CalendarMillis);
-  return this->writeAll(Records, Page.value().Revision, Now);
+  return this->writeAll(Records, Page.value().At, Now);
 }
 
 } // namespace canvaswick
--- a/lib/Directory/AheadPeers.cpp
+++ b/lib/Directory/AheadPeers.cpp
@@ -22,14 +22,15 @@
 /// several times a second, others with each request.
 static constexpr Duration WordLife = fromSeconds(3);
 
-bool AheadPeers::isAhead(uint64_t Known) const {
+bool AheadPeers::isAhead(const StorePosition &Known) const {
   return std::any_of(
       this->Peers.begin(), this->Peers.end(),
-      [Known](const auto &Entry) { return Entry.second.AsOf > Known; });
+      [&Known](const auto &Entry) { return Entry.second.AsOf > Known; });
 }
 
-bool AheadPeers::note(const std::string &Peer, bool IsNear, uint64_t AsOf,
-                      uint64_t Known, TimePoint Now) {
+bool AheadPeers::note(const std::string &Peer, bool IsNear,
+                      const StorePosition &AsOf, const StorePosition &Known,
+                      TimePoint Now) {
   if (AsOf <= Known)
     return false;
   if (!this->isAhead(Known))
@@ -38,7 +39,8 @@
   return true;
 }
 
-std::optional<std::string> AheadPeers::draw(uint64_t Known, TimePoint Now) {
+std::optional<std::string> AheadPeers::draw(const StorePosition &Known,
+                                            TimePoint Now) {
   std::erase_if(this->Peers, [&](const auto &Entry) {
     return Entry.second.AsOf <= Known || Now - Entry.second.HeardAt > WordLife;
   });
@@ -55,7 +57,8 @@
   return Drawn[this->Random() % Drawn.size()];
 }
 
-std::optional<TimePoint> AheadPeers::getBehindSince(uint64_t Known) const {
+std::optional<TimePoint>
+AheadPeers::getBehindSince(const StorePosition &Known) const {
   if (!this->isAhead(Known))
     return std::nullopt;
   return this->BehindSince;
--- a/lib/Directory/ItemTable.cpp
+++ b/lib/Directory/ItemTable.cpp
@@ -20,11 +20,11 @@
 namespace canvaswick {
 
 bool ItemTable::apply(const StoreItem &News) {
-  if (News.Revision <= this->AsOf)
+  if (News.At <= this->AsOf)
     return false;
   const auto Found = this->Items.find(News.Key);
   const bool IsKnown = Found != this->Items.end();
-  if (IsKnown && Found->second.Revision >= News.Revision)
+  if (IsKnown && Found->second.At >= News.At)
     return false;
   if (!News.IsGone) {
     if (!IsKnown && this->wasRemovedSince(News))
@@ -36,7 +36,7 @@
     return false;
   this->Items.erase(Found);
   this->Earlier.erase(News.Key);
-  this->noteRemoval(News.Key, News.Revision);
+  this->noteRemoval(News.Key, News.At);
   return true;
 }
 
@@ -50,7 +50,7 @@
 }
 
 bool ItemTable::replaceAll(const std::vector<StoreItem> &Given,
-                           uint64_t ReadAt) {
+                           const StorePosition &ReadAt) {
   if (ReadAt < this->AsOf)
     return false;
   bool IsChanged = false;
@@ -58,15 +58,15 @@
   for (const StoreItem &Item : Given) {
     Listed.insert(Item.Key);
     const StoreItem *Known = this->find(Item.Key);
-    if (Known && Known->Revision >= Item.Revision)
+    if (Known && Known->At >= Item.At)
       continue;
     this->put(Item);
     IsChanged = true;
   }
-  IsChanged |= std::erase_if(this->Items, [&](const auto &Entry) {
-                 return Listed.count(Entry.first) == 0 &&
-                        Entry.second.Revision <= ReadAt;
-               }) > 0;
+  IsChanged |=
+      std::erase_if(this->Items, [&](const auto &Entry) {
+        return Listed.count(Entry.first) == 0 && Entry.second.At <= ReadAt;
+      }) > 0;
   this->AsOf = ReadAt;
   // When what is missing now was removed is not known.
   this->Removals.clear();
@@ -80,38 +80,37 @@
 bool ItemTable::wasRemovedSince(const StoreItem &News) const {
   return std::any_of(this->Removals.begin(), this->Removals.end(),
                      [&News](const StoreItem &Removal) {
-                       return Removal.Key == News.Key &&
-                              Removal.Revision > News.Revision;
+                       return Removal.Key == News.Key && Removal.At > News.At;
                      });
 }
 
 /// Removals that are remembered, for peers that lag behind.
 static constexpr size_t RemovalsKept = 1000;
 
-void ItemTable::noteRemoval(const std::string &Key, uint64_t Revision) {
-  this->Removals.push_back({Key, "", Revision, true});
+void ItemTable::noteRemoval(const std::string &Key, const StorePosition &At) {
+  this->Removals.push_back({Key, "", At, true});
   if (this->Removals.size() <= RemovalsKept)
     return;
   // Single items may be taken out of order.
   this->RemovalsSince =
-      std::max(this->RemovalsSince, this->Removals.front().Revision);
+      std::max(this->RemovalsSince, this->Removals.front().At);
   this->Removals.pop_front();
 }
 
-ItemRevisions ItemTable::listLarge() const {
-  ItemRevisions Large;
+ItemPositions ItemTable::listLarge() const {
+  ItemPositions Large;
   for (const auto &[Key, Item] : this->Items)
     if (isLarge(Item))
-      Large[Key] = Item.Revision;
+      Large[Key] = Item.At;
   return Large;
 }
 
 Result<StoreItem> ItemTable::resolve(const ItemDelta &Delta) const {
   const StoreItem *Known = this->find(Delta.Key);
-  if (!Known || Known->Revision != Delta.Base)
+  if (!Known || Known->At != Delta.Base)
     return makeError(ErrorKind::NotFound, "a difference to what is not held");
   BOOST_OUTCOME_TRY(std::string Value, applyDelta(Known->Value, Delta.Change));
-  return StoreItem{Delta.Key, std::move(Value), Delta.Revision, false};
+  return StoreItem{Delta.Key, std::move(Value), Delta.At, false};
 }
 
 /// A difference of more than this part of the value is not worth it.
@@ -119,41 +118,50 @@
 
 /// Replaces items of Changes by differences to what Held says of them.
 static void useDeltas(ItemChanges &Changes, const ItemTable::ItemMap &Earlier,
-                      const ItemRevisions &Held) {
+                      const ItemPositions &Held) {
   std::erase_if(Changes.Items, [&](const StoreItem &Item) {
     const auto Base = Earlier.find(Item.Key);
     const auto Has = Held.find(Item.Key);
     if (!isLarge(Item) || Base == Earlier.end() || Has == Held.end() ||
-        Has->second != Base->second.Revision)
+        Has->second != Base->second.At)
+      return false;
+    // What tells a difference names one era only.
+    if (Item.At.Era != Changes.AsOf.Era || Has->second.Era != Item.At.Era)
       return false;
     TextDelta Change = diffTexts(Base->second.Value, Item.Value);
     if (static_cast<double>(measureDelta(Change)) >
         MostDeltaPart * static_cast<double>(Item.Value.size()))
       return false;
     Changes.Deltas.push_back(
-        {Item.Key, Item.Revision, Has->second, std::move(Change)});
+        {Item.Key, Item.At, Has->second, std::move(Change)});
     return true;
   });
 }
 
-ItemChanges ItemTable::getChangesAfter(uint64_t After,
-                                       const ItemRevisions &Held) const {
+ItemChanges ItemTable::getChangesAfter(const StorePosition &After,
+                                       const ItemPositions &Held) const {
   ItemChanges Changes;
   Changes.AsOf = this->AsOf;
   Changes.IsAll = After < this->RemovalsSince;
   for (const auto &[Key, Item] : this->Items)
-    if (Changes.IsAll || Item.Revision > After)
+    if (Changes.IsAll || Item.At > After)
       Changes.Items.push_back(Item);
   if (Changes.IsAll)
     return Changes;
   useDeltas(Changes, this->Earlier, Held);
   for (const StoreItem &Removal : this->Removals)
-    if (Removal.Revision > After)
+    if (Removal.At > After)
       Changes.Items.push_back(Removal);
   return Changes;
 }
 
-void ItemTable::advanceTo(uint64_t Reached) {
+void ItemTable::distrust() {
+  this->AsOf = {};
+  for (auto &[Key, Item] : this->Items)
+    Item.At = {};
+}
+
+void ItemTable::advanceTo(const StorePosition &Reached) {
   this->AsOf = std::max(this->AsOf, Reached);
 }
 
--- a/unittests/Daemon/DirectoryCallsTest.cpp
+++ b/unittests/Daemon/DirectoryCallsTest.cpp
@@ -29,7 +29,7 @@
   std::mt19937_64 Random(1);
   ItemChanges Copy;
   Copy.IsAll = true;
-  Copy.AsOf = 5000;
+  Copy.AsOf = {0, 5000};
   for (int I = 0; I < 720; ++I)
     Copy.Items.push_back(
         {fmt::format("servers/i-{:010x}", Random() >> 24),
@@ -39,23 +39,26 @@
                      R"("warmupLeftS":0.0}}}})",
                      1 + Random() % 5, Random() % 250, Random() % 2,
                      Random() % 5, Random() % 40),
-         1000 + Random() % 4000, false});
+         {0, 1000 + Random() % 4000},
+         false});
   for (int I = 0; I < 443; ++I)
     Copy.Items.push_back(
         {fmt::format("canvaswick/daemons/front-hall-{}-{}", I % 5, I),
          fmt::format(R"({{"control":"10.{}.0.{}:8761","hall":"hall-{}","peer":)"
                      R"("10.{}.0.{}:7780"}})",
                      I % 5, I / 5, I % 5, I % 5, I / 5),
-         1000 + Random() % 4000, false});
+         {0, 1000 + Random() % 4000},
+         false});
   return Copy;
 }
 
-static const ItemChanges SmallNews{false, false, {{"k", "v", 7, false}}, {}, 7};
+static const ItemChanges SmallNews{
+    false, false, {{"k", "v", {0, 7}, false}}, {}, {0, 7}};
 
 /// News and a configuration of some size.
 static ItemChanges makeLargeNews() {
   ItemChanges Changes = SmallNews;
-  Changes.Items.push_back({"config", std::string(5000, 'c'), 6, false});
+  Changes.Items.push_back({"config", std::string(5000, 'c'), {0, 6}, false});
   return Changes;
 }
 
@@ -84,10 +87,10 @@
 TEST_CASE("large values travel only if asked for and if there is room") {
   bool HasRoom = true;
   ChangesAnswerer Answerer(
-      [](uint64_t, const ItemRevisions &) { return makeLargeNews(); },
+      [](const ChangesRequest &) { return makeLargeNews(); },
       [&HasRoom] { return HasRoom; });
   const auto Ask = [&](bool WantsLarge) {
-    return decodeChanges(Answerer.answer({3, WantsLarge, {}})).value();
+    return decodeChanges(Answerer.answer({{0, 3}, WantsLarge, {}})).value();
   };
   CHECK(Ask(true).Items.size() == 2);
   CHECK_FALSE(Ask(true).IsPartial);
@@ -99,38 +102,39 @@
 }
 
 TEST_CASE("news without large values are whole, whatever room there is") {
-  ChangesAnswerer Answerer(
-      [](uint64_t, const ItemRevisions &) { return SmallNews; },
-      [] { return false; });
-  CHECK_FALSE(decodeChanges(Answerer.answer({3, false, {}})).value().IsPartial);
+  ChangesAnswerer Answerer([](const ChangesRequest &) { return SmallNews; },
+                           [] { return false; });
+  CHECK_FALSE(
+      decodeChanges(Answerer.answer({{0, 3}, false, {}})).value().IsPartial);
 }
 
 TEST_CASE("a whole copy is refused where there is no room, with a reason") {
   bool HasRoom = false;
-  ChangesAnswerer Answerer(
-      [](uint64_t, const ItemRevisions &) { return makeCopy(); },
-      [&HasRoom] { return HasRoom; });
-  CHECK(Answerer.answer({0, true, {}})["error"].asString() ==
+  ChangesAnswerer Answerer([](const ChangesRequest &) { return makeCopy(); },
+                           [&HasRoom] { return HasRoom; });
+  CHECK(Answerer.answer({{0, 0}, true, {}})["error"].asString() ==
         getName(ErrorKind::Unavailable));
   HasRoom = true;
-  CHECK(decodeChanges(Answerer.answer({0, true, {}})).value().Items.size() ==
-        1163);
+  CHECK(
+      decodeChanges(Answerer.answer({{0, 0}, true, {}})).value().Items.size() ==
+      1163);
 }
 
 TEST_CASE("what was packed is told again until the copy has moved on") {
   ItemChanges Copy = makeCopy();
-  ChangesAnswerer Answerer(
-      [&Copy](uint64_t, const ItemRevisions &) { return Copy; },
-      [] { return true; });
-  const Json::Value First = Answerer.answer({0, true, {}});
-  CHECK(Answerer.answer({0, true, {}}) == First);
-  Copy.AsOf = 6000;
+  ChangesAnswerer Answerer([&Copy](const ChangesRequest &) { return Copy; },
+                           [] { return true; });
+  const Json::Value First = Answerer.answer({{0, 0}, true, {}});
+  CHECK(Answerer.answer({{0, 0}, true, {}}) == First);
+  Copy.AsOf = {0, 6000};
   Copy.Items.pop_back();
-  CHECK(decodeChanges(Answerer.answer({0, true, {}})).value().AsOf == 6000);
+  CHECK(decodeChanges(Answerer.answer({{0, 0}, true, {}})).value().AsOf ==
+        StorePosition(0, 6000));
   // Many different questions push each other out and are answered all the same.
   for (uint64_t After = 1; After < 30; ++After)
-    CHECK(decodeChanges(Answerer.answer({After, true, {}})).value().Items ==
-          Copy.Items);
+    CHECK(
+        decodeChanges(Answerer.answer({{0, After}, true, {}})).value().Items ==
+        Copy.Items);
 }
 
 TEST_CASE("fields of a wrong kind and broken packed items are refused") {
@@ -158,36 +162,39 @@
   std::string Config(20000, 'x');
   for (size_t I = 0; I < Config.size(); I += 100)
     Config.replace(I, 8, fmt::format("{:07}}}", I));
-  Table.apply({"config", Config, 3, false});
-  Table.apply({"config", Config + "one route more}", 6, false});
-  Table.apply({"k", "v", 7, false});
-  Table.advanceTo(7);
+  Table.apply({"config", Config, {0, 3}, false});
+  Table.apply({"config", Config + "one route more}", {0, 6}, false});
+  Table.apply({"k", "v", {0, 7}, false});
+  Table.advanceTo({0, 7});
   // No room for what is large: a difference is small.
   ChangesAnswerer Answerer(
-      [&Table](uint64_t After, const ItemRevisions &Held) {
-        return Table.getChangesAfter(After, Held);
+      [&Table](const ChangesRequest &Request) {
+        return Table.getChangesAfter(Request.After, Request.Held);
       },
       [] { return false; });
   const ItemChanges Changes =
-      decodeChanges(Answerer.answer({3, false, {{"config", 3}}})).value();
+      decodeChanges(Answerer.answer({{0, 3}, false, {{"config", {0, 3}}}}))
+          .value();
   CHECK_FALSE(Changes.IsPartial);
   CHECK(Changes.Items.size() == 1);
   REQUIRE(Changes.Deltas.size() == 1);
   ItemTable Behind;
-  Behind.apply({"config", Config, 3, false});
+  Behind.apply({"config", Config, {0, 3}, false});
   const Result<StoreItem> Item = Behind.resolve(Changes.Deltas[0]);
   REQUIRE(Item);
   CHECK(Item.value() == *Table.find("config"));
   // Who holds another version, or none, is told the whole.
-  for (const ItemRevisions &Held : {ItemRevisions{{"config", 2}}, {}})
-    CHECK(decodeChanges(Answerer.answer({3, false, Held})).value().IsPartial);
+  for (const ItemPositions &Held : {ItemPositions{{"config", {0, 2}}}, {}})
+    CHECK(decodeChanges(Answerer.answer({{0, 3}, false, Held}))
+              .value()
+              .IsPartial);
   ItemTable Other;
-  Other.apply({"config", Config, 2, false});
+  Other.apply({"config", Config, {0, 2}, false});
   CHECK_FALSE(Other.resolve(Changes.Deltas[0]));
 }
 
 TEST_CASE("requests and differences of a wrong shape are refused") {
-  const ChangesRequest Request{5, false, {{"config", 3}}};
+  const ChangesRequest Request{{0, 5}, false, {{"config", {0, 3}}}};
   const Json::Value Good = encodeRequest(Request);
   REQUIRE(decodeRequest(Good));
   CHECK(decodeRequest(Good).value().Held == Request.Held);
@@ -201,7 +208,8 @@
   NoRevision["held"]["config"] = "x";
   CHECK_FALSE(decodeRequest(NoRevision));
   ItemChanges Changes = SmallNews;
-  Changes.Deltas.push_back({"config", 6, 3, {1, {{0, 5, "own"}, {7, 2, ""}}}});
+  Changes.Deltas.push_back(
+      {"config", {0, 6}, {0, 3}, {1, {{0, 5, "own"}, {7, 2, ""}}}});
   const Json::Value Encoded = encodeChanges(Changes);
   CHECK(decodeChanges(Encoded).value().Deltas == Changes.Deltas);
   for (Json::ArrayIndex I = 0; I < 5; ++I) {
--- a/unittests/Daemon/PeerLinkTest.cpp
+++ b/unittests/Daemon/PeerLinkTest.cpp
@@ -110,7 +110,7 @@
   const std::vector<std::unique_ptr<Listener>> All = startTwoHalls();
   const TimePoint Now = readSteadyClock();
   std::optional<Duration> Expected;
-  StoreState State{7, false, Now - fromMillis(430)};
+  StoreState State{{0, 7}, false, Now - fromMillis(430)};
   SUBCASE("it watches") {
     State.IsWatching = true;
     Expected = fromMillis(430);
@@ -121,7 +121,7 @@
   for (int Round = 0; Round < 300 && All[1]->countHeard() == 0; ++Round)
     std::this_thread::sleep_for(std::chrono::milliseconds(10));
   REQUIRE(All[1]->countHeard() == 1);
-  CHECK(All[1]->Heard[0].AsOf == 7);
+  CHECK(All[1]->Heard[0].AsOf == StorePosition(0, 7));
   CHECK(All[1]->Heard[0].StoreHeardAgo == Expected);
 }
 
@@ -148,7 +148,7 @@
   sendRaw(All[0]->Self.Peer, std::string(1400, '{'));
   sendRaw(All[0]->Self.Peer, std::string(1400, '\0'));
   // It still hears its hall.
-  All[1]->Link.setStoreState({9, true, readSteadyClock()});
+  All[1]->Link.setStoreState({{0, 9}, true, readSteadyClock()});
   All[1]->Link.sendWatcherNews(readSteadyClock());
   for (int Round = 0; Round < 300 && All[0]->countHeard() == 0; ++Round)
     std::this_thread::sleep_for(std::chrono::milliseconds(10));
--- a/unittests/Daemon/PeerMessageTest.cpp
+++ b/unittests/Daemon/PeerMessageTest.cpp
@@ -25,7 +25,7 @@
   Message.Source = "d1";
   Message.Hall = "h1";
   Message.Sequence = 1234567890123;
-  Message.AsOf = 77;
+  Message.AsOf = {0, 77};
   Message.StoreHeardAgo = fromMillis(430);
   Message.Seen = {{0xfffffffe, RequestOutcome::Failed, -1},
                   {5, RequestOutcome::Overdue, 3},
@@ -151,11 +151,12 @@
 TEST_CASE("changes of a directory survive encoding") {
   ItemChanges Changes;
   Changes.IsAll = true;
-  Changes.AsOf = 9;
-  Changes.Items = {{"k", "value \"x\"", 3, false}, {"gone", "", 4, true}};
+  Changes.AsOf = {0, 9};
+  Changes.Items = {{"k", "value \"x\"", {0, 3}, false},
+                   {"gone", "", {0, 4}, true}};
   Result<ItemChanges> Back = decodeChanges(encodeChanges(Changes));
   REQUIRE(Back);
   CHECK(Back.value().IsAll);
-  CHECK(Back.value().AsOf == 9);
+  CHECK(Back.value().AsOf == StorePosition(0, 9));
   CHECK(Back.value().Items == Changes.Items);
 }
--- a/unittests/Daemon/SuspectReportTest.cpp
+++ b/unittests/Daemon/SuspectReportTest.cpp
@@ -19,6 +19,8 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
+
 using namespace canvaswick;
 
 namespace {
@@ -47,21 +49,22 @@
   SuspectBook open(RequestGuard &Guard) {
     return SuspectBook(
         Guard, [this] { return this->read(); },
-        [this](const std::string &Text, uint64_t Expected) {
+        [this](const std::string &Text, const StorePosition &Expected) {
           return this->write(Text, Expected);
         });
   }
 
   Result<BookPage> read() { return this->Page; }
 
-  Result<uint64_t> write(const std::string &Text, uint64_t Expected) {
+  Result<StorePosition> write(const std::string &Text,
+                              const StorePosition &Expected) {
     if (this->IsDown)
       return makeError(ErrorKind::Unavailable, "down");
-    if (Expected != this->Page.Revision)
+    if (Expected != this->Page.At)
       return makeError(ErrorKind::Conflict, "another revision");
     ++this->Writes;
-    this->Page = {Text, Expected + 1};
-    return this->Page.Revision;
+    this->Page = {Text, {Expected.Era, Expected.Revision + 1}};
+    return this->Page.At;
   }
 
   BookPage Page;
@@ -191,7 +194,7 @@
 
 TEST_CASE("a value that cannot be read holds nobody back, and is replaced") {
   Shelf Where;
-  Where.Page = {"{\"requests\": 3}", 9};
+  Where.Page = {"{\"requests\": 3}", {0, 9}};
   Reader One(Where);
   REQUIRE(One.Book.refresh(at(0)));
   One.see(1, 0);
@@ -207,9 +210,31 @@
     One.see(I, I);
   One.Book.runRound(at(3));
   REQUIRE(One.Book.refresh(at(3)));
-  Where.Page = {"nonsense", 20};
+  Where.Page = {"nonsense", {0, 20}};
   REQUIRE(One.Book.refresh(at(4)));
   CHECK(One.Guard.isHeldBack(Fatal, at(4).Steady));
   One.Book.runRound(at(6));
   CHECK(decodeRecords(Where.Page.Text, at(6)).value().size() == 1);
 }
+
+TEST_CASE("records that a store has lost free nobody and are written again") {
+  Shelf Where;
+  Reader One(Where);
+  for (int I = 0; I < 3; ++I)
+    One.see(I, I);
+  One.Book.runRound(at(3));
+  REQUIRE(One.Book.refresh(at(3)));
+  SUBCASE("it holds none") { Where.Page = {"", {1, 0}}; }
+  SUBCASE("it holds others where these stood") {
+    Where.Page = {encodeRecords({makeRecord(5, 2)}, at(2)), {1, 1}};
+  }
+  REQUIRE(One.Book.refresh(at(4)));
+  CHECK(One.Guard.isHeldBack(Fatal, at(4).Steady));
+  One.Book.runRound(at(6));
+  const auto Records = decodeRecords(Where.Page.Text, at(6));
+  REQUIRE(Records);
+  CHECK(std::any_of(Records.value().begin(), Records.value().end(),
+                    [](const SuspectRecord &Record) {
+                      return Record.Request == Fatal && Record.Ends.size() == 3;
+                    }));
+}
--- a/unittests/Directory/ItemTableTest.cpp
+++ b/unittests/Directory/ItemTableTest.cpp
@@ -20,57 +20,57 @@
 
 TEST_CASE("news that is older than what is known changes nothing") {
   ItemTable Table;
-  CHECK(Table.apply({"a", "new", 5, false}));
-  CHECK_FALSE(Table.apply({"a", "old", 4, false}));
-  CHECK_FALSE(Table.apply({"a", "", 5, true}));
+  CHECK(Table.apply({"a", "new", {0, 5}, false}));
+  CHECK_FALSE(Table.apply({"a", "old", {0, 4}, false}));
+  CHECK_FALSE(Table.apply({"a", "", {0, 5}, true}));
   REQUIRE(Table.find("a"));
   CHECK(Table.find("a")->Value == "new");
 }
 
 TEST_CASE("an item that is gone does not come back by old news") {
   ItemTable Table;
-  Table.apply({"a", "x", 3, false});
-  Table.apply({"a", "", 6, true});
-  Table.advanceTo(6);
+  Table.apply({"a", "x", {0, 3}, false});
+  Table.apply({"a", "", {0, 6}, true});
+  Table.advanceTo({0, 6});
   CHECK(Table.find("a") == nullptr);
-  CHECK_FALSE(Table.apply({"a", "x", 3, false}));
+  CHECK_FALSE(Table.apply({"a", "x", {0, 3}, false}));
   CHECK(Table.find("a") == nullptr);
 }
 
 TEST_CASE("what was removed ahead of the rest is not brought back by a peer") {
   ItemTable Table;
-  Table.apply({"a", "x", 3, false});
-  Table.advanceTo(8);
+  Table.apply({"a", "x", {0, 3}, false});
+  Table.advanceTo({0, 8});
   // News taken one by one, ahead of what the table is complete up to.
-  CHECK(Table.apply({"a", "", 15, true}));
+  CHECK(Table.apply({"a", "", {0, 15}, true}));
   // A peer that is not as far still lists it.
-  CHECK_FALSE(Table.apply({"a", "y", 10, false}));
-  Table.advanceTo(12);
+  CHECK_FALSE(Table.apply({"a", "y", {0, 10}, false}));
+  Table.advanceTo({0, 12});
   CHECK(Table.find("a") == nullptr);
   // It may be there again later.
-  CHECK(Table.apply({"a", "z", 20, false}));
+  CHECK(Table.apply({"a", "z", {0, 20}, false}));
   CHECK(Table.find("a"));
 }
 
 TEST_CASE("a full read removes what it does not list, but nothing newer") {
   ItemTable Table;
-  Table.apply({"old", "x", 3, false});
-  Table.apply({"newer", "y", 12, false});
-  CHECK(Table.replaceAll({{"other", "z", 8, false}}, 10));
+  Table.apply({"old", "x", {0, 3}, false});
+  Table.apply({"newer", "y", {0, 12}, false});
+  CHECK(Table.replaceAll({{"other", "z", {0, 8}, false}}, {0, 10}));
   CHECK(Table.find("old") == nullptr);
   CHECK(Table.find("newer"));
   CHECK(Table.find("other"));
-  CHECK(Table.getAsOf() == 10);
-  CHECK_FALSE(Table.replaceAll({}, 9));
+  CHECK(Table.getAsOf() == StorePosition(0, 10));
+  CHECK_FALSE(Table.replaceAll({}, {0, 9}));
   CHECK(Table.find("other"));
 }
 
 TEST_CASE("items are listed by prefix") {
   ItemTable Table;
-  Table.apply({"op/config", "c", 1, false});
-  Table.apply({"servers/a", "a", 2, false});
-  Table.apply({"servers/b", "b", 3, false});
-  Table.apply({"t", "t", 4, false});
+  Table.apply({"op/config", "c", {0, 1}, false});
+  Table.apply({"servers/a", "a", {0, 2}, false});
+  Table.apply({"servers/b", "b", {0, 3}, false});
+  Table.apply({"t", "t", {0, 4}, false});
   CHECK(Table.list("servers/").size() == 2);
   CHECK(Table.list("op/").size() == 1);
   CHECK(Table.list("none/").empty());
@@ -85,7 +85,9 @@
     uint64_t Revision = 0;
     for (const int Choice : Changes) {
       StoreItem Item{std::string(1, static_cast<char>('a' + Choice % 4)),
-                     std::to_string(Revision), ++Revision, Choice >= 6};
+                     std::to_string(Revision),
+                     {0, ++Revision},
+                     Choice >= 6};
       News.push_back(Item);
       Newest[Item.Key] = Item;
     }
@@ -100,7 +102,7 @@
       Table.apply(Item);
     for (const auto &[Key, Item] : Newest) {
       RC_ASSERT(Table.find(Key));
-      RC_ASSERT(Table.find(Key)->Revision == Item.Revision);
+      RC_ASSERT(Table.find(Key)->At == Item.At);
     }
   }));
 }
--- /dev/null
+++ b/unittests/Directory/StorePositionTest.cpp
@@ -0,0 +1,32 @@
+//===- StorePositionTest.cpp - A place in the order of the store ----------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Directory/StorePosition.h"
+
+#include <doctest/doctest.h>
+
+using namespace canvaswick;
+
+TEST_CASE("a later era comes after every revision of an earlier one") {
+  CHECK(StorePosition(1, 900) < StorePosition(2, 1));
+  CHECK(StorePosition(2, 1) < StorePosition(2, 2));
+  CHECK(StorePosition(0, 900) < StorePosition(1, 1));
+  CHECK(StorePosition().isNone());
+  CHECK(fmt::format("{}", StorePosition(3, 17)) == "3:17");
+}
+
+TEST_CASE("an answer follows a copy, is outdated or shows a loss") {
+  const StorePosition Copy(2, 50);
+  CHECK(compareAnswer(Copy, {2, 50}) == AnswerFit::Follows);
+  CHECK(compareAnswer(Copy, {2, 51}) == AnswerFit::Follows);
+  CHECK(compareAnswer(Copy, {2, 49}) == AnswerFit::HasLost);
+  CHECK(compareAnswer(Copy, {3, 51}) == AnswerFit::HasLost);
+  CHECK(compareAnswer(Copy, {9, 1}) == AnswerFit::HasLost);
+  CHECK(compareAnswer(Copy, {1, 900}) == AnswerFit::Outdated);
+  CHECK(compareAnswer({}, {4, 10}) == AnswerFit::Follows);
+}
--- a/unittests/Lifetimes/LifetimesTest.cpp
+++ b/unittests/Lifetimes/LifetimesTest.cpp
@@ -83,10 +83,12 @@
   CHECK(rc::check([] {
     FleetView View({70}, fromSeconds(2));
     const TimePoint Start(fromSeconds(100));
-    View.replaceAll({{"op/config", R"({"version": 1, "limits": {},
+    View.replaceAll({{"op/config",
+                      R"({"version": 1, "limits": {},
       "clusters": [{"name": "s"}], "listeners": []})",
-                      1, false}},
-                    1, Start);
+                      {0, 1},
+                      false}},
+                    {0, 1}, Start);
     std::map<std::string, Told> Oracle;
     const int Steps = *rc::gen::inRange(1, 40);
     for (int Step = 0; Step < Steps; ++Step) {
@@ -97,7 +99,8 @@
       const int Kind = *rc::gen::inRange(0, 8);
       const auto Revision = static_cast<uint64_t>(Step + 2);
       StoreItem Event{"servers/" + Id,
-                      makeEntry(Born, Sequence, IsDraining, 80), Revision,
+                      makeEntry(Born, Sequence, IsDraining, 80),
+                      {0, Revision},
                       false};
       Told &Known = Oracle[Id];
       if (Kind == 0) {
@@ -111,7 +114,7 @@
                  std::pair(Known.Born, Known.Sequence)) {
         Known = {Born, Sequence, IsDraining, true};
       }
-      View.applyEvents({Event}, Revision, Start);
+      View.applyEvents({Event}, {0, Revision}, Start);
     }
     std::map<std::string, bool> Wanted;
     for (const auto &[Id, Known] : Oracle)
--- a/unittests/PlatformAdapter/ConfigKeysTest.cpp
+++ b/unittests/PlatformAdapter/ConfigKeysTest.cpp
@@ -68,7 +68,7 @@
   Item["tlsKey"] = "op/config";
   Item["revision"] = 5;
   Item["value"] = encodeBase64(makeConfig(TwoKeys));
-  const Result<StoreItem> Decoded = decodeItem(Item);
+  const Result<StoreItem> Decoded = decodeItem(Item, 0);
   REQUIRE(Decoded);
   CHECK(Decoded.value().Value == replaceKeysByDigests(makeConfig(TwoKeys)));
   CHECK(Decoded.value().Value.find("alpha-key") == std::string::npos);
--- /dev/null
+++ b/unittests/PlatformAdapter/FeedBench.h
@@ -0,0 +1,50 @@
+//===- FeedBench.h - A store, a client and a view of it ---------*- C++ -*-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// What follows the store, without a daemon around it. Private to tests.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef CANVASWICK_UNITTESTS_PLATFORMADAPTER_FEEDBENCH_H
+#define CANVASWICK_UNITTESTS_PLATFORMADAPTER_FEEDBENCH_H
+
+#include "platform/StoreFeed.h"
+#include "platform/standin/StoreStandIn.h"
+
+#include <doctest/doctest.h>
+
+namespace canvaswick::platform {
+
+struct FeedBench {
+  FeedBench() : Client(start(Store), Counters) {}
+
+  static Endpoint start(StoreStandIn &Store) {
+    REQUIRE(Store.start());
+    return Store.getAddress();
+  }
+
+  /// The first read may be old; the watch after it is not.
+  static void settle(StoreFeed &Feed) {
+    Feed.runRound();
+    CHECK_FALSE(Feed.isSound());
+    Feed.runRound();
+    CHECK(Feed.isSound());
+  }
+
+  StoreStandIn Store;
+  CounterTable Counters;
+  StoreClient Client;
+  FleetView View{{70}, fromSeconds(2)};
+  StoreFeed Feed{Client, View, [] {}};
+  DaemonRecord Self{"d1", "h", {"10.0.0.1", 80}, {"10.0.0.1", 81}};
+};
+
+} // namespace canvaswick::platform
+
+#endif // CANVASWICK_UNITTESTS_PLATFORMADAPTER_FEEDBENCH_H
--- a/unittests/PlatformAdapter/FleetAtSizeTest.cpp
+++ b/unittests/PlatformAdapter/FleetAtSizeTest.cpp
@@ -91,16 +91,20 @@
 
 static StoreItem makeDaemonItem(int Index, uint64_t Lease, uint64_t Revision) {
   return {fmt::format("canvaswick/daemons/d-{}", Index),
-          encodeDaemon(makeDaemon(Index), Lease), Revision, false};
+          encodeDaemon(makeDaemon(Index), Lease),
+          {0, Revision},
+          false};
 }
 
 static std::vector<StoreItem> makeItems() {
-  std::vector<StoreItem> Items{{"op/config", makeRules(), 1, false}};
+  std::vector<StoreItem> Items{{"op/config", makeRules(), {0, 1}, false}};
   uint64_t Revision = 1;
   for (int Service = 0; Service < 3; ++Service)
     for (int I = 0; I < ServerCounts[Service]; ++I)
       Items.push_back({fmt::format("servers/i-{}-{}", Service, I),
-                       makeServer(Service, I, "ready"), ++Revision, false});
+                       makeServer(Service, I, "ready"),
+                       {0, ++Revision},
+                       false});
   for (int I = 0; I < DaemonCount; ++I)
     Items.push_back(makeDaemonItem(I, 7, ++Revision));
   return Items;
@@ -112,7 +116,7 @@
 struct FilledDaemon {
   FilledDaemon() : Serving(makeConfig(), makeProxyOptions({})) {
     REQUIRE(this->Serving.start());
-    this->View.replaceAll(makeItems(), FilledAt, Start);
+    this->View.replaceAll(makeItems(), {0, FilledAt}, Start);
     this->apply();
   }
 
@@ -139,7 +143,7 @@
   }
 
   void take(const StoreItem &Item) {
-    REQUIRE(this->View.applyEvents({Item}, Item.Revision, Start));
+    REQUIRE(this->View.applyEvents({Item}, Item.At, Start));
     this->apply();
   }
 
@@ -180,7 +184,8 @@
           measure(50,
                   [](int I, uint64_t Revision) {
                     return StoreItem{fmt::format("servers/i-1-{}", I),
-                                     makeServer(1, I, "draining"), Revision,
+                                     makeServer(1, I, "draining"),
+                                     {0, Revision},
                                      false};
                   }),
           " ms");
--- a/unittests/PlatformAdapter/FleetViewTest.cpp
+++ b/unittests/PlatformAdapter/FleetViewTest.cpp
@@ -51,14 +51,15 @@
 
 /// A view with one configuration and one server.
 static void fill(FleetView &View) {
-  View.replaceAll({{"op/config", makeRules(2), 5, false},
-                   {"servers/i-1", makeServer("ready"), 6, false}},
-                  10, Start);
+  View.replaceAll({{"op/config", makeRules(2), {0, 5}, false},
+                   {"servers/i-1", makeServer("ready"), {0, 6}, false}},
+                  {0, 10}, Start);
 }
 
 TEST_CASE("nothing is in force before the first configuration") {
   FleetView View({70}, fromSeconds(2));
-  View.replaceAll({{"servers/i-1", makeServer("ready"), 6, false}}, 10, Start);
+  View.replaceAll({{"servers/i-1", makeServer("ready"), {0, 6}, false}},
+                  {0, 10}, Start);
   CHECK(View.compileConfig() == nullptr);
 }
 
@@ -66,47 +67,50 @@
   FleetView View({70}, fromSeconds(2));
   fill(View);
   CHECK(View.compileConfig()->Version == 2);
-  View.applyEvents({{"op/config", makeRules(4), 12, false}}, 12, Start);
+  View.applyEvents({{"op/config", makeRules(4), {0, 12}, false}}, {0, 12},
+                   Start);
   CHECK(View.compileConfig()->Version == 4);
   // An older version with a newer revision, a broken one, an old revision.
-  View.applyEvents({{"op/config", makeRules(3), 13, false}}, 13, Start);
+  View.applyEvents({{"op/config", makeRules(3), {0, 13}, false}}, {0, 13},
+                   Start);
   CHECK(View.compileConfig()->Version == 4);
-  View.applyEvents({{"op/config", "{", 14, false}}, 14, Start);
+  View.applyEvents({{"op/config", "{", {0, 14}, false}}, {0, 14}, Start);
   CHECK(View.compileConfig()->Version == 4);
-  View.applyEvents({{"op/config", makeRules(9), 11, false}}, 14, Start);
+  View.applyEvents({{"op/config", makeRules(9), {0, 11}, false}}, {0, 14},
+                   Start);
   CHECK(View.compileConfig()->Version == 4);
 }
 
 TEST_CASE("a draining server is known as such, a gone one is dropped") {
   FleetView View({70}, fromSeconds(2));
   fill(View);
-  View.applyEvents({{"servers/i-1", makeServer("draining"), 11, false}}, 11,
-                   Start);
+  View.applyEvents({{"servers/i-1", makeServer("draining"), {0, 11}, false}},
+                   {0, 11}, Start);
   CHECK(View.compileConfig()->Services[0].Servers[0].State ==
         ServerState::Draining);
-  View.applyEvents({{"servers/i-1", "", 12, true}}, 12, Start);
+  View.applyEvents({{"servers/i-1", "", {0, 12}, true}}, {0, 12}, Start);
   CHECK(countServers(View) == 0);
 }
 
 TEST_CASE("entries that vanish together around trouble are kept a while") {
   FleetView View({70}, fromSeconds(2));
   fill(View);
-  View.applyEvents({{"servers/i-2", makeServer("ready"), 11, false},
-                    {"servers/i-3", makeServer("ready"), 12, false}},
-                   12, Start);
+  View.applyEvents({{"servers/i-2", makeServer("ready"), {0, 11}, false},
+                    {"servers/i-3", makeServer("ready"), {0, 12}, false}},
+                   {0, 12}, Start);
   View.noteTrouble(Start);
-  View.replaceAll({{"op/config", makeRules(2), 5, false}}, 20,
+  View.replaceAll({{"op/config", makeRules(2), {0, 5}, false}}, {0, 20},
                   Start + fromSeconds(1));
   CHECK(countServers(View) == 3);
   SUBCASE("one comes back") {
-    View.applyEvents({{"servers/i-1", makeServer("ready"), 22, false}}, 22,
-                     Start + fromSeconds(2));
-    CHECK(View.dropLapsed(Start + fromSeconds(9)));
+    View.applyEvents({{"servers/i-1", makeServer("ready"), {0, 22}, false}},
+                     {0, 22}, Start + fromSeconds(2));
+    CHECK(View.settleLapsed(Start + fromSeconds(9)));
     CHECK(countServers(View) == 1);
   }
   SUBCASE("none does") {
-    CHECK_FALSE(View.dropLapsed(Start + fromSeconds(2.9)));
-    CHECK(View.dropLapsed(Start + fromSeconds(3)));
+    CHECK_FALSE(View.settleLapsed(Start + fromSeconds(2.9)));
+    CHECK(View.settleLapsed(Start + fromSeconds(3)));
     CHECK(countServers(View) == 0);
   }
 }
@@ -114,10 +118,11 @@
 TEST_CASE("a single entry that vanishes around trouble has left") {
   FleetView View({70}, fromSeconds(2));
   fill(View);
-  View.applyEvents({{"servers/i-2", makeServer("ready"), 11, false}}, 12,
-                   Start);
+  View.applyEvents({{"servers/i-2", makeServer("ready"), {0, 11}, false}},
+                   {0, 12}, Start);
   View.noteTrouble(Start);
-  View.applyEvents({{"servers/i-2", "", 13, true}}, 13, Start + fromSeconds(1));
+  View.applyEvents({{"servers/i-2", "", {0, 13}, true}}, {0, 13},
+                   Start + fromSeconds(1));
   CHECK(countServers(View) == 1);
 }
 
@@ -125,24 +130,24 @@
   FleetView View({70}, fromSeconds(2));
   fill(View);
   View.noteTrouble(Start - fromSeconds(60));
-  View.applyEvents({{"servers/i-1", "", 12, true}}, 12, Start);
+  View.applyEvents({{"servers/i-1", "", {0, 12}, true}}, {0, 12}, Start);
   CHECK(countServers(View) == 0);
 }
 
 TEST_CASE("a peer's copy is taken like the store's own answer") {
   FleetView Ahead({70}, fromSeconds(2));
   fill(Ahead);
-  Ahead.applyEvents(
-      {{"servers/i-1", "", 12, true}, {"op/config", makeRules(5), 13, false}},
-      13, Start);
+  Ahead.applyEvents({{"servers/i-1", "", {0, 12}, true},
+                     {"op/config", makeRules(5), {0, 13}, false}},
+                    {0, 13}, Start);
   FleetView Behind({70}, fromSeconds(2));
   fill(Behind);
   CHECK(Behind.applyChanges(Ahead.getChangesAfter(Behind.getAsOf()), Start));
-  CHECK(Behind.getAsOf() == 13);
+  CHECK(Behind.getAsOf() == StorePosition(0, 13));
   CHECK(countServers(Behind) == 0);
   CHECK(Behind.compileConfig()->Version == 5);
   FleetView Empty({70}, fromSeconds(2));
-  CHECK(Empty.applyChanges(Ahead.getChangesAfter(0), Start));
+  CHECK(Empty.applyChanges(Ahead.getChangesAfter({}), Start));
   CHECK(Empty.compileConfig()->Version == 5);
 }
 
@@ -152,9 +157,11 @@
   fill(View);
   const auto Take = [&](uint64_t Lease, const char *Host, uint64_t Revision) {
     const DaemonRecord Record{"d1", "h", {Host, 80}, {Host, 81}};
-    View.applyEvents({{"canvaswick/daemons/d1", encodeDaemon(Record, Lease),
-                       Revision, false}},
-                     Revision, Start);
+    View.applyEvents({{"canvaswick/daemons/d1",
+                       encodeDaemon(Record, Lease),
+                       {0, Revision},
+                       false}},
+                     {0, Revision}, Start);
   };
   const FleetChangeCounts First = View.countChanges();
   Take(7, "10.0.0.1", 11);
@@ -171,12 +178,14 @@
     CHECK(View.listDaemons()[0].Control.Host == "10.0.0.2");
   }
   SUBCASE("an entry that cannot be read") {
-    View.applyEvents({{"canvaswick/daemons/d1", "[]", 12, false}}, 12, Start);
+    View.applyEvents({{"canvaswick/daemons/d1", "[]", {0, 12}, false}}, {0, 12},
+                     Start);
     CHECK(View.countChanges().Daemons == Second.Daemons + 1);
     CHECK(View.listDaemons().empty());
   }
   SUBCASE("it is gone") {
-    View.applyEvents({{"canvaswick/daemons/d1", "", 12, true}}, 12, Start);
+    View.applyEvents({{"canvaswick/daemons/d1", "", {0, 12}, true}}, {0, 12},
+                     Start);
     CHECK(View.countChanges().Daemons == Second.Daemons + 1);
     CHECK(View.listDaemons().empty());
   }
@@ -191,27 +200,28 @@
     const uint64_t Now = View.countChanges().Config;
     return std::exchange(Before, Now) != Now;
   };
-  View.applyEvents({{"servers/i-2", makeServer("ready"), 11, false}}, 11,
-                   Start);
+  View.applyEvents({{"servers/i-2", makeServer("ready"), {0, 11}, false}},
+                   {0, 11}, Start);
   CHECK(HasChanged());
-  View.applyEvents({{"op/config", makeRules(3), 12, false}}, 12, Start);
+  View.applyEvents({{"op/config", makeRules(3), {0, 12}, false}}, {0, 12},
+                   Start);
   CHECK(HasChanged());
   View.setBounds({60}, fromSeconds(2));
   CHECK(HasChanged());
   // Two of two lapse, and are dropped later.
   View.noteTrouble(Start);
   View.applyEvents(
-      {{"servers/i-1", "", 13, true}, {"servers/i-2", "", 14, true}}, 14,
-      Start);
+      {{"servers/i-1", "", {0, 13}, true}, {"servers/i-2", "", {0, 14}, true}},
+      {0, 14}, Start);
   CHECK(countServers(View) == 2);
   CHECK_FALSE(HasChanged());
-  CHECK(View.dropLapsed(Start + fromSeconds(3)));
+  CHECK(View.settleLapsed(Start + fromSeconds(3)));
   CHECK(HasChanged());
   // One that leaves is dropped at once.
-  View.applyEvents({{"servers/i-3", makeServer("ready"), 15, false}}, 15,
-                   Start + fromSeconds(20));
+  View.applyEvents({{"servers/i-3", makeServer("ready"), {0, 15}, false}},
+                   {0, 15}, Start + fromSeconds(20));
   CHECK(HasChanged());
-  View.applyEvents({{"servers/i-3", "", 16, true}}, 16,
+  View.applyEvents({{"servers/i-3", "", {0, 16}, true}}, {0, 16},
                    Start + fromSeconds(20));
   CHECK(HasChanged());
   CHECK(countServers(View) == 0);
@@ -234,13 +244,15 @@
 
 TEST_CASE("a server that starts again under its id is another server") {
   FleetView View({70}, fromSeconds(2));
-  View.replaceAll({{"op/config", makeRules(2), 5, false},
-                   {"servers/i-1", makeLife(1000, 7, "draining"), 6, false}},
-                  10, Start);
+  View.replaceAll(
+      {{"op/config", makeRules(2), {0, 5}, false},
+       {"servers/i-1", makeLife(1000, 7, "draining"), {0, 6}, false}},
+      {0, 10}, Start);
   const FleetConfigRef Before = View.compileConfig();
   CHECK(getOnly(Before).State == ServerState::Draining);
-  View.applyEvents({{"servers/i-1", makeLife(2000, 1, "ready", 81), 11, false}},
-                   11, Start);
+  View.applyEvents(
+      {{"servers/i-1", makeLife(2000, 1, "ready", 81), {0, 11}, false}},
+      {0, 11}, Start);
   const FleetConfigRef After = View.compileConfig();
   CHECK(getOnly(After).State == ServerState::Active);
   CHECK(getOnly(After).Address.Port == 81);
@@ -251,12 +263,13 @@
 
 TEST_CASE("the same life is the same server, whatever else it says") {
   FleetView View({70}, fromSeconds(2));
-  View.replaceAll({{"op/config", makeRules(2), 5, false},
-                   {"servers/i-1", makeLife(1000, 7), 6, false}},
-                  10, Start);
+  View.replaceAll({{"op/config", makeRules(2), {0, 5}, false},
+                   {"servers/i-1", makeLife(1000, 7), {0, 6}, false}},
+                  {0, 10}, Start);
   const FleetConfigRef Before = View.compileConfig();
-  View.applyEvents({{"servers/i-1", makeLife(1000, 8, "draining"), 11, false}},
-                   11, Start);
+  View.applyEvents(
+      {{"servers/i-1", makeLife(1000, 8, "draining"), {0, 11}, false}}, {0, 11},
+      Start);
   CHECK(getOnly(View.compileConfig()).Name == getOnly(Before).Name);
   CHECK(getOnly(View.compileConfig()).State == ServerState::Draining);
 }
@@ -264,35 +277,39 @@
 TEST_CASE(
     "what an earlier life, or the same one earlier, wrote comes too late") {
   FleetView View({70}, fromSeconds(2));
-  View.replaceAll({{"op/config", makeRules(2), 5, false},
-                   {"servers/i-1", makeLife(2000, 5), 6, false}},
-                  10, Start);
-  View.applyEvents({{"servers/i-1", makeLife(1000, 99, "draining"), 11, false}},
-                   11, Start);
+  View.replaceAll({{"op/config", makeRules(2), {0, 5}, false},
+                   {"servers/i-1", makeLife(2000, 5), {0, 6}, false}},
+                  {0, 10}, Start);
+  View.applyEvents(
+      {{"servers/i-1", makeLife(1000, 99, "draining"), {0, 11}, false}},
+      {0, 11}, Start);
   CHECK(getOnly(View.compileConfig()).State == ServerState::Active);
-  View.applyEvents({{"servers/i-1", makeLife(2000, 4, "draining"), 12, false}},
-                   12, Start);
+  View.applyEvents(
+      {{"servers/i-1", makeLife(2000, 4, "draining"), {0, 12}, false}}, {0, 12},
+      Start);
   CHECK(getOnly(View.compileConfig()).State == ServerState::Active);
   // Also once the entry has gone.
-  View.applyEvents({{"servers/i-1", "", 13, true}}, 13, Start);
-  View.applyEvents({{"servers/i-1", makeLife(1000, 100), 14, false}}, 14,
-                   Start);
+  View.applyEvents({{"servers/i-1", "", {0, 13}, true}}, {0, 13}, Start);
+  View.applyEvents({{"servers/i-1", makeLife(1000, 100), {0, 14}, false}},
+                   {0, 14}, Start);
   CHECK(countServers(View) == 0);
-  View.applyEvents({{"servers/i-1", makeLife(2000, 6), 15, false}}, 15, Start);
+  View.applyEvents({{"servers/i-1", makeLife(2000, 6), {0, 15}, false}},
+                   {0, 15}, Start);
   CHECK(countServers(View) == 1);
 }
 
 TEST_CASE("an entry that turns unreadable names no server, and comes back") {
   FleetView View({70}, fromSeconds(2));
-  View.replaceAll({{"op/config", makeRules(2), 5, false},
-                   {"servers/i-1", makeLife(1000, 7), 6, false},
-                   {"servers/i-2", makeLife(1000, 7), 7, false}},
-                  10, Start);
-  View.applyEvents({{"servers/i-1", "\xff", 11, false}}, 11, Start);
+  View.replaceAll({{"op/config", makeRules(2), {0, 5}, false},
+                   {"servers/i-1", makeLife(1000, 7), {0, 6}, false},
+                   {"servers/i-2", makeLife(1000, 7), {0, 7}, false}},
+                  {0, 10}, Start);
+  View.applyEvents({{"servers/i-1", "\xff", {0, 11}, false}}, {0, 11}, Start);
   CHECK(countServers(View) == 1);
   CHECK(View.takeRefused() == 1);
   CHECK(View.takeRefused() == 0);
-  View.applyEvents({{"servers/i-1", makeLife(1000, 8), 12, false}}, 12, Start);
+  View.applyEvents({{"servers/i-1", makeLife(1000, 8), {0, 12}, false}},
+                   {0, 12}, Start);
   CHECK(countServers(View) == 2);
 }
 
@@ -302,9 +319,11 @@
   fill(View);
   CHECK(countServers(View) == 1);
   // One that tells it among others that do not proves nothing.
-  View.applyEvents({{"servers/i-2", makeLife(1000, 1), 11, false}}, 11, Start);
+  View.applyEvents({{"servers/i-2", makeLife(1000, 1), {0, 11}, false}},
+                   {0, 11}, Start);
   CHECK(countServers(View) == 2);
-  View.applyEvents({{"servers/i-3", makeLife(1000, 1), 12, false}}, 12, Start);
+  View.applyEvents({{"servers/i-3", makeLife(1000, 1), {0, 12}, false}},
+                   {0, 12}, Start);
   CHECK(countServers(View) == 2);
 }
 
@@ -326,8 +345,9 @@
     FleetView View({70}, fromSeconds(2));
     fill(View);
     const DaemonRecord Peer{"d1", "h", {"10.0.0.1", 80}, {"10.0.0.1", 81}};
-    View.applyEvents({{"canvaswick/daemons/d1", encodeDaemon(Peer), 11, false}},
-                     11, Start);
+    View.applyEvents(
+        {{"canvaswick/daemons/d1", encodeDaemon(Peer), {0, 11}, false}},
+        {0, 11}, Start);
     const std::string Keys[] = {"servers/i-2",
                                 "canvaswick/daemons/d2",
                                 "servers/" + *rc::gen::arbitrary<std::string>(),
@@ -342,8 +362,8 @@
         continue;
       const std::string Real =
           *rc::gen::arbitrary<bool>() ? makeLife(1000, 5) : encodeDaemon(Peer);
-      View.applyEvents({{Key, drawForeign(Real), Revision, false}}, Revision,
-                       Start);
+      View.applyEvents({{Key, drawForeign(Real), {0, Revision}, false}},
+                       {0, Revision}, Start);
     }
     const FleetConfigRef Config = View.compileConfig();
     RC_ASSERT(Config->Version == 2u);
@@ -367,7 +387,7 @@
   Bounds.Burst = 0;
   const uint64_t Before = countDroppedLogLines();
   startLogWriter(Bounds);
-  View.applyEvents(Events, Events.back().Revision, Start);
+  View.applyEvents(Events, Events.back().At, Start);
   stopLogWriter();
   return countDroppedLogLines() - Before;
 }
@@ -377,11 +397,14 @@
   fill(View);
   std::vector<StoreItem> Many;
   for (uint64_t I = 0; I < 50; ++I)
-    Many.push_back({fmt::format("servers/i-{}", 100 + I), makeServer("ready"),
-                    20 + I, false});
+    Many.push_back({fmt::format("servers/i-{}", 100 + I),
+                    makeServer("ready"),
+                    {0, 20 + I},
+                    false});
   CHECK(countLines(View, Many) == 1);
   CHECK(countLines(View,
-                   {{"servers/i-200", makeServer("ready"), 100, false},
-                    {"servers/i-201", makeServer("ready"), 101, false}}) == 2);
+                   {{"servers/i-200", makeServer("ready"), {0, 100}, false},
+                    {"servers/i-201", makeServer("ready"), {0, 101}, false}}) ==
+        2);
   CHECK(countServers(View) == 53);
 }
--- a/unittests/PlatformAdapter/PeerFollowerTest.cpp
+++ b/unittests/PlatformAdapter/PeerFollowerTest.cpp
@@ -32,8 +32,8 @@
                }),
         Name(std::move(Name)),
         Answerer(
-            [this, &AsOf](uint64_t, const ItemRevisions &Held) {
-              return this->listChanges(AsOf, Held);
+            [this, &AsOf](const ChangesRequest &Request) {
+              return this->listChanges(AsOf, Request.Held);
             },
             [this] { return this->HasRoom.load(); }) {
     addDirectoryMethod(this->Dispatcher, this->Answerer);
@@ -43,14 +43,15 @@
     REQUIRE(this->Way->start({"127.0.0.1", 0}));
   }
 
-  ItemChanges listChanges(uint64_t AsOf, const ItemRevisions &Held) const {
+  ItemChanges listChanges(uint64_t AsOf, const ItemPositions &Held) const {
     ItemChanges Changes;
-    Changes.AsOf = AsOf;
-    Changes.Items.push_back({"k", "v", AsOf, false});
+    Changes.AsOf = {0, AsOf};
+    Changes.Items.push_back({"k", "v", {0, AsOf}, false});
     if (!Held.empty())
-      Changes.Deltas.push_back({"large", AsOf, 1, {/*Check=*/7, {}}});
+      Changes.Deltas.push_back({"large", {0, AsOf}, {0, 1}, {/*Check=*/7, {}}});
     else if (this->HasLarge)
-      Changes.Items.push_back({"large", std::string(5000, 'x'), AsOf, false});
+      Changes.Items.push_back(
+          {"large", std::string(5000, 'x'), {0, AsOf}, false});
     return Changes;
   }
 
@@ -72,7 +73,7 @@
 struct Bench {
   explicit Bench(const std::string &Name)
       : Follower({Name, "h", {}, {}}, {}, {}, View, Counters, [] {}) {
-    this->View.replaceAll({}, 1, readSteadyClock());
+    this->View.replaceAll({}, {0, 1}, readSteadyClock());
     this->Follower.setDaemons({this->One.getRecord(), this->Two.getRecord()},
                               readSteadyClock());
   }
@@ -84,7 +85,7 @@
       PeerMessage Message;
       Message.Source = Peer->Name;
       Message.Hall = "h";
-      Message.AsOf = Next;
+      Message.AsOf = {0, Next};
       CHECK(this->Follower.hear(Message, Now));
     }
   }
@@ -109,7 +110,7 @@
     const TimePoint Now = readSteadyClock();
     Under.advance(5, Now);
     Under.Follower.runRound(Now);
-    CHECK(Under.View.getAsOf() == 5);
+    CHECK(Under.View.getAsOf() == StorePosition(0, 5));
   }
 }
 
@@ -121,12 +122,12 @@
     Under.advance(++Next, readSteadyClock());
     Under.Follower.runRound(readSteadyClock());
   }
-  REQUIRE(Under.View.getAsOf() == Next);
+  REQUIRE(Under.View.getAsOf() == StorePosition(0, Next));
   Under.One.Way->silenceOpenConnections();
   Under.Two.Way->silenceOpenConnections();
   Under.advance(++Next, readSteadyClock());
   Under.Follower.runRound(readSteadyClock());
-  CHECK(Under.View.getAsOf() == Next);
+  CHECK(Under.View.getAsOf() == StorePosition(0, Next));
 }
 
 TEST_CASE("only a watch of its own that is answered is waited for") {
@@ -135,7 +136,7 @@
   Under.Follower.setOwnWatch(true);
   Under.advance(5, Heard);
   Under.Follower.runRound(Heard + fromMillis(100));
-  CHECK(Under.View.getAsOf() == 1);
+  CHECK(Under.View.getAsOf() == StorePosition(0, 1));
   SUBCASE("it is no longer answered") {
     Under.Follower.setOwnWatch(false);
     Under.Follower.runRound(Heard + fromMillis(100));
@@ -143,7 +144,7 @@
   SUBCASE("it should have told by now") {
     Under.Follower.runRound(Heard + fromMillis(500));
   }
-  CHECK(Under.View.getAsOf() == 5);
+  CHECK(Under.View.getAsOf() == StorePosition(0, 5));
 }
 
 // The failure. A server that had said that it leaves was sent requests 2.8 s
@@ -164,30 +165,30 @@
   Under.advance(5, Now);
   Under.Follower.runRound(Now);
   // The news are in, and the rest is still to come.
-  const ItemChanges Taken = Under.View.getChangesAfter(0);
+  const ItemChanges Taken = Under.View.getChangesAfter({});
   REQUIRE(Taken.Items.size() == 1);
   CHECK(Taken.Items[0].Key == "k");
-  CHECK(Under.View.getAsOf() == 1);
+  CHECK(Under.View.getAsOf() == StorePosition(0, 1));
   SUBCASE("one of them has room later") {
     Under.Two.HasRoom = true;
     Under.advance(5, Now);
     Under.Follower.runRound(Now);
     Under.Follower.runRound(Now);
-    CHECK(Under.View.getAsOf() == 5);
-    CHECK(Under.View.getChangesAfter(0).Items.size() == 2);
+    CHECK(Under.View.getAsOf() == StorePosition(0, 5));
+    CHECK(Under.View.getChangesAfter({}).Items.size() == 2);
   }
 }
 
 TEST_CASE("a difference that cannot be used is followed by the whole") {
   Bench Under("a");
-  const StoreItem Held{"large", std::string(5000, 'y'), 2, false};
-  Under.View.replaceAll({Held}, 2, readSteadyClock());
+  const StoreItem Held{"large", std::string(5000, 'y'), {0, 2}, false};
+  Under.View.replaceAll({Held}, {0, 2}, readSteadyClock());
   for (AheadPeer *Peer : {&Under.One, &Under.Two})
     Peer->HasLarge = true;
   Under.advance(5, readSteadyClock());
   Under.Follower.runRound(readSteadyClock());
-  CHECK(Under.View.getAsOf() == 5);
-  const ItemChanges Taken = Under.View.getChangesAfter(2);
+  CHECK(Under.View.getAsOf() == StorePosition(0, 5));
+  const ItemChanges Taken = Under.View.getChangesAfter({0, 2});
   REQUIRE(Taken.Items.size() == 2);
   CHECK(Taken.Items[1].Value == std::string(5000, 'x'));
 }
--- a/unittests/PlatformAdapter/PlatformDaemonTest.cpp
+++ b/unittests/PlatformAdapter/PlatformDaemonTest.cpp
@@ -365,7 +365,7 @@
   PeerLink Link(Speaker, 1, Counters, [](const PeerMessage &) {});
   REQUIRE(Link.start());
   Link.setPeers({Listener});
-  Link.setStoreState({1000000, true, readSteadyClock()});
+  Link.setStoreState({{1, 1000000}, true, readSteadyClock()});
   std::atomic<bool> IsOver{false};
   std::thread Speaking([&] {
     while (!IsOver) {
--- a/unittests/PlatformAdapter/StoreFeedTest.cpp
+++ b/unittests/PlatformAdapter/StoreFeedTest.cpp
@@ -11,48 +11,19 @@
 ///
 //===----------------------------------------------------------------------===//
 
-#include "platform/StoreFeed.h"
+#include "PlatformAdapter/FeedBench.h"
 #include "canvaswick/StandIn/RelayStandIn.h"
 #include "canvaswick/Support/Packing.h"
 #include "platform/CopyKeeper.h"
 #include "platform/DaemonRegistry.h"
 #include "platform/RecordDecoder.h"
-#include "platform/standin/StoreStandIn.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
 using namespace canvaswick;
 using namespace canvaswick::platform;
-
-namespace {
-
-/// A store, a client and a view of it.
-struct Bench {
-  Bench() : Client(start(Store), Counters) {}
-
-  static Endpoint start(StoreStandIn &Store) {
-    REQUIRE(Store.start());
-    return Store.getAddress();
-  }
-
-  /// The first read may be old; the watch after it is not.
-  static void settle(StoreFeed &Feed) {
-    Feed.runRound();
-    CHECK_FALSE(Feed.isSound());
-    Feed.runRound();
-    CHECK(Feed.isSound());
-  }
-
-  StoreStandIn Store;
-  CounterTable Counters;
-  StoreClient Client;
-  FleetView View{{70}, fromSeconds(2)};
-  StoreFeed Feed{Client, View, [] {}};
-  DaemonRecord Self{"d1", "h", {"10.0.0.1", 80}, {"10.0.0.1", 81}};
-};
-
-} // namespace
+using Bench = FeedBench;
 
 static const std::string DaemonKey = "canvaswick/daemons/d1";
 
@@ -170,8 +141,8 @@
 static std::string makeCopy(const Bench &Under, uint64_t AsOf) {
   ItemChanges All;
   All.IsAll = true;
-  All.AsOf = AsOf;
-  All.Items.push_back({DaemonKey, encodeDaemon(Under.Self), AsOf, false});
+  All.AsOf = {1, AsOf};
+  All.Items.push_back({DaemonKey, encodeDaemon(Under.Self), {1, AsOf}, false});
   return encodeCopy(All);
 }
 
@@ -188,8 +159,8 @@
   Under.Feed.runRound();
   CHECK(Under.View.listDaemons().size() == 2);
   // Nor is the copy one of the items that it would hold.
-  CHECK(Under.View.getChangesAfter(0).Items.size() == 2);
-  CHECK(Under.View.getCopyRevision() == AsOf + 1);
+  CHECK(Under.View.getChangesAfter({}).Items.size() == 2);
+  CHECK(Under.View.getCopyPosition() == StorePosition(1, AsOf + 1));
 }
 
 TEST_CASE("a copy that is broken, of a part, or too old is made up for") {
@@ -198,7 +169,7 @@
   SUBCASE("broken") { Under.Store.put("canvaswick/copy", "no copy"); }
   SUBCASE("of a part") {
     ItemChanges Part;
-    Part.AsOf = AsOf;
+    Part.AsOf = {1, AsOf};
     Under.Store.put("canvaswick/copy", encodeCopy(Part));
   }
   SUBCASE("too old") {
@@ -270,15 +241,15 @@
   StoreTransaction First;
   First.Expected.emplace_back("k", 0);
   First.Writes.push_back({"k", "one", 0});
-  Result<uint64_t> Written = Under.Client.write(First);
+  Result<StorePosition> Written = Under.Client.write(First);
   REQUIRE(Written);
-  Result<uint64_t> Again = Under.Client.write(First);
+  Result<StorePosition> Again = Under.Client.write(First);
   REQUIRE_FALSE(Again);
   CHECK(Again.error().Kind == ErrorKind::Conflict);
-  Result<uint64_t> Lease = Under.Client.openLease(fromSeconds(5));
+  Result<StoreLease> Lease = Under.Client.openLease(fromSeconds(5));
   REQUIRE(Lease);
   StoreTransaction Leased;
-  Leased.Writes.push_back({"l", "x", Lease.value()});
+  Leased.Writes.push_back({"l", "x", Lease.value().Number});
   REQUIRE(Under.Client.write(Leased));
   CHECK(Under.Client.keepLease(Lease.value()));
   CHECK(Under.Client.endLease(Lease.value()));
