--- a/lib/Proxy/NoticeReader.cpp
+++ b/lib/Proxy/NoticeReader.cpp
@@ -27,8 +27,9 @@
 /// Answers below this status are no failures of the server.
 static constexpr int FirstFailureStatus = 500;
 
-/// No wait is read to be longer, in seconds: it must fit a Duration.
-static constexpr double MostSeconds = 1e9;
+/// A server that asks for more than a day of rest has made a mistake, and is
+/// taken for one that names no time.
+static constexpr Duration MostBelieved = fromSeconds(86400);
 
 /// Reads a number that is not negative.
 static std::optional<double> readNumber(const std::string &Text) {
@@ -44,16 +45,20 @@
 
 std::optional<Duration> readRetryAfter(const std::string &Text,
                                        int64_t CalendarMillis) {
-  if (const std::optional<double> Seconds = readNumber(Text))
-    return fromSeconds(std::min(*Seconds, MostSeconds));
+  if (const std::optional<double> Seconds = readNumber(Text)) {
+    if (*Seconds > toSeconds(MostBelieved))
+      return std::nullopt;
+    return fromSeconds(*Seconds);
+  }
   std::tm Date{};
   const char *Rest =
       ::strptime(Text.c_str(), "%a, %d %b %Y %H:%M:%S GMT", &Date);
   if (!Rest || *Rest != '\0')
     return std::nullopt;
   const int64_t Until = static_cast<int64_t>(::timegm(&Date)) * 1000;
-  const auto Most = static_cast<int64_t>(MostSeconds * 1000);
-  return fromMillis(std::clamp<int64_t>(Until - CalendarMillis, 0, Most));
+  if (Until - CalendarMillis > toMillis(MostBelieved))
+    return std::nullopt;
+  return fromMillis(std::max<int64_t>(Until - CalendarMillis, 0));
 }
 
 /// Of a limit that is named more than once the lowest counts.
--- a/unittests/Proxy/NoticeReaderTest.cpp
+++ b/unittests/Proxy/NoticeReaderTest.cpp
@@ -50,6 +50,17 @@
     CHECK_MESSAGE(!readRetryAfter(Text, Calendar), Text);
 }
 
+TEST_CASE("a rest of more than a day is a mistake and none") {
+  CHECK(readRetryAfter("86400", Calendar) == fromSeconds(86400));
+  for (const char *Text : {"86401", "99999999999999999999", "1000000000000",
+                           "Tue, 08 Nov 1994 08:49:37 GMT"})
+    CHECK_MESSAGE(!readRetryAfter(Text, Calendar), Text);
+  const ServerNotice Notice =
+      read(503, {{"Retry-After", "99999999999999999999"}});
+  CHECK(!Notice.Rest);
+  CHECK(Notice.IsMisread);
+}
+
 TEST_CASE("only an answer that says the server is away asks for rest") {
   CHECK(read(503, {{"Retry-After", "3"}}).Rest == fromSeconds(3));
   CHECK(!read(503, {{"Retry-After", "0"}}).Rest);
@@ -96,6 +107,6 @@
   CHECK(rc::check([](const std::string &Text) {
     const std::optional<Duration> Rest = readRetryAfter(Text, Calendar);
     RC_ASSERT(!Rest ||
-              (*Rest >= Duration::zero() && *Rest <= fromSeconds(1e9)));
+              (*Rest >= Duration::zero() && *Rest <= fromSeconds(86400)));
   }));
 }
