--- a/include/canvaswick/Daemon/DirectoryCalls.h
+++ b/include/canvaswick/Daemon/DirectoryCalls.h
@@ -35,11 +35,11 @@
   /// Whether it takes large values too.
   bool WantsLarge = true;
   /// The large items that it holds: their changes may be told as differences.
-  /// All are of the era of After.
+  /// All are of the epoch of After.
   ItemPositions Held;
-  /// False: the peer knows no eras. It is taken to be in the one of whom it
+  /// False: the peer knows no epochs. It is taken to be in the one of whom it
   /// asks.
-  bool NamesEra = true;
+  bool NamesEpoch = true;
 };
 
 /// Returns what the peer lacks.
--- a/include/canvaswick/Directory/ItemTable.h
+++ b/include/canvaswick/Directory/ItemTable.h
@@ -32,7 +32,7 @@
 struct StoreItem {
   std::string Key;
   std::string Value;
-  /// The revision of the item's last change, in the era in which it was read.
+  /// The revision of the item's last change, in the epoch in which it was read.
   StorePosition At;
   bool IsGone = false;
 
@@ -89,7 +89,7 @@
                   const StorePosition &AsOf);
 
   /// Lets whatever is taken next replace what is known. For a store that has
-  /// lost something without a new era.
+  /// lost something without a new epoch.
   void distrust();
 
   /// Notes that all changes up to AsOf were taken.
--- a/include/canvaswick/Directory/StorePosition.h
+++ b/include/canvaswick/Directory/StorePosition.h
@@ -8,8 +8,8 @@
 ///
 /// \file
 /// The store may lose what it has acknowledged and give the same revisions out
-/// again. It then counts a new era. So a revision alone orders nothing: what is
-/// compared or kept is a position, and no place compares anything else.
+/// again. It then counts a new epoch. So a revision alone orders nothing: what
+/// is compared or kept is a position, and no place compares anything else.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -23,18 +23,18 @@
 
 namespace canvaswick {
 
-/// A revision of the store in one of its eras. What was read in a later era
+/// A revision of the store in one of its epochs. What was read in a later epoch
 /// comes after all that was read in an earlier one.
 struct StorePosition {
-  /// 0: the store does not tell its era.
-  uint64_t Era = 0;
+  /// 0: the store does not tell its epoch.
+  uint64_t Epoch = 0;
   /// 0: nothing was read, or the item does not exist.
   uint64_t Revision = 0;
 
   constexpr StorePosition() = default;
   /// Both are told, so that no number is taken for a position.
-  constexpr StorePosition(uint64_t Era, uint64_t Revision)
-      : Era(Era), Revision(Revision) {}
+  constexpr StorePosition(uint64_t Epoch, uint64_t Revision)
+      : Epoch(Epoch), Revision(Revision) {}
 
   bool isNone() const { return this->Revision == 0; }
 
@@ -46,7 +46,7 @@
 enum class AnswerFit : uint8_t {
   /// It is as far as the copy, or further.
   Follows,
-  /// It was made in an era that is over: what it says may be lost.
+  /// It was made in an epoch that is over: what it says may be lost.
   Outdated,
   /// The store has lost something that the copy holds.
   HasLost,
@@ -56,23 +56,24 @@
 /// was as it answered. Holds for linearizable answers only.
 inline AnswerFit compareAnswer(const StorePosition &Asked,
                                const StorePosition &Answered) {
-  if (Answered.Era < Asked.Era)
+  if (Answered.Epoch < Asked.Epoch)
     return AnswerFit::Outdated;
   if (Asked.isNone())
     return AnswerFit::Follows;
   const bool Holds =
-      Answered.Era == Asked.Era && Answered.Revision >= Asked.Revision;
+      Answered.Epoch == Asked.Epoch && Answered.Revision >= Asked.Revision;
   return Holds ? AnswerFit::Follows : AnswerFit::HasLost;
 }
 
 } // namespace canvaswick
 
-/// Prints era and revision as logs show them.
+/// Prints epoch and revision as logs show them.
 template <>
 struct fmt::formatter<canvaswick::StorePosition> : formatter<std::string_view> {
   template <typename Context>
   auto format(const canvaswick::StorePosition &Position, Context &Into) const {
-    return fmt::format_to(Into.out(), "{}:{}", Position.Era, Position.Revision);
+    return fmt::format_to(Into.out(), "{}:{}", Position.Epoch,
+                          Position.Revision);
   }
 };
 
--- a/include/canvaswick/Operator/Commands.h
+++ b/include/canvaswick/Operator/Commands.h
@@ -66,6 +66,7 @@
 Result<std::string> runRequest(const OperatorOptions &Options);
 Result<std::string> runLosses(const OperatorOptions &Options);
 Result<std::string> runEntries(const OperatorOptions &Options);
+Result<std::string> runCopies(const OperatorOptions &Options);
 Result<std::string> runSuspects(const OperatorOptions &Options);
 
 /// Changes of the settings.
--- a/include/canvaswick/Operator/Findings.h
+++ b/include/canvaswick/Operator/Findings.h
@@ -26,6 +26,10 @@
 /// many daemons, and what was wrong the last time.
 std::string makeEntryTable(const std::vector<LogLine> &Lines);
 
+/// Returns a line for each daemon: epoch and revision of its copy of the store,
+/// since when, the version in force, and how often it saw the store restored.
+std::string makeCopyTable(const std::vector<LogLine> &Lines);
+
 /// Returns a line for each request that was cut off more than once or held
 /// back: at which servers, how often it was answered, and where it is held
 /// back.
--- a/lib/Daemon/CheckAnswers.cpp
+++ b/lib/Daemon/CheckAnswers.cpp
@@ -41,11 +41,11 @@
 /// stands still, as it does when nothing changes.
 static std::string formatStoreState(const StoreState &Store, TimePoint Now) {
   const bool IsHeard = Store.HeardAt != TimePoint{};
-  return fmt::format("canvaswick_store_era {}\n"
+  return fmt::format("canvaswick_store_epoch {}\n"
                      "canvaswick_store_as_of {}\n"
                      "canvaswick_store_watching {}\n"
                      "canvaswick_store_heard_ms {}\n",
-                     Store.AsOf.Era, Store.AsOf.Revision,
+                     Store.AsOf.Epoch, Store.AsOf.Revision,
                      Store.IsWatching ? 1 : 0,
                      IsHeard ? toMillis(Now - Store.HeardAt) : -1);
 }
--- a/lib/Daemon/DirectoryCalls.cpp
+++ b/lib/Daemon/DirectoryCalls.cpp
@@ -7,8 +7,8 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// An item is a list of key, revision and value, and of its era where that is
-/// not the era of the whole answer; without a value it is gone.
+/// An item is a list of key, revision and value, and of its epoch where that is
+/// not the epoch of the whole answer; without a value it is gone.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -53,27 +53,27 @@
   return Row;
 }
 
-static Json::Value encodeItem(const StoreItem &Item, uint64_t EraOfAll) {
+static Json::Value encodeItem(const StoreItem &Item, uint64_t EpochOfAll) {
   Json::Value Row(Json::arrayValue);
   Row.append(Item.Key);
   Row.append(static_cast<Json::UInt64>(Item.At.Revision));
-  const bool NamesEra = Item.At.Era != EraOfAll;
-  if (!Item.IsGone || NamesEra)
+  const bool NamesEpoch = Item.At.Epoch != EpochOfAll;
+  if (!Item.IsGone || NamesEpoch)
     Row.append(Item.IsGone ? Json::Value() : Json::Value(Item.Value));
-  if (NamesEra)
-    Row.append(static_cast<Json::UInt64>(Item.At.Era));
+  if (NamesEpoch)
+    Row.append(static_cast<Json::UInt64>(Item.At.Epoch));
   return Row;
 }
 
 Json::Value encodeChanges(const ItemChanges &Changes) {
   Json::Value Value;
   Value["as-of"] = static_cast<Json::UInt64>(Changes.AsOf.Revision);
-  Value["era"] = static_cast<Json::UInt64>(Changes.AsOf.Era);
+  Value["epoch"] = static_cast<Json::UInt64>(Changes.AsOf.Epoch);
   Value["all"] = Changes.IsAll;
   Value["partial"] = Changes.IsPartial;
   Value["items"] = Json::arrayValue;
   for (const StoreItem &Item : Changes.Items)
-    Value["items"].append(encodeItem(Item, Changes.AsOf.Era));
+    Value["items"].append(encodeItem(Item, Changes.AsOf.Epoch));
   for (const ItemDelta &Delta : Changes.Deltas)
     Value["deltas"].append(encodeDelta(Delta));
   return Value;
@@ -94,15 +94,15 @@
   return true;
 }
 
-static bool decodeDelta(const Json::Value &Row, uint64_t EraOfAll,
+static bool decodeDelta(const Json::Value &Row, uint64_t EpochOfAll,
                         ItemDelta &Delta) {
   constexpr Json::ArrayIndex FirstPiece = 4;
   if (!Row.isArray() || Row.size() < FirstPiece || !Row[0].isString() ||
       !Row[1].isUInt64() || !Row[2].isUInt64() || !Row[3].isUInt64())
     return false;
   Delta.Key = Row[0].asString();
-  Delta.At = {EraOfAll, Row[1].asUInt64()};
-  Delta.Base = {EraOfAll, Row[2].asUInt64()};
+  Delta.At = {EpochOfAll, Row[1].asUInt64()};
+  Delta.Base = {EpochOfAll, Row[2].asUInt64()};
   Delta.Change.Check = Row[3].asUInt64();
   for (Json::ArrayIndex I = FirstPiece; I < Row.size(); ++I)
     if (!decodePiece(Row[I], Delta.Change))
@@ -110,17 +110,17 @@
   return true;
 }
 
-static bool decodeRow(const Json::Value &Row, uint64_t EraOfAll,
+static bool decodeRow(const Json::Value &Row, uint64_t EpochOfAll,
                       StoreItem &Item) {
   if (!Row.isArray() || Row.size() < 2 || Row.size() > 4 ||
       !Row[0].isString() || !Row[1].isUInt64())
     return false;
-  const bool NamesEra = Row.size() == 4;
-  if (NamesEra && !Row[3].isUInt64())
+  const bool NamesEpoch = Row.size() == 4;
+  if (NamesEpoch && !Row[3].isUInt64())
     return false;
   Item.Key = Row[0].asString();
-  Item.At = {NamesEra ? Row[3].asUInt64() : EraOfAll, Row[1].asUInt64()};
-  Item.IsGone = Row.size() == 2 || (NamesEra && Row[2].isNull());
+  Item.At = {NamesEpoch ? Row[3].asUInt64() : EpochOfAll, Row[1].asUInt64()};
+  Item.IsGone = Row.size() == 2 || (NamesEpoch && Row[2].isNull());
   if (Item.IsGone)
     return true;
   if (!Row[2].isString())
@@ -155,27 +155,27 @@
 
 Result<ItemChanges> decodeChanges(const Json::Value &Value) {
   if (!Value.isObject() || !Value["as-of"].isUInt64() ||
-      (Value.isMember("era") && !Value["era"].isUInt64()) ||
+      (Value.isMember("epoch") && !Value["epoch"].isUInt64()) ||
       !Value["all"].isBool() ||
       (Value.isMember("partial") && !Value["partial"].isBool()) ||
       (Value.isMember("deltas") && !Value["deltas"].isArray()))
     return makeError(ErrorKind::InvalidArgument, "not changes of a directory");
   ItemChanges Changes;
-  // A daemon that knows of no eras is behind all that do.
-  const uint64_t Era = Value["era"].asUInt64();
-  Changes.AsOf = {Era, Value["as-of"].asUInt64()};
+  // A daemon that knows of no epochs is behind all that do.
+  const uint64_t Epoch = Value["epoch"].asUInt64();
+  Changes.AsOf = {Epoch, Value["as-of"].asUInt64()};
   Changes.IsAll = Value["all"].asBool();
   Changes.IsPartial = Value["partial"].asBool();
   BOOST_OUTCOME_TRY(Json::Value Rows, readRows(Value));
   for (const Json::Value &Row : Rows) {
     StoreItem Item;
-    if (!decodeRow(Row, Era, Item))
+    if (!decodeRow(Row, Epoch, Item))
       return makeError(ErrorKind::InvalidArgument, "not an item");
     Changes.Items.push_back(std::move(Item));
   }
   for (const Json::Value &Row : Value["deltas"]) {
     ItemDelta Delta;
-    if (!decodeDelta(Row, Era, Delta))
+    if (!decodeDelta(Row, Epoch, Delta))
       return makeError(ErrorKind::InvalidArgument, "not a difference");
     Changes.Deltas.push_back(std::move(Delta));
   }
@@ -189,7 +189,7 @@
 Json::Value ChangesAnswerer::answer(const ChangesRequest &Request) {
   ItemChanges Changes = this->Source(Request);
   const bool IsWhole =
-      Request.After.isNone() || Request.After.Era != Changes.AsOf.Era;
+      Request.After.isNone() || Request.After.Epoch != Changes.AsOf.Epoch;
   if (IsWhole && !this->HasRoom())
     return makeCallError({ErrorKind::Unavailable, "no room for a whole copy"});
   const bool HasLarge =
@@ -237,11 +237,11 @@
 Json::Value encodeRequest(const ChangesRequest &Request) {
   Json::Value Params;
   Params["after"] = static_cast<Json::UInt64>(Request.After.Revision);
-  Params["era"] = static_cast<Json::UInt64>(Request.After.Era);
+  Params["epoch"] = static_cast<Json::UInt64>(Request.After.Epoch);
   Params["large"] = Request.WantsLarge;
   Params["held"] = Json::objectValue;
   for (const auto &[Key, At] : Request.Held)
-    if (At.Era == Request.After.Era)
+    if (At.Epoch == Request.After.Epoch)
       Params["held"][Key] = static_cast<Json::UInt64>(At.Revision);
   return Params;
 }
@@ -249,18 +249,18 @@
 Result<ChangesRequest> decodeRequest(const Json::Value &Params) {
   ChangesRequest Request;
   if (!Params.isObject() || !Params["after"].isUInt64() ||
-      (Params.isMember("era") && !Params["era"].isUInt64()) ||
+      (Params.isMember("epoch") && !Params["epoch"].isUInt64()) ||
       (Params.isMember("large") && !Params["large"].isBool()) ||
       (Params.isMember("held") && !Params["held"].isObject()))
     return makeError(ErrorKind::InvalidArgument, "not a request for changes");
-  Request.NamesEra = Params.isMember("era");
-  Request.After = {Params["era"].asUInt64(), Params["after"].asUInt64()};
+  Request.NamesEpoch = Params.isMember("epoch");
+  Request.After = {Params["epoch"].asUInt64(), Params["after"].asUInt64()};
   Request.WantsLarge = !Params.isMember("large") || Params["large"].asBool();
   const Json::Value &Held = Params["held"];
   for (const std::string &Key : Held.getMemberNames()) {
     if (!Held[Key].isUInt64())
       return makeError(ErrorKind::InvalidArgument, "held: not a revision");
-    Request.Held[Key] = {Request.After.Era, Held[Key].asUInt64()};
+    Request.Held[Key] = {Request.After.Epoch, Held[Key].asUInt64()};
   }
   return Request;
 }
--- a/lib/Daemon/PeerMessage.cpp
+++ b/lib/Daemon/PeerMessage.cpp
@@ -77,7 +77,7 @@
     Value["heard-ms"] =
         static_cast<Json::UInt64>(toMillis(*Message.StoreHeardAgo));
   Value["as-of"] = static_cast<Json::UInt64>(Message.AsOf.Revision);
-  Value["era"] = static_cast<Json::UInt64>(Message.AsOf.Era);
+  Value["epoch"] = static_cast<Json::UInt64>(Message.AsOf.Epoch);
   Value["seq"] = static_cast<Json::UInt64>(Message.Sequence);
   Value["seen"] = Json::arrayValue;
   for (const Observation &Each : Message.Seen) {
@@ -228,14 +228,14 @@
       fromMillis(static_cast<int64_t>(Age.asUInt64())));
 }
 
-/// Decodes the era of a position. A daemon that knows of none names none, and
+/// Decodes the epoch of a position. A daemon that knows of none names none, and
 /// is behind all that do.
-static Result<uint64_t> decodeEra(const Json::Value &Era) {
-  if (Era.isNull())
+static Result<uint64_t> decodeEpoch(const Json::Value &Epoch) {
+  if (Epoch.isNull())
     return uint64_t{0};
-  if (!Era.isUInt64())
-    return makeError(ErrorKind::InvalidArgument, "not an era");
-  return Era.asUInt64();
+  if (!Epoch.isUInt64())
+    return makeError(ErrorKind::InvalidArgument, "not an epoch");
+  return Epoch.asUInt64();
 }
 
 Result<PeerMessage> decodePeerMessage(const std::string &Text) {
@@ -251,7 +251,7 @@
   if (!Value["as-of"].isUInt64())
     return makeError(ErrorKind::InvalidArgument, "no revision");
   Message.AsOf.Revision = Value["as-of"].asUInt64();
-  BOOST_OUTCOME_TRY(Message.AsOf.Era, decodeEra(Value["era"]));
+  BOOST_OUTCOME_TRY(Message.AsOf.Epoch, decodeEpoch(Value["epoch"]));
   BOOST_OUTCOME_TRY(Message.StoreHeardAgo, decodeHeardAgo(Value["heard-ms"]));
   Message.IsRelayed = Value["relayed"].isBool() && Value["relayed"].asBool();
   BOOST_OUTCOME_TRY(decodeList(Value["seen"], decodeObservation,
--- a/lib/Daemon/SuspectBook.cpp
+++ b/lib/Daemon/SuspectBook.cpp
@@ -44,16 +44,16 @@
 
 Result<void> SuspectBook::refresh(const Instant &Now) {
   BOOST_OUTCOME_TRY(BookPage Page, this->Read());
-  bool IsOfNewEra = false;
+  bool IsOfNewEpoch = false;
   {
     std::lock_guard<std::mutex> Lock(this->Mutex);
     if (Page.At == this->TakenAt)
       return outcome::success();
-    IsOfNewEra = Page.At.Era != this->TakenAt.Era;
+    IsOfNewEpoch = Page.At.Epoch != this->TakenAt.Epoch;
     this->TakenAt = Page.At;
   }
   // What was written may be lost: that it is missing clears nobody.
-  if (IsOfNewEra)
+  if (IsOfNewEpoch)
     this->Guard.loseRecords();
   const Result<std::vector<SuspectRecord>> Records = decodePage(Page, Now);
   if (Records) {
--- a/lib/Directory/ItemTable.cpp
+++ b/lib/Directory/ItemTable.cpp
@@ -125,8 +125,9 @@
     if (!isLarge(Item) || Base == Earlier.end() || Has == Held.end() ||
         Has->second != Base->second.At)
       return false;
-    // What tells a difference names one era only.
-    if (Item.At.Era != Changes.AsOf.Era || Has->second.Era != Item.At.Era)
+    // What tells a difference names one epoch only.
+    if (Item.At.Epoch != Changes.AsOf.Epoch ||
+        Has->second.Epoch != Item.At.Epoch)
       return false;
     TextDelta Change = diffTexts(Base->second.Value, Item.Value);
     if (static_cast<double>(measureDelta(Change)) >
--- a/lib/Operator/Findings.cpp
+++ b/lib/Operator/Findings.cpp
@@ -32,6 +32,15 @@
   std::string What;
 };
 
+/// What a daemon has of the store, as far as its log tells.
+struct LoggedCopy {
+  /// Epoch and revision.
+  std::string At = "-";
+  double Seconds = 0;
+  std::string Version = "-";
+  size_t Restores = 0;
+};
+
 struct LoggedSuspect {
   std::string Route;
   size_t Requests = 0;
@@ -71,6 +80,30 @@
   return Text.empty() ? "no entry was refused\n" : Text;
 }
 
+std::string makeCopyTable(const std::vector<LogLine> &Lines) {
+  std::map<std::string, LoggedCopy> Copies;
+  for (const LogLine &Line : Lines) {
+    LoggedCopy &Copy = Copies[Line.Source];
+    if (Line.Event == "copy-advanced") {
+      Copy.At = Line.get("to");
+      Copy.Seconds = Line.Seconds;
+    } else if (Line.Event == "settings-in-force") {
+      Copy.Version = Line.get("version");
+    } else if (Line.Event == "store-restored") {
+      Copy.At = Line.get("to");
+      Copy.Seconds = Line.Seconds;
+      ++Copy.Restores;
+    }
+  }
+  std::string Text;
+  for (const auto &[Daemon, Copy] : Copies)
+    Text +=
+        fmt::format("{}: copy of the store at {} since {:.3f}, version {} "
+                    "in force, {} restores of the store\n",
+                    Daemon, Copy.At, Copy.Seconds, Copy.Version, Copy.Restores);
+  return Text;
+}
+
 static void addAttempts(LoggedSuspect &Suspect, const LogLine &Line) {
   ++Suspect.Requests;
   Suspect.Route = Line.get("route");
--- a/lib/Operator/FleetCommands.cpp
+++ b/lib/Operator/FleetCommands.cpp
@@ -263,6 +263,9 @@
       {"suspects", runSuspects, "LOG...: requests under which servers ended"},
       {"entries", runEntries,
        "LOG...: entries at the platform that could not be read"},
+      {"copies", runCopies,
+       "LOG...: how far each daemon's copy of the store is, and in which "
+       "epoch"},
   };
   return Commands;
 }
--- a/lib/Operator/LogCommands.cpp
+++ b/lib/Operator/LogCommands.cpp
@@ -45,6 +45,10 @@
   return tabulate(Options, makeEntryTable);
 }
 
+Result<std::string> runCopies(const OperatorOptions &Options) {
+  return tabulate(Options, makeCopyTable);
+}
+
 Result<std::string> runSuspects(const OperatorOptions &Options) {
   return tabulate(Options, makeSuspectTable);
 }
--- a/unittests/Daemon/SuspectReportTest.cpp
+++ b/unittests/Daemon/SuspectReportTest.cpp
@@ -63,7 +63,7 @@
     if (Expected != this->Page.At)
       return makeError(ErrorKind::Conflict, "another revision");
     ++this->Writes;
-    this->Page = {Text, {Expected.Era, Expected.Revision + 1}};
+    this->Page = {Text, {Expected.Epoch, Expected.Revision + 1}};
     return this->Page.At;
   }
 
--- a/unittests/Directory/StorePositionTest.cpp
+++ b/unittests/Directory/StorePositionTest.cpp
@@ -12,7 +12,7 @@
 
 using namespace canvaswick;
 
-TEST_CASE("a later era comes after every revision of an earlier one") {
+TEST_CASE("a later epoch comes after every revision of an earlier one") {
   CHECK(StorePosition(1, 900) < StorePosition(2, 1));
   CHECK(StorePosition(2, 1) < StorePosition(2, 2));
   CHECK(StorePosition(0, 900) < StorePosition(1, 1));
--- a/unittests/Operator/FindingsTest.cpp
+++ b/unittests/Operator/FindingsTest.cpp
@@ -55,3 +55,17 @@
                "answered, held back at 1 daemons\n"
                "  i-1 i-2 i-3\n");
 }
+
+TEST_CASE("how far each daemon's copy is, and in which epoch, is told") {
+  const std::string Table = makeCopyTable(parseAll(
+      {"1 d1 6.0 info copy-advanced source=store call=read from=0:0 to=1:40 "
+       "items=3",
+       "1 d1 6.1 info settings-in-force version=7",
+       "1 d1 9.0 warning store-restored from=1:40 to=2:21 items=3 "
+       "servers-missing=1 daemons-missing=0 version-in-force=7",
+       "1 d2 6.0 info copy-advanced source=peer from=0:0 to=1:40 items=3"}));
+  CHECK(Table == "d1: copy of the store at 2:21 since 9.000, version 7 in "
+                 "force, 1 restores of the store\n"
+                 "d2: copy of the store at 1:40 since 6.000, version - in "
+                 "force, 0 restores of the store\n");
+}
--- a/unittests/StoreReturn/FeedReturnTest.cpp
+++ b/unittests/StoreRestore/FeedRestoreTest.cpp
@@ -1,4 +1,5 @@
-//===- FeedReturnTest.cpp - What one daemon learns of a store's return ----===//
+//===- FeedRestoreTest.cpp - What one daemon learns of a restored store --===//
+//----===//
 //
 // Part of the canvaswick project, under the Apache License v2.0.
 // See LICENSE for license information.
@@ -30,7 +31,7 @@
   for (int I = 0; I < Rounds; ++I) {
     Under.Feed.runRound();
     if (Under.View.getAsOf().Revision == Under.Store.getRevision() &&
-        Under.View.getAsOf().Era == Under.Client.getEra())
+        Under.View.getAsOf().Epoch == Under.Client.getEpoch())
       return true;
   }
   return false;
@@ -39,11 +40,11 @@
 namespace {
 
 /// A feed that is further than the copy to which its store goes back.
-struct ReturnBench : FeedBench {
-  ReturnBench() {
+struct RestoreBench : FeedBench {
+  RestoreBench() {
     this->Store.put(DaemonKey, encodeDaemon(this->Self));
     settle(this->Feed);
-    this->Store.keepCopy();
+    this->Store.keepBackup();
     change(this->Store, 20);
     CHECK(catchesUp(*this, 3));
   }
@@ -52,8 +53,8 @@
 } // namespace
 
 TEST_CASE("changes in a gap that revisions have passed again are read") {
-  ReturnBench Under;
-  Under.Store.returnFromCopy();
+  RestoreBench Under;
+  Under.Store.restoreBackup();
   Under.Store.remove(DaemonKey);
   change(Under.Store, 40);
   CHECK(catchesUp(Under, 3));
@@ -62,11 +63,11 @@
   CHECK(Under.View.listDaemons().empty());
 }
 
-TEST_CASE("a store that goes back and tells no era is believed") {
-  ReturnBench Under;
-  Under.Store.returnFromCopy();
-  SUBCASE("it never told one") { Under.Store.setEraText(std::nullopt); }
-  SUBCASE("it tells the one before") { Under.Store.setEraText("1"); }
+TEST_CASE("a store that goes back and tells no epoch is believed") {
+  RestoreBench Under;
+  Under.Store.restoreBackup();
+  SUBCASE("it never told one") { Under.Store.setEpochText(std::nullopt); }
+  SUBCASE("it tells the one before") { Under.Store.setEpochText("1"); }
   Under.Store.remove(DaemonKey);
   Under.Feed.runRound();
   Under.Feed.runRound();
@@ -74,12 +75,12 @@
   CHECK(Under.View.getAsOf().Revision == Under.Store.getRevision());
 }
 
-TEST_CASE("an era that is no number, or two, is none") {
+TEST_CASE("an epoch that is no number, or two, is none") {
   const auto Read = [](std::vector<std::string> Texts) {
     httplib::Headers Headers;
     for (std::string &Text : Texts)
       Headers.emplace("Store-Era", std::move(Text));
-    return readEra(Headers);
+    return readEpoch(Headers);
   };
   CHECK(Read({"7"}) == 7);
   CHECK(Read({"7", "7"}) == 7);
@@ -93,41 +94,41 @@
   }
 }
 
-TEST_CASE("answers without an era count as of the one that is known") {
-  ReturnBench Under;
-  Under.Store.setEraText("x");
+TEST_CASE("answers without an epoch count as of the one that is known") {
+  RestoreBench Under;
+  Under.Store.setEpochText("x");
   Under.Store.remove(DaemonKey);
   CHECK(catchesUp(Under, 2));
   CHECK(Under.View.listDaemons().empty());
 }
 
-TEST_CASE("an answer of an era that is over changes nothing") {
-  ReturnBench Under;
-  Under.Store.returnFromCopy();
+TEST_CASE("an answer of an epoch that is over changes nothing") {
+  RestoreBench Under;
+  Under.Store.restoreBackup();
   CHECK(catchesUp(Under, 4));
   const StorePosition Known = Under.View.getAsOf();
   // The store answers as it would have before.
-  Under.Store.setEraText("1");
+  Under.Store.setEpochText("1");
   Under.Store.remove(DaemonKey);
   Under.Feed.runRound();
   Under.Feed.runRound();
   CHECK(Under.View.getAsOf() == Known);
   CHECK_FALSE(Under.Feed.isSound());
-  Under.Store.setEraText("2");
+  Under.Store.setEpochText("2");
   CHECK(catchesUp(Under, 4));
   CHECK(Under.View.listDaemons().empty());
 }
 
-TEST_CASE("an era that jumps is taken like the next") {
-  ReturnBench Under;
-  Under.Store.returnFromCopy();
-  Under.Store.setEraText("12");
+TEST_CASE("an epoch that jumps is taken like the next") {
+  RestoreBench Under;
+  Under.Store.restoreBackup();
+  Under.Store.setEpochText("12");
   CHECK(catchesUp(Under, 4));
-  CHECK(Under.View.getAsOf().Era == 12);
+  CHECK(Under.View.getAsOf().Epoch == 12);
 }
 
 TEST_CASE("a store that forgets its history all the time is not stormed") {
-  ReturnBench Under;
+  RestoreBench Under;
   const double Before = Under.Store.countPricedCalls();
   const TimePoint Began = readSteadyClock();
   constexpr int Rounds = 8;
@@ -141,17 +142,17 @@
   CHECK(Under.Store.countPricedCalls() - Before <= 2 * Rounds);
 }
 
-TEST_CASE("a lease number of an earlier era is let go, and not ended") {
+TEST_CASE("a lease number of an earlier epoch is let go, and not ended") {
   FeedBench Under;
   Under.Store.put("op/config", "{}");
   FeedBench::settle(Under.Feed);
-  Under.Store.keepCopy();
+  Under.Store.keepBackup();
   DaemonRegistry Registry(Under.Client, Under.View, Under.Self,
                           fromSeconds(60));
   const TimePoint Now = readSteadyClock();
   Registry.runRound(Now);
   CHECK(catchesUp(Under, 2));
-  Under.Store.returnFromCopy();
+  Under.Store.restoreBackup();
   // The number is given out again.
   Result<StoreLease> Others = Under.Client.openLease(fromSeconds(60));
   REQUIRE(Others);
@@ -186,8 +187,8 @@
   const TimePoint Now = readSteadyClock();
   Registry.runRound(Now);
   CHECK(catchesUp(Under, 2));
-  Under.Store.keepCopy();
-  Under.Store.returnFromCopy();
+  Under.Store.keepBackup();
+  Under.Store.restoreBackup();
   CHECK(catchesUp(Under, 3));
   const double Before = Under.Store.countPricedCalls();
   Registry.runRound(Now + fromSeconds(1));
@@ -196,16 +197,16 @@
   CHECK(Under.Store.peek(DaemonKey).empty());
 }
 
-TEST_CASE("the copy for starts is written again soon after a return") {
-  ReturnBench Under;
+TEST_CASE("the copy for starts is written again soon after a restore") {
+  RestoreBench Under;
   CopyKeeper Keeper(Under.Client, Under.View);
   const TimePoint Start = readSteadyClock();
   Keeper.runRound(WatchRole::Lead, 0, Start);
   Keeper.runRound(WatchRole::Lead, 0, Start + fromSeconds(5));
   REQUIRE(decodeCopy(Under.Store.peek("canvaswick/copy")));
-  Under.Store.returnFromCopy();
+  Under.Store.restoreBackup();
   CHECK(Under.Store.peek("canvaswick/copy").empty());
-  // Not from what is of an earlier era.
+  // Not from what is of an earlier epoch.
   (void)Under.Client.readItem(DaemonKey, Recency::Newest);
   Keeper.runRound(WatchRole::Lead, 0, Start + fromSeconds(20));
   CHECK(Under.Store.peek("canvaswick/copy").empty());
@@ -215,21 +216,22 @@
   const Result<ItemChanges> Copy =
       decodeCopy(Under.Store.peek("canvaswick/copy"));
   REQUIRE(Copy);
-  CHECK(Copy.value().AsOf.Era == 2);
+  CHECK(Copy.value().AsOf.Epoch == 2);
 }
 
-TEST_CASE("a copy for starts of an earlier era is followed by a read of all") {
-  ReturnBench Under;
+TEST_CASE(
+    "a copy for starts of an earlier epoch is followed by a read of all") {
+  RestoreBench Under;
   ItemChanges All = Under.View.getChangesAfter({});
   All.IsAll = true;
   Under.Store.put("canvaswick/copy", encodeCopy(All));
-  Under.Store.keepCopy();
-  Under.Store.returnFromCopy();
+  Under.Store.keepBackup();
+  Under.Store.restoreBackup();
   FleetView View{{70}, fromSeconds(2)};
   StoreClient Client(Under.Store.getAddress(), Under.Counters);
   StoreFeed Feed(Client, View, [] {});
   Feed.runRound();
-  CHECK(View.getAsOf().Era == 1);
+  CHECK(View.getAsOf().Epoch == 1);
   const size_t Before = Under.Store.countCalls("/kv-range");
   Feed.runRound();
   CHECK(Under.Store.countCalls("/kv-range") > Before);
--- a/unittests/StoreReturn/FleetModelTest.cpp
+++ b/unittests/StoreRestore/FleetModelTest.cpp
@@ -1,4 +1,4 @@
-//===- FleetModelTest.cpp - Any order of returns, changes and talks -------===//
+//===- FleetModelTest.cpp - Any order of restores and changes ------------===//
 //
 // Part of the canvaswick project, under the Apache License v2.0.
 // See LICENSE for license information.
@@ -46,26 +46,26 @@
 class ModelStore {
 public:
   void put(const std::string &Key, const std::string &Value) {
-    this->Now.Items[Key] = {Key, Value, {this->Era, ++this->Now.Revision}};
+    this->Now.Items[Key] = {Key, Value, {this->Epoch, ++this->Now.Revision}};
     this->History.push_back(this->Now.Items[Key]);
   }
 
   void remove(const std::string &Key) {
     if (this->Now.Items.erase(Key) > 0)
       this->History.push_back(
-          {Key, "", {this->Era, ++this->Now.Revision}, true});
+          {Key, "", {this->Epoch, ++this->Now.Revision}, true});
   }
 
-  void keepCopy() { this->Copy = this->Now; }
+  void keepBackup() { this->Copy = this->Now; }
 
-  void returnFromCopy() {
+  void restoreBackup() {
     this->Now = this->Copy;
-    if (this->TellsEra)
-      ++this->Era;
+    if (this->TellsEpoch)
+      ++this->Epoch;
     this->History.clear();
     this->HistorySince = this->Now.Revision;
     for (auto &[Key, Item] : this->Now.Items)
-      Item.At.Era = this->Era;
+      Item.At.Epoch = this->Epoch;
   }
 
   std::vector<StoreItem> readAll() const {
@@ -86,9 +86,9 @@
     return Events;
   }
 
-  StorePosition getAsOf() const { return {this->Era, this->Now.Revision}; }
+  StorePosition getAsOf() const { return {this->Epoch, this->Now.Revision}; }
 
-  bool TellsEra = true;
+  bool TellsEpoch = true;
 
 private:
   struct Contents {
@@ -98,7 +98,7 @@
 
   Contents Now;
   Contents Copy;
-  uint64_t Era = 1;
+  uint64_t Epoch = 1;
   std::vector<StoreItem> History;
   uint64_t HistorySince = 0;
 };
@@ -128,7 +128,7 @@
     const StorePosition Before = this->View->getAsOf();
     const StorePosition AsOf = Store.getAsOf();
     if (compareAnswer(Before, AsOf) == AnswerFit::HasLost &&
-        AsOf.Era == Before.Era)
+        AsOf.Epoch == Before.Epoch)
       this->View->distrust(Now);
     this->View->replaceAll(Store.readAll(), AsOf, Now);
   }
@@ -181,8 +181,8 @@
   WriteServer,
   LeaveServer,
   EndServer,
-  KeepCopy,
-  Return,
+  KeepBackup,
+  Restore,
   WriteAgain,
   Watch,
   Fetch,
@@ -211,7 +211,7 @@
     this->Store.put(RulesKey, makeRules(this->Version));
     for (size_t I = 0; I < ServerCount; ++I)
       this->Store.put(makeKey(I), this->Servers[I].makeEntry());
-    this->Store.keepCopy();
+    this->Store.keepBackup();
   }
 
   void run(const std::vector<Step> &Steps) {
@@ -247,11 +247,11 @@
       Server.IsGone = true;
       this->Store.remove(makeKey(Each.Who));
       return;
-    case Act::KeepCopy:
-      this->Store.keepCopy();
+    case Act::KeepBackup:
+      this->Store.keepBackup();
       return;
-    case Act::Return:
-      this->Store.returnFromCopy();
+    case Act::Restore:
+      this->Store.restoreBackup();
       this->IsLost = true;
       return;
     case Act::WriteAgain:
@@ -338,8 +338,8 @@
                                                    {2, Act::WriteServer},
                                                    {1, Act::LeaveServer},
                                                    {1, Act::EndServer},
-                                                   {2, Act::KeepCopy},
-                                                   {2, Act::Return},
+                                                   {2, Act::KeepBackup},
+                                                   {2, Act::Restore},
                                                    {2, Act::WriteAgain},
                                                    {6, Act::Watch},
                                                    {4, Act::Fetch},
@@ -357,13 +357,13 @@
 }
 
 TEST_CASE("the model finds a change that a passed revision hides") {
-  // Without an era nothing shows it: the schedule that the era is for.
+  // Without an epoch nothing shows it: the schedule that the epoch is for.
   Model Under;
-  Under.Store.TellsEra = false;
+  Under.Store.TellsEpoch = false;
   const std::vector<Step> Schedule = {
       {Act::Watch, 0, 0},       {Act::WriteRules, 0, 0},
       {Act::WriteServer, 0, 0}, {Act::WriteServer, 0, 0},
-      {Act::Watch, 0, 0},       {Act::Return, 0, 0},
+      {Act::Watch, 0, 0},       {Act::Restore, 0, 0},
       {Act::WriteRules, 0, 0},  {Act::WriteAgain, 0, 0}};
   CHECK_THROWS(Under.run(Schedule));
 }
--- a/unittests/StoreReturn/StoreReturnTest.cpp
+++ b/unittests/StoreRestore/StoreRestoreTest.cpp
@@ -1,4 +1,4 @@
-//===- StoreReturnTest.cpp - A store that comes back from a copy ----------===//
+//===- StoreRestoreTest.cpp - A store that is restored from a backup ------===//
 //
 // Part of the canvaswick project, under the Apache License v2.0.
 // See LICENSE for license information.
@@ -25,13 +25,13 @@
 constexpr int FewChanges = 5;
 constexpr int ManyChanges = 30;
 
-/// Daemons before a store that has a copy of itself.
-struct ReturnBench : Hall {
-  explicit ReturnBench(int Count) : Hall(Count) {
+/// Daemons before a store that has a backup of itself.
+struct RestoreBench : Hall {
+  explicit RestoreBench(int Count) : Hall(Count) {
     this->settle();
     for (const std::unique_ptr<Member> &Each : this->Members)
       this->waitFor([&] { return this->isListed(*Each); });
-    this->Store.keepCopy();
+    this->Store.keepBackup();
   }
 
   bool isListed(const Member &Each) const {
@@ -55,17 +55,17 @@
       });
   }
 
-  /// Comes back from the copy after a moment in which nobody is answered.
+  /// Is restored from the backup after a moment in which nobody is answered.
   /// Meanwhile the others write what they choose.
-  template <typename Writer> void comeBack(Writer Write) {
+  template <typename Writer> void restore(Writer Write) {
     this->Store.setFaults({.IsDown = true});
-    this->Store.returnFromCopy();
+    this->Store.restoreBackup();
     Write();
     std::this_thread::sleep_for(std::chrono::milliseconds(300));
     this->Store.setFaults({});
   }
 
-  void waitForVersionAt(const std::string &Target) {
+  void waitForAllToServe(const std::string &Target) {
     for (const std::unique_ptr<Member> &Each : this->Members)
       this->waitFor([&] { return this->serves(*Each, Target); });
   }
@@ -85,41 +85,42 @@
 } // namespace
 
 TEST_CASE("a change is in force though the store's revisions went back") {
-  ReturnBench Under(4);
+  RestoreBench Under(4);
   Under.change(ManyChanges);
   Under.waitForAll();
-  Under.comeBack([&] { Under.change(FewChanges); });
+  Under.restore([&] { Under.change(FewChanges); });
   Under.writeConfig(3, "/y/");
-  Under.waitForVersionAt("/y/1");
+  Under.waitForAllToServe("/y/1");
 }
 
 TEST_CASE("a change is in force though lower revisions than the one before") {
-  ReturnBench Under(4);
+  RestoreBench Under(4);
   Under.change(ManyChanges);
   Under.writeConfig(3, "/y/");
-  Under.waitForVersionAt("/y/1");
-  Under.comeBack([&] {
+  Under.waitForAllToServe("/y/1");
+  Under.restore([&] {
     Under.writeConfig(4, "/z/");
     Under.change(2 * ManyChanges);
   });
-  Under.waitForVersionAt("/z/1");
+  Under.waitForAllToServe("/z/1");
 }
 
-TEST_CASE("a server that leaves after the store's return gets nothing more") {
-  ReturnBench Under(4);
+TEST_CASE(
+    "a server that leaves after the store was restored gets nothing more") {
+  RestoreBench Under(4);
   Under.change(ManyChanges);
   Under.waitForAll();
-  Under.comeBack([&] { Under.change(FewChanges); });
+  Under.restore([&] { Under.change(FewChanges); });
   Under.Store.put("servers/i-1", Under.One.makeEntry("draining", 2));
   Under.waitUntilUnused(Under.One);
 }
 
 TEST_CASE("settings in force outlast a store that has lost them") {
-  ReturnBench Under(2);
+  RestoreBench Under(2);
   Under.change(ManyChanges);
   Under.writeConfig(3, "/y/");
-  Under.waitForVersionAt("/y/1");
-  Under.comeBack([&] { Under.change(FewChanges); });
+  Under.waitForAllToServe("/y/1");
+  Under.restore([&] { Under.change(FewChanges); });
   std::this_thread::sleep_for(std::chrono::seconds(1));
   for (const std::unique_ptr<Member> &Each : Under.Members) {
     CHECK(Under.serves(*Each, "/y/1"));
@@ -127,33 +128,33 @@
   }
 }
 
-TEST_CASE("two returns in a row are taken as well as one") {
-  ReturnBench Under(3);
+TEST_CASE("two restores in a row are taken as well as one") {
+  RestoreBench Under(3);
   Under.change(ManyChanges);
   Under.waitForAll();
-  Under.comeBack([&] { Under.change(FewChanges); });
-  Under.comeBack([&] { Under.change(FewChanges); });
+  Under.restore([&] { Under.change(FewChanges); });
+  Under.restore([&] { Under.change(FewChanges); });
   Under.writeConfig(3, "/y/");
-  Under.waitForVersionAt("/y/1");
+  Under.waitForAllToServe("/y/1");
 }
 
 TEST_CASE("a daemon whose entry the store has lost is listed again") {
   Hall Under(2);
-  Under.Store.keepCopy();
+  Under.Store.keepBackup();
   Under.settle();
   const std::string Key = "canvaswick/daemons/d0";
   Under.waitFor([&] { return !Under.Store.peek(Key).empty(); });
-  Under.Store.returnFromCopy();
+  Under.Store.restoreBackup();
   Under.writeConfig(3, "/y/");
   Under.waitFor([&] { return !Under.Store.peek(Key).empty(); });
 }
 
-TEST_CASE("a store's return costs each daemon few calls") {
+TEST_CASE("a store that was restored costs each daemon few calls") {
   constexpr size_t Daemons = 4;
-  ReturnBench Under(Daemons);
+  RestoreBench Under(Daemons);
   Under.change(ManyChanges);
   Under.waitForAll();
-  Under.comeBack([&] { Under.change(FewChanges); });
+  Under.restore([&] { Under.change(FewChanges); });
   const double Before = Under.Store.countPricedCalls();
   std::this_thread::sleep_for(std::chrono::seconds(2));
   // As after a start, and what two daemons that watch ask in two seconds.
--- a/unittests/StoreReturn/ViewReturnTest.cpp
+++ b/unittests/StoreRestore/ViewRestoreTest.cpp
@@ -1,4 +1,4 @@
-//===- ViewReturnTest.cpp - What outlasts a store that goes back ----------===//
+//===- ViewRestoreTest.cpp - What outlasts a store that goes back ---------===//
 //
 // Part of the canvaswick project, under the Apache License v2.0.
 // See LICENSE for license information.
@@ -47,8 +47,8 @@
 namespace {
 
 /// A view with settings, a server and a daemon, as of 1:50.
-struct ReturnBench {
-  ReturnBench() {
+struct RestoreBench {
+  RestoreBench() {
     this->View.replaceAll(
         {makeItem("op/config", makeRules(5), {1, 48}),
          makeItem("servers/i-1", makeServer(7, "ready"), {1, 20}),
@@ -56,8 +56,8 @@
         {1, 50}, Start);
   }
 
-  /// The store comes back in a later era with these.
-  void comeBack(std::vector<StoreItem> Items, StorePosition AsOf) {
+  /// The store is restored, in a later epoch, with these.
+  void restore(std::vector<StoreItem> Items, StorePosition AsOf) {
     CHECK(this->View.replaceAll(Items, AsOf, this->Now));
   }
 
@@ -78,8 +78,8 @@
 } // namespace
 
 TEST_CASE("settings in force stay though the store holds older ones") {
-  ReturnBench Under;
-  Under.comeBack({makeItem("op/config", makeRules(3), {2, 10})}, {2, 20});
+  RestoreBench Under;
+  Under.restore({makeItem("op/config", makeRules(3), {2, 10})}, {2, 20});
   CHECK(Under.View.compileConfig()->Version == 5);
   Under.View.applyEvents({makeItem("op/config", makeRules(5), {2, 21})},
                          {2, 21}, Under.Now);
@@ -89,13 +89,13 @@
   CHECK(Under.View.compileConfig()->Version == 6);
 }
 
-TEST_CASE("who said that it leaves still does though a copy calls it ready") {
-  ReturnBench Under;
+TEST_CASE("who said that it leaves still does though a backup calls it ready") {
+  RestoreBench Under;
   Under.View.applyEvents(
       {makeItem("servers/i-1", makeServer(8, "draining"), {1, 51})}, {1, 51},
       Start);
-  Under.comeBack({makeItem("servers/i-1", makeServer(7, "ready"), {2, 20})},
-                 {2, 30});
+  Under.restore({makeItem("servers/i-1", makeServer(7, "ready"), {2, 20})},
+                {2, 30});
   CHECK(Under.findState() == ServerState::Draining);
   SUBCASE("for as long as that stands there") {
     Under.View.settleLapsed(Under.Now + fromSeconds(60));
@@ -109,12 +109,12 @@
   }
 }
 
-TEST_CASE("who has left is not used though it stands in a copy") {
-  ReturnBench Under;
+TEST_CASE("who has left is not used though it stands in a backup") {
+  RestoreBench Under;
   Under.View.applyEvents({{"servers/i-1", "", {1, 51}, true}}, {1, 51}, Start);
   REQUIRE_FALSE(Under.findState());
-  Under.comeBack({makeItem("servers/i-1", makeServer(7, "ready"), {2, 20})},
-                 {2, 30});
+  Under.restore({makeItem("servers/i-1", makeServer(7, "ready"), {2, 20})},
+                {2, 30});
   CHECK_FALSE(Under.findState());
   SUBCASE("it lives and writes again") {
     Under.View.applyEvents(
@@ -135,9 +135,9 @@
   }
 }
 
-TEST_CASE("a server that the copy lacks is kept until it can have written") {
-  ReturnBench Under;
-  Under.comeBack({makeItem("op/config", makeRules(5), {2, 10})}, {2, 20});
+TEST_CASE("a server that the backup lacks is kept until it can have written") {
+  RestoreBench Under;
+  Under.restore({makeItem("op/config", makeRules(5), {2, 10})}, {2, 20});
   CHECK(Under.findState() == ServerState::Active);
   SUBCASE("it is gone if it has not") {
     CHECK_FALSE(Under.View.settleLapsed(Under.Now + fromSeconds(1.9)));
@@ -161,9 +161,9 @@
   }
 }
 
-TEST_CASE("daemons that the copy lacks are counted for ten seconds") {
-  ReturnBench Under;
-  Under.comeBack({makeItem("op/config", makeRules(5), {2, 10})}, {2, 20});
+TEST_CASE("daemons that the backup lacks are counted for ten seconds") {
+  RestoreBench Under;
+  Under.restore({makeItem("op/config", makeRules(5), {2, 10})}, {2, 20});
   CHECK(Under.View.listDaemons().size() == 1);
   SUBCASE("who does not write again is gone then") {
     CHECK_FALSE(Under.View.settleLapsed(Under.Now + fromSeconds(1)));
@@ -177,21 +177,21 @@
   }
 }
 
-TEST_CASE("a peer of an earlier era is never ahead and changes nothing") {
-  ReturnBench Under;
+TEST_CASE("a peer of an earlier epoch is never ahead and changes nothing") {
+  RestoreBench Under;
   FleetView Behind({70}, fromSeconds(2));
   Behind.replaceAll({makeItem("op/config", makeRules(5), {1, 48}),
                      makeItem("servers/i-9", makeServer(1, "ready"), {1, 90})},
                     {1, 900}, Start);
-  Under.comeBack({makeItem("op/config", makeRules(5), {2, 10})}, {2, 20});
+  Under.restore({makeItem("op/config", makeRules(5), {2, 10})}, {2, 20});
   CHECK(Under.View.getAsOf() > Behind.getAsOf());
   const ItemChanges Told = Behind.getChangesAfter(Under.View.getAsOf());
   CHECK_FALSE(Under.View.applyChanges(Told, Under.Now));
   CHECK(Under.View.getAsOf() == StorePosition(2, 20));
 }
 
-TEST_CASE("a peer of a later era tells all, over the wire too") {
-  ReturnBench Under;
+TEST_CASE("a peer of a later epoch tells all, over the wire too") {
+  RestoreBench Under;
   FleetView Ahead({70}, fromSeconds(2));
   Ahead.replaceAll(
       {makeItem("op/config", makeRules(6), {2, 10}),
@@ -207,7 +207,7 @@
   CHECK(Under.findState() == ServerState::Draining);
 }
 
-TEST_CASE("an item of another era keeps it over the wire") {
+TEST_CASE("an item of another epoch keeps it over the wire") {
   ItemChanges Changes;
   Changes.AsOf = {1, 50};
   Changes.Items = {{"a", "x", {1, 40}, false},
@@ -216,9 +216,9 @@
   const Result<ItemChanges> Heard = decodeChanges(encodeChanges(Changes));
   REQUIRE(Heard);
   CHECK(Heard.value().Items == Changes.Items);
-  // A daemon that knows no eras tells none.
+  // A daemon that knows no epochs tells none.
   Json::Value Old = encodeChanges(Changes);
-  Old.removeMember("era");
+  Old.removeMember("epoch");
   REQUIRE(decodeChanges(Old));
   CHECK(decodeChanges(Old).value().AsOf == StorePosition(0, 50));
 }
