--- a/unittests/StoreRestore/ViewRestoreTest.cpp
+++ b/unittests/StoreRestore/ViewRestoreTest.cpp
@@ -135,6 +135,21 @@
   }
 }
 
+TEST_CASE("who said that it leaves, and left, is not used however long it "
+          "stands in a backup") {
+  RestoreBench Under;
+  Under.View.applyEvents(
+      {makeItem("servers/i-1", makeServer(8, "draining"), {1, 51})}, {1, 51},
+      Start);
+  Under.View.applyEvents({{"servers/i-1", "", {1, 52}, true}}, {1, 52}, Start);
+  Under.restore({makeItem("servers/i-1", makeServer(7, "ready"), {2, 20})},
+                {2, 30});
+  for (const double Seconds : {1.0, 10.0, 20.0, 300.0}) {
+    Under.View.settleLapsed(Under.Now + fromSeconds(Seconds));
+    CHECK_FALSE(Under.findState());
+  }
+}
+
 TEST_CASE("a server that the backup lacks is kept until it can have written") {
   RestoreBench Under;
   Under.restore({makeItem("op/config", makeRules(5), {2, 10})}, {2, 20});
