Where no epoch shows a loss, only a server's own count orders its words

A store that goes back and names no epoch is believed by a read that is lower than the copy (FleetView::distrust). Then an entry as a server wrote it before it said that it leaves counted, since both are of one epoch: the new case 'who said that it leaves still does where no epoch shows a loss' failed (the state was Active). Ruled out: a made-up epoch of the daemon's own, which no peer could order.

--- a/unittests/StoreRestore/ViewRestoreTest.cpp
+++ b/unittests/StoreRestore/ViewRestoreTest.cpp
@@ -109,6 +109,21 @@
   }
 }
 
+TEST_CASE("who said that it leaves still does where no epoch shows a loss") {
+  RestoreBench Under;
+  Under.View.applyEvents(
+      {makeItem("servers/i-1", makeServer(8, "draining"), {1, 51})}, {1, 51},
+      Start);
+  Under.View.distrust(Under.Now);
+  Under.restore({makeItem("servers/i-1", makeServer(7, "ready"), {1, 20})},
+                {1, 30});
+  CHECK(Under.findState() == ServerState::Draining);
+  Under.View.applyEvents(
+      {makeItem("servers/i-1", makeServer(9, "ready"), {1, 31})}, {1, 31},
+      Under.Now);
+  CHECK(Under.findState() == ServerState::Active);
+}
+
 TEST_CASE("who has left is not used though it stands in a backup") {
   RestoreBench Under;
   Under.View.applyEvents({{"servers/i-1", "", {1, 51}, true}}, {1, 51}, Start);
