--- a/unittests/StoreRestore/ViewRestoreTest.cpp
+++ b/unittests/StoreRestore/ViewRestoreTest.cpp
@@ -207,6 +207,40 @@
   }
 }
 
+TEST_CASE("nobody's part grows while a large fleet writes its entries again") {
+  for (const size_t Count : {36, 113, 443}) {
+    CAPTURE(Count);
+    FleetView View({70}, fromSeconds(2));
+    const auto MakeName = [](size_t I) { return fmt::format("d{}", I); };
+    std::vector<StoreItem> All;
+    for (size_t I = 0; I < Count; ++I)
+      All.push_back(makeDaemonItem(MakeName(I), {1, 10 + I}));
+    View.replaceAll(All, {1, 1000}, Start);
+    // The backup is of a moment at which a third was there.
+    const size_t Listed = Count / 3;
+    for (size_t I = 0; I < Listed; ++I)
+      All[I].At = {2, 10 + I};
+    All.resize(Listed);
+    View.replaceAll(All, {2, 500}, Start);
+    CHECK(View.listDaemons().size() == Count);
+    // Three died meanwhile; the others write again within size / 100 seconds.
+    const size_t Dead = 3;
+    const double Spread = static_cast<double>(Count) / 100;
+    const size_t Missing = Count - Listed - Dead;
+    for (size_t I = 0; I < Missing; ++I) {
+      const TimePoint Now =
+          Start + fromSeconds(Spread * static_cast<double>(I) /
+                              static_cast<double>(Missing));
+      View.settleLapsed(Now);
+      const StorePosition At(2, 501 + I);
+      View.applyEvents({makeDaemonItem(MakeName(Listed + I), At)}, At, Now);
+      REQUIRE(View.listDaemons().size() == Count);
+    }
+    View.settleLapsed(Start + fromSeconds(10));
+    CHECK(View.listDaemons().size() == Count - Dead);
+  }
+}
+
 TEST_CASE("a peer of an earlier epoch is never ahead and changes nothing") {
   RestoreBench Under;
   FleetView Behind({70}, fromSeconds(2));
