Linter: a variable of the compiler's own is passed over in one place

clang-tidy 14 names the parameter that the compiler makes for a defaulted three-way comparison. Seen by the linter on a changed file; with the two marks it is silent (one file run).

--- a/include/canvaswick/Directory/StorePosition.h
+++ b/include/canvaswick/Directory/StorePosition.h
@@ -38,8 +38,11 @@
 
   bool isNone() const { return this->Revision == 0; }
 
+  // The linter names a variable of the compiler's own.
+  // NOLINTBEGIN(readability-identifier-naming)
   friend auto operator<=>(const StorePosition &,
                           const StorePosition &) = default;
+  // NOLINTEND(readability-identifier-naming)
 };
 
 /// How an answer of the store goes with the copy for which it was asked.
