--- a/lib/Directory/TryWait.cpp
+++ b/lib/Directory/TryWait.cpp
@@ -29,9 +29,7 @@
 static constexpr double TriesPerSecond = 30;
 
 /// A daemon that hears nobody, and whom nobody reaches, must find the store
-/// again by itself soon after its way there is whole. Chosen, not learned: the
-/// operators' shortest bound for that is 3 s on a small deployment, 4 s on
-/// those with halls this large.
+/// again by itself soon after its way there is whole.
 static constexpr Duration LongestWait = fromSeconds(4);
 
 Duration chooseTryWait(int Failures, size_t HallSize, double Draw) {
--- a/lib/Directory/WatchDuty.cpp
+++ b/lib/Directory/WatchDuty.cpp
@@ -28,9 +28,7 @@
 /// at most, 1 s if the store takes a quarter of a second. Together with the
 /// steps below and a look each tenth of a second, the last daemon of a hall
 /// asks the store itself 1.6 s after its leader was last answered; changes must
-/// be in force within two seconds. Guards against: a hall whose watchers hung
-/// went without changes for 25 s, the longest wait of a watch (unit tests
-/// StoreSilence, which wait for five).
+/// be in force within two seconds.
 static constexpr Duration LeaderLife = fromMillis(1150);
 
 /// Who stands by counts for this long: its watch waits 1.5 s, its client 0.6 s
--- a/lib/Health/OutcomeLikelihood.cpp
+++ b/lib/Health/OutcomeLikelihood.cpp
@@ -17,12 +17,9 @@
 
 namespace canvaswick {
 
-/// From twelve days of two deployments with every attempt logged: what
-/// the next request to the same server came to, within a second and a half,
-/// where the one before had gone well. After a good answer 2 in 100 next ones
-/// failed at once, after an early failure 82, after one at the usual time 8,
-/// after a late or missing answer 3. A refusal has other causes too; a
-/// connection that does not come about may be this daemon's own fault.
+/// An early failure says most: at the usual time it is mostly an ordinary
+/// error. A refusal has other causes too; a connection that does not come about
+/// may be this daemon's own fault.
 Likelihood getLikelihood(RequestOutcome Outcome) {
   switch (Outcome) {
   case RequestOutcome::Good:
--- a/lib/Health/SpellShares.cpp
+++ b/lib/Health/SpellShares.cpp
@@ -33,9 +33,9 @@
 
 /// The floor matters once a tenth of a service's requests go unserved; from
 /// this part of failures on it is taken to be near. What a hall counts lags
-/// behind what its callers get and lacks what was refused or left: 4.6 in 100
-/// where 14 in 100 went unserved. A sound server that gets a request each
-/// second costs nothing; a sick one that is kept costs one a second.
+/// behind what its callers get and lacks what was refused or left. A sound
+/// server that gets a request each second costs nothing; a sick one that is
+/// kept costs one a second.
 static constexpr double FloorFailures = 0.03;
 
 /// Share of a server whose test is due, as a part of the best one's: about as
