--- a/lib/Daemon/DirectoryCalls.cpp
+++ b/lib/Daemon/DirectoryCalls.cpp
@@ -188,8 +188,10 @@
 
 Json::Value ChangesAnswerer::answer(const ChangesRequest &Request) {
   ItemChanges Changes = this->Source(Request);
-  const bool IsWhole =
-      Request.After.isNone() || Request.After.Epoch != Changes.AsOf.Epoch;
+  StorePosition After = Request.After;
+  if (!Request.NamesEpoch)
+    After.Epoch = Changes.AsOf.Epoch;
+  const bool IsWhole = After.isNone() || After.Epoch != Changes.AsOf.Epoch;
   if (IsWhole && !this->HasRoom())
     return makeCallError({ErrorKind::Unavailable, "no room for a whole copy"});
   const bool HasLarge =
@@ -202,7 +204,7 @@
   // Differences depend on what the peer holds.
   if (!Changes.Deltas.empty())
     return packChanges(encodeChanges(Changes));
-  return this->packOnce(Changes, Request.After);
+  return this->packOnce(Changes, After);
 }
 
 /// Encodes and packs, or returns what was packed for the same question before.
--- a/unittests/Daemon/DirectoryCallsTest.cpp
+++ b/unittests/Daemon/DirectoryCallsTest.cpp
@@ -232,3 +232,37 @@
     (void)decodeChanges(Value);
   }));
 }
+
+TEST_CASE("who knows no epochs is answered as one of this epoch, and apart") {
+  ItemTable Table;
+  std::vector<StoreItem> All;
+  for (uint64_t I = 0; I < 100; ++I)
+    All.push_back({fmt::format("servers/{}", I),
+                   std::string(100, 'x'),
+                   {2, 10 + I},
+                   false});
+  Table.replaceAll(All, {2, 110});
+  Table.apply({"servers/new", std::string(3000, 'y'), {2, 111}, false});
+  Table.advanceTo({2, 111});
+  bool HasRoom = true;
+  ChangesAnswerer Answerer(
+      [&Table](const ChangesRequest &Request) {
+        const uint64_t Epoch = Request.NamesEpoch ? Request.After.Epoch : 2;
+        return Table.getChangesAfter({Epoch, Request.After.Revision});
+      },
+      [&HasRoom] { return HasRoom; });
+  const ChangesRequest Without{{0, 110}, true, {}, false};
+  const ChangesRequest Earlier{{0, 110}, true, {}, true};
+  for (int Time = 0; Time < 2; ++Time) {
+    const auto News = decodeChanges(Answerer.answer(Without));
+    REQUIRE(News);
+    CHECK(News.value().Items.size() == 1);
+    const auto Whole = decodeChanges(Answerer.answer(Earlier));
+    REQUIRE(Whole);
+    CHECK(Whole.value().Items.size() == 101);
+  }
+  // Its news are small and need no room; a whole copy does.
+  HasRoom = false;
+  CHECK(decodeChanges(Answerer.answer(Without)));
+  CHECK_FALSE(decodeChanges(Answerer.answer(Earlier)));
+}
