Session: the last of the asks may be a try that is due

Traced as far as this: in three runs with logs kept the tries come 2.1 s and 9.2 s after the request is held back; the 36 asks take 5.7 s on an idle machine and 9 s and more beside load (30 s in one run), so the last one can be the second try, of which d1, whose metrics were read, hears a moment later. That it was so in the run that failed is inferred from its transcript (the last answer is a server's end, five ends are three and two tries); its logs are gone. Now one more ask follows such a one, and the count of tries is that of the daemon that knows most: the checks are as they were.

--- a/test/sessions/ending.sh
+++ b/test/sessions/ending.sh
@@ -34,11 +34,18 @@
     restartEnded
   done
 done
+# The last one may have been a try that was due; the one after it is not.
+if [ "$Last" != "503 not-run held-back" ]; then
+  Last="$(askFatal d1)"
+  restartEnded
+fi
 say "its last answer: $Last"
 say "it is told when to come back: $(grep -ci '^retry-after' "$Work/head")"
-# Three, and one more for each try that was due meanwhile.
-Tries="$(curl -s -m 2 "http://$(controlOf d1)/metrics" |
-  sed -n 's/^canvaswick_held_request_ends.*tries="\([0-9]*\)".*/\1/p')"
+# Three, and one more for each try that was due meanwhile. Who tried knows first.
+Tries="$(for Daemon in d1 d2 d3; do
+  curl -s -m 2 "http://$(controlOf "$Daemon")/metrics" |
+    sed -n 's/^canvaswick_held_request_ends.*tries="\([0-9]*\)".*/\1/p'
+done | sort -n | tail -1)"
 if [ "$Ends" -ge 3 ] && [ "$Ends" -le $((3 + ${Tries:-0})) ]; then
   say "servers that ended: three, and one a try"
 else
