--- a/include/canvaswick/Directory/FleetRecords.h
+++ b/include/canvaswick/Directory/FleetRecords.h
@@ -18,6 +18,7 @@
 #include "canvaswick/Settings/FleetConfig.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,10 @@
   /// Number of connections that each of its servers accepts from the whole
   /// fleet.
   int64_t MaxConnections = 0;
+  /// Requests per second that a cold server bears from the whole fleet, and how
+  /// long it is cold after its start. 0 if the operators set none.
+  double WarmupPerSecond = 0;
+  int64_t WarmupMs = 0;
 };
 
 /// One version of the operators' settings.
@@ -111,11 +116,13 @@
 };
 
 /// Builds the configuration of a daemon. Servers of unknown services, and
-/// routes to unknown services, are left out.
+/// routes to unknown services, are left out. DrainedHalls names the halls whose
+/// servers must get no requests.
 FleetConfigRef
 compileFleetConfig(const RoutingRules &Rules,
                    const std::map<std::string, KnownServer> &Servers,
-                   const ServiceDefaults &Defaults);
+                   const ServiceDefaults &Defaults,
+                   std::set<std::string> DrainedHalls = {});
 
 } // namespace canvaswick
 
--- a/include/canvaswick/Health/HealthPolicy.h
+++ b/include/canvaswick/Health/HealthPolicy.h
@@ -66,6 +66,10 @@
   ServerBackoff,
   /// The server announced a request limit.
   Limited,
+  /// The server has just started and bears few requests.
+  Cold,
+  /// Operators have drained the server's hall.
+  HallDrained,
 };
 
 /// Returns the name of a reason as it appears in reports.
--- a/include/canvaswick/Health/MarkovPolicy.h
+++ b/include/canvaswick/Health/MarkovPolicy.h
@@ -144,7 +144,8 @@
   /// Records that a request was sent to a server.
   void recordUse(size_t Server, TimePoint Now);
 
-  /// Marks a server as leaving or not leaving.
+  /// Marks a server as leaving or not leaving. One that no longer leaves is
+  /// judged anew.
   void setLeaving(size_t Server, bool IsLeaving, TimePoint Now);
 
   /// Does nothing, since shares are computed for the time of each call. Callers
@@ -213,6 +214,7 @@
     OutcomeCounts Counts;
   };
 
+  void forget(ServerState &State) const;
   /// Returns whether a recent estimate from the server's hall exists.
   bool hasRecentEstimate(size_t Server, TimePoint Now) const;
   std::vector<double> computeUtilities(TimePoint Now) const;
--- a/include/canvaswick/Operator/Commands.h
+++ b/include/canvaswick/Operator/Commands.h
@@ -74,6 +74,7 @@
 Result<std::string> runPut(const OperatorOptions &Options);
 Result<std::string> runDrain(const OperatorOptions &Options);
 Result<std::string> runUndrain(const OperatorOptions &Options);
+Result<std::string> runHall(const OperatorOptions &Options);
 
 /// The name, function and usage text of one command.
 struct OperatorCommand {
--- a/include/canvaswick/Proxy/ServiceRuntime.h
+++ b/include/canvaswick/Proxy/ServiceRuntime.h
@@ -23,6 +23,7 @@
 #include "canvaswick/Health/MarkovPolicy.h"
 #include "canvaswick/Metrics/ServiceMetrics.h"
 #include "canvaswick/Proxy/ServerNoticeTable.h"
+#include "canvaswick/Routing/HallDrains.h"
 #include "canvaswick/Routing/ServerSelector.h"
 #include "canvaswick/Routing/SubsetChooser.h"
 
@@ -117,6 +118,9 @@
   /// The server notices. If null, the table of the previous version is used, or
   /// a new one for this service alone.
   ServerNoticeTableRef Notices;
+  /// The halls that operators have drained. If null, the object of the previous
+  /// version is used, or a new one for this service alone.
+  HallDrainsRef Halls;
 };
 
 class ServiceRuntime;
@@ -125,7 +129,7 @@
 using ServiceRuntimeRef = boost::intrusive_ptr<ServiceRuntime>;
 
 /// The live state of one service. Thread-safe. While its mutex is held, no
-/// other lock is taken except that of the ServerNoticeTable.
+/// other lock is taken except those of the ServerNoticeTable and of HallDrains.
 class ServiceRuntime : public boost::intrusive_ref_counter<ServiceRuntime> {
 public:
   /// Copies the health data of the servers that are also in Previous, which may
@@ -300,12 +304,18 @@
   int computeLatencyRatioPercent(const Attempt &Ended, TimePoint Now) const;
   ShareExplanation explain(size_t Server, TimePoint Now) const;
 
+  static HallDrainsRef chooseHallDrains(const DaemonIdentity &Identity,
+                                        const ServiceRuntime *Previous);
   static ServerNoticeTableRef chooseNoticeTable(const DaemonIdentity &Identity,
                                                 const ServiceRuntime *Previous);
   NoticeSource makeNoticeSource(size_t Server) const;
   size_t applyNotices(std::vector<double> &Shares, TimePoint Now) const;
   bool isExcludedByNotice(size_t Server, TimePoint Now) const;
   void updateLeaving(TimePoint Now);
+  void updateHalls(TimePoint Now);
+  void recordWarmups(TimePoint Now);
+  void recordWarmup(size_t Server, TimePoint Until, TimePoint Now);
+  Duration getServerWait(size_t Server, TimePoint Now) const;
   void explainNotice(size_t Server, ShareExplanation &Why, TimePoint Now) const;
   std::optional<Duration> computeNoticeWait(TimePoint Now) const;
 
@@ -314,6 +324,7 @@
   /// The ids of the servers in messages and notices.
   const std::vector<ServerId> Ids;
   const ServerNoticeTableRef Notices;
+  const HallDrainsRef Halls;
   const PolicySwitches Switches;
   mutable std::mutex Mutex;
   Policies Policy;
@@ -328,6 +339,9 @@
   std::vector<bool> LeavingByList;
   /// Set by the servers' own notices.
   std::vector<bool> LeavingByNotice;
+  /// Set for the servers of drained halls, as of HallsVersion.
+  std::vector<bool> LeavingByHall;
+  uint64_t HallsVersion = 0;
   std::vector<bool> IsLeaving;
   std::shared_ptr<ServiceMetrics> Metrics;
 };
--- a/include/canvaswick/Routing/RateLimitShare.h
+++ b/include/canvaswick/Routing/RateLimitShare.h
@@ -19,25 +19,14 @@
 #ifndef CANVASWICK_ROUTING_RATELIMITSHARE_H
 #define CANVASWICK_ROUTING_RATELIMITSHARE_H
 
+#include "canvaswick/Routing/SenderChooser.h"
 #include "canvaswick/Support/Time.h"
 
 #include <cstddef>
-#include <map>
 #include <string>
-#include <vector>
 
 namespace canvaswick {
 
-/// The daemons of a fleet as one of them knows them.
-struct FleetDaemons {
-  std::string Self;
-  /// Keyed by the name of the hall. Daemons of an unknown hall are in All only.
-  std::map<std::string, std::vector<std::string>> Halls;
-  std::vector<std::string> All;
-
-  bool operator==(const FleetDaemons &) const = default;
-};
-
 /// The part of a server's request limit that one daemon may use. Not
 /// thread-safe.
 class RateLimitShare {
--- a/include/canvaswick/Routing/ServerNotices.h
+++ b/include/canvaswick/Routing/ServerNotices.h
@@ -8,9 +8,10 @@
 ///
 /// \file
 /// With response headers a backend server may limit the request rate of all
-/// daemons together, announce that it leaves, or ask for a backoff. This is
-/// what a daemon remembers of these notices. They are stored per server
-/// instance: a restarted server begins without any.
+/// daemons together, announce that it leaves, or ask for a backoff; its entry
+/// in the directory may say that it is cold. This is what a daemon remembers of
+/// these notices. They are stored per server instance: a restarted server
+/// begins without any.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -19,6 +20,7 @@
 
 #include "canvaswick/Health/Evidence.h"
 #include "canvaswick/Routing/RateLimitShare.h"
+#include "canvaswick/Routing/WarmupShare.h"
 #include "canvaswick/Support/Time.h"
 
 #include <cstddef>
@@ -60,7 +62,7 @@
 };
 
 /// The kinds of notices.
-enum class NoticeKind : uint8_t { Limit, Leaving, Backoff, Malformed };
+enum class NoticeKind : uint8_t { Limit, Leaving, Backoff, Malformed, Warmup };
 
 /// Returns the name of a kind in the log.
 const char *getName(NoticeKind Kind);
@@ -85,6 +87,7 @@
   size_t Limited = 0;
   size_t Leaving = 0;
   size_t InBackoff = 0;
+  size_t Cold = 0;
 };
 
 /// A server's limit as daemons report it to each other.
@@ -115,6 +118,13 @@
                                         const LimitReport &Given,
                                         TimePoint Now);
 
+  /// Records that a server is cold until Until and bears PerSecond requests per
+  /// second of all daemons together. An earlier end than a known one changes
+  /// nothing. Not reported as a change: servers of a whole hall become cold at
+  /// once.
+  void recordWarmup(const NoticeSource &From, double PerSecond, TimePoint Until,
+                    TimePoint Now);
+
   /// Returns reports of at most MaxReports limits that servers stated to this
   /// daemon and that are due for peers, and marks them as reported.
   std::vector<LimitReport> drainLimitReports(size_t MaxReports, TimePoint Now);
@@ -135,7 +145,7 @@
   void recordRequestSent(ServerId Server, TimePoint Now);
 
   /// Returns the active notice with the highest precedence (leaving, backoff,
-  /// limit), or nothing.
+  /// limit, warm-up), or nothing.
   std::optional<NoticeKind> getActiveKind(ServerId Server, TimePoint Now) const;
 
   /// Removes expired notices. Returns what has changed.
@@ -161,6 +171,7 @@
     std::optional<TimePoint> LeavingUntil;
     std::optional<TimePoint> BackoffUntil;
     std::optional<TimePoint> MalformedUntil;
+    std::optional<WarmupShare> Warmup;
   };
   using Changes = std::vector<NoticeChange>;
 
@@ -174,6 +185,7 @@
   static void recordBackoff(Entry &State, Duration Backoff, TimePoint Now,
                             Changes &All);
   static void recordMalformed(Entry &State, TimePoint Now, Changes &All);
+  static bool isCold(const Entry &State, TimePoint Now);
   static void endExpired(Entry &State, TimePoint Now, Changes &All);
   static LimitReport makeReport(ServerId Server, const Entry &State,
                                 TimePoint Now);
--- a/include/canvaswick/Settings/FleetConfig.h
+++ b/include/canvaswick/Settings/FleetConfig.h
@@ -24,6 +24,7 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -90,6 +91,11 @@
   int64_t SlowAfterMs = 0;
   /// Time over which a new server is given its full share.
   int64_t ColdStartMs = 0;
+  /// Requests per second that a cold server bears from all daemons together; 0
+  /// if there is no such bound.
+  double WarmupPerSecond = 0;
+  /// How long a server is cold after its start.
+  int64_t WarmupMs = 0;
   int64_t MaxInFlight = 0;
   int64_t RetryPercent = 0;
   int64_t ObjectivePercent = 0;
@@ -153,6 +159,8 @@
   /// The organisations that callers may belong to.
   OrganisationDirectoryRef Organisations = makeOrganisationDirectory({}, false);
   CallerLimits Limits;
+  /// Halls whose servers must get no requests.
+  std::set<std::string> DrainedHalls;
 
   /// Returns the index of the service with the given name, or -1.
   int findService(const std::string &Name) const;
@@ -164,6 +172,13 @@
 /// Compiles a validated tree.
 FleetConfigRef compileFleetConfig(const SettingsTree &Tree, uint64_t Version);
 
+/// Returns the halls that a region names as drained.
+std::set<std::string> listDrainedHalls(const SettingsTree &Tree,
+                                       const SettingNode &Region);
+
+/// Returns the halls that any region of a tree names as drained.
+std::set<std::string> listDrainedHalls(const SettingsTree &Tree);
+
 } // namespace canvaswick
 
 #endif // CANVASWICK_SETTINGS_FLEETCONFIG_H
--- a/include/canvaswick/Settings/SettingTable.h
+++ b/include/canvaswick/Settings/SettingTable.h
@@ -69,6 +69,7 @@
   ObjectiveMs,
   ProbePath,
   MaxBodyBytes,
+  DrainedHalls,
   RegionOfService,
   Hall,
   State,
--- a/lib/Daemon/Daemon.cpp
+++ b/lib/Daemon/Daemon.cpp
@@ -68,6 +68,7 @@
   std::unique_ptr<PlatformClient> Platform;
   std::unique_ptr<WorkerPool> Calls;
   const ServerNoticeTableRef Notices{new ServerNoticeTable};
+  const HallDrainsRef Halls{new HallDrains};
   FleetRuntimeSlot Fleet;
   std::unique_ptr<ControlContext> Context;
   std::unique_ptr<MembershipAgent> Members;
@@ -211,6 +212,8 @@
 }
 
 void Daemon::Impl::applyConfig(const FleetConfigRef &Compiled) {
+  logHallChanges(
+      this->Halls->update(Compiled->DrainedHalls, readSteadyClock()));
   std::lock_guard<std::mutex> Lock(this->BuildMutex);
   this->BuiltForMembers = this->Members->getWorkingVersion();
   this->updateLimitSharers();
@@ -218,6 +221,7 @@
   Identity.Name = this->Config.Name;
   Identity.Hall = this->Config.Hall;
   Identity.Notices = this->Notices;
+  Identity.Halls = this->Halls;
   Identity.Daemons = this->Members->getWorking();
   Identity.ExpectedDaemons = this->Config.ExpectedDaemons;
   Identity.StartMillis = this->Context->StartMillis;
--- a/lib/Daemon/GatewayFleet.cpp
+++ b/lib/Daemon/GatewayFleet.cpp
@@ -37,6 +37,7 @@
   Identity.Name = this->Config.Name;
   Identity.Hall = this->Config.Hall;
   Identity.Notices = this->Notices;
+  Identity.Halls = this->Halls;
   Identity.Daemons = this->DaemonNames;
   Identity.ExpectedDaemons = this->Config.ExpectedDaemons;
   Identity.Source = SettingsSource::Platform;
@@ -72,6 +73,7 @@
 }
 
 void Gateway::Impl::setFleet(const FleetConfigRef &Next) {
+  logHallChanges(this->Halls->update(Next->DrainedHalls, readSteadyClock()));
   std::lock_guard<std::mutex> Lock(this->BuildMutex);
   this->build(Next);
   if (this->Callers)
--- a/lib/Daemon/GatewayImpl.h
+++ b/lib/Daemon/GatewayImpl.h
@@ -72,6 +72,7 @@
 
   const TimePoint Started = readSteadyClock();
   const ServerNoticeTableRef Notices{new ServerNoticeTable};
+  const HallDrainsRef Halls{new HallDrains};
   FleetRuntimeSlot Fleet;
   ConnectionPool Upstreams{0};
   RequestProxy Proxy;
--- a/lib/Daemon/HealthEndpoints.cpp
+++ b/lib/Daemon/HealthEndpoints.cpp
@@ -103,6 +103,7 @@
   Add(NoticeKind::Limit, Notices.Limited);
   Add(NoticeKind::Leaving, Notices.Leaving);
   Add(NoticeKind::Backoff, Notices.InBackoff);
+  Add(NoticeKind::Warmup, Notices.Cold);
   return Text;
 }
 
--- a/lib/Directory/FleetRecords.cpp
+++ b/lib/Directory/FleetRecords.cpp
@@ -17,6 +17,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace canvaswick {
 
@@ -46,6 +47,8 @@
   Config.DeadlineMs = DefaultDeadlineMs;
   Config.StallMs = DefaultStallMs;
   Config.ColdStartMs = DefaultColdStartMs;
+  Config.WarmupPerSecond = Rule.WarmupPerSecond;
+  Config.WarmupMs = Rule.WarmupMs;
   Config.MaxInFlight = DefaultMaxInFlight;
   Config.ObjectivePercent = 99;
   Config.ObjectiveMs = DefaultObjectiveMs;
@@ -107,9 +110,11 @@
 FleetConfigRef
 compileFleetConfig(const RoutingRules &Rules,
                    const std::map<std::string, KnownServer> &Servers,
-                   const ServiceDefaults &Defaults) {
+                   const ServiceDefaults &Defaults,
+                   std::set<std::string> DrainedHalls) {
   boost::intrusive_ptr<FleetConfig> Config(new FleetConfig);
   Config->Version = Rules.Version;
+  Config->DrainedHalls = std::move(DrainedHalls);
   Config->Limits = Rules.Limits;
   Config->Organisations = Rules.Organisations;
   std::map<std::string, uint32_t> ServiceIndex;
--- a/lib/Health/HealthPolicy.cpp
+++ b/lib/Health/HealthPolicy.cpp
@@ -26,7 +26,7 @@
     {PolicyKind::Pooled, "pooled"},
 }};
 
-static constexpr EnumNames<ShareReason, 8> ShareReasonNames = {{
+static constexpr EnumNames<ShareReason, 10> ShareReasonNames = {{
     {ShareReason::Healthy, "healthy"},
     {ShareReason::LocalEvidence, "own-evidence"},
     {ShareReason::HallEvidence, "hall-evidence"},
@@ -35,6 +35,8 @@
     {ShareReason::KeptByFloor, "kept-by-floor"},
     {ShareReason::ServerBackoff, "resting"},
     {ShareReason::Limited, "limited"},
+    {ShareReason::Cold, "cold"},
+    {ShareReason::HallDrained, "hall-drained"},
 }};
 
 const char *getName(PolicyKind Kind) {
--- a/lib/Health/MarkovPolicy.cpp
+++ b/lib/Health/MarkovPolicy.cpp
@@ -258,7 +258,21 @@
 }
 
 void MarkovPolicy::setLeaving(size_t Server, bool IsLeaving, TimePoint) {
-  this->Servers[Server].IsLeaving = IsLeaving;
+  ServerState &State = this->Servers[Server];
+  const bool Returns = State.IsLeaving && !IsLeaving;
+  State.IsLeaving = IsLeaving;
+  if (Returns)
+    this->forget(State);
+}
+
+/// Forgets what was known of a server that was out of use.
+void MarkovPolicy::forget(ServerState &State) const {
+  State.UnhealthyProbability = this->Rates.getStationaryProbability();
+  State.At = TimePoint{};
+  State.UsedAt = TimePoint{};
+  State.EstimatedAt = TimePoint{};
+  State.UnreachableUntil = TimePoint{};
+  State.UnreachableInRow = 0;
 }
 
 void MarkovPolicy::advance(TimePoint) {}
--- a/lib/Operator/FleetCommands.cpp
+++ b/lib/Operator/FleetCommands.cpp
@@ -256,6 +256,9 @@
        "publish a tree"},
       {"drain", runDrain, "SERVICE/SERVER --platform A: give no new work"},
       {"undrain", runUndrain, "SERVICE/SERVER --platform A: give work again"},
+      {"hall", runHall,
+       "(empty HALL | return HALL | list) --platform A: give a hall's servers "
+       "no work, or work again; show the room without each hall"},
       {"status", runStatus, "--daemon A --key-file K: the fleet's state"},
       {"explain", runExplain,
        "SERVICE/SERVER --daemon A --key-file K: why it has its share"},
--- a/lib/Operator/SettingsCommands.cpp
+++ b/lib/Operator/SettingsCommands.cpp
@@ -12,6 +12,7 @@
 ///
 //===----------------------------------------------------------------------===//
 
+#include "TreeEdit.h"
 #include "canvaswick/Operator/Commands.h"
 #include "canvaswick/Operator/TreeText.h"
 #include "canvaswick/Settings/SettingsTree.h"
@@ -21,14 +22,9 @@
 
 #include <cctype>
 #include <iostream>
-#include <random>
 
 namespace canvaswick {
 
-/// The maximum number of attempts to apply an edit to the newest tree while
-/// others publish.
-static constexpr int MaxEditAttempts = 5;
-
 static Result<SettingsTree> loadTree(const std::string &Path) {
   BOOST_OUTCOME_TRY(std::string Text, readFile(Path));
   return SettingsTree::parse(Text, Path);
@@ -59,14 +55,6 @@
   return formatSettingsReference();
 }
 
-static Result<Endpoint> parsePlatform(const OperatorOptions &Options) {
-  Result<Endpoint> Address = parseEndpoint(Options.Platform);
-  if (!Address)
-    return makeError(ErrorKind::InvalidArgument,
-                     "--platform: " + Address.error().Message);
-  return Address;
-}
-
 /// Reads the manifest of a version, or the newest one if Version is negative.
 static Result<ConfigManifest> readVersion(ConfigPublisher &Publisher,
                                           int64_t Version) {
@@ -159,30 +147,6 @@
   return Lines;
 }
 
-static std::string makeChangeId() {
-  std::random_device Random;
-  return fmt::format("{:08x}{:08x}", Random(), Random());
-}
-
-static ConfigRequest makeRequest(const OperatorOptions &Options) {
-  ConfigRequest Request;
-  Request.Author = Options.Author;
-  Request.Note = Options.Note;
-  Request.ChangeId =
-      Options.ChangeId.empty() ? makeChangeId() : Options.ChangeId;
-  return Request;
-}
-
-/// Adds to an error with an unknown outcome how to find out whether the change
-/// was published.
-static Error addRecoveryHint(Error Failure, const ConfigRequest &Request) {
-  if (Failure.Kind == ErrorKind::OutcomeUnknown)
-    Failure.Message += fmt::format(
-        "; the change may have landed: ask 'canvaswickctl landed --change {}'",
-        Request.ChangeId);
-  return Failure;
-}
-
 Result<std::string> runPut(const OperatorOptions &Options) {
   BOOST_OUTCOME_TRY(Endpoint Address, parsePlatform(Options));
   if (Options.BaseVersion < 0)
@@ -201,34 +165,20 @@
                      Request.ChangeId);
 }
 
-/// Sets the state of one server in the newest tree. Retries if others publish
-/// a version at the same time.
+/// Sets the state of one server in the newest tree.
 static Result<std::string> setState(const OperatorOptions &Options,
                                     const char *State) {
   if (Options.Arguments.size() != 1)
     return makeError(ErrorKind::InvalidArgument, "expected SERVICE/SERVER");
-  BOOST_OUTCOME_TRY(Endpoint Address, parsePlatform(Options));
-  PlatformClient Platform(Address, nullptr);
-  ConfigPublisher Publisher(Platform);
-  ConfigRequest Request = makeRequest(Options);
-  Request.FileName = "platform";
-  Request.Note = fmt::format("{} {}", State, Options.Arguments[0]);
-  for (int Attempt = 0; Attempt < MaxEditAttempts; ++Attempt) {
-    BOOST_OUTCOME_TRY(ConfigManifest Manifest, Publisher.readManifest());
-    BOOST_OUTCOME_TRY(std::string Text, Publisher.readTree(Manifest));
-    BOOST_OUTCOME_TRY(Request.Text,
-                      setTreeValue(Text, "server " + Options.Arguments[0],
-                                   getSettingSpec(SettingKey::State).Name,
-                                   State));
-    Request.BaseVersion = Manifest.Version;
-    Result<uint64_t> Version = Publisher.publish(Request, readCalendarMillis());
-    if (Version)
-      return fmt::format("{} is {} from version {}\n", Options.Arguments[0],
-                         State, Version.value());
-    if (Version.error().Kind != ErrorKind::Conflict)
-      return outcome::failure(addRecoveryHint(Version.error(), Request));
-  }
-  return makeError(ErrorKind::Conflict, "others keep changing the settings");
+  const std::string &Server = Options.Arguments[0];
+  const TreeEdit Edit = [&](const std::string &Text) {
+    return setTreeValue(Text, "server " + Server,
+                        getSettingSpec(SettingKey::State).Name, State);
+  };
+  BOOST_OUTCOME_TRY(
+      uint64_t Version,
+      publishEdit(Options, fmt::format("{} {}", State, Server), Edit));
+  return fmt::format("{} is {} from version {}\n", Server, State, Version);
 }
 
 Result<std::string> runDrain(const OperatorOptions &Options) {
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -245,6 +245,8 @@
     return Counter::BackoffsReceived;
   case NoticeKind::Malformed:
     return Counter::MalformedNotices;
+  case NoticeKind::Warmup:
+    break;
   }
   assert(false && "notice without a counter");
   return Counter::LimitsReceived;
--- a/lib/Proxy/ServiceEvidence.cpp
+++ b/lib/Proxy/ServiceEvidence.cpp
@@ -111,6 +111,7 @@
 
 void ServiceRuntime::advance(TimePoint Now) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->updateHalls(Now);
   this->updateLeaving(Now);
   if (auto *Pooled = std::get_if<PooledPolicy>(&this->Policy))
     for (Attempt &Each : this->Attempts)
@@ -258,6 +259,8 @@
   else
     Why = std::get<PooledPolicy>(this->Policy).explain(Server);
   this->explainNotice(Server, Why, Now);
+  if (this->LeavingByHall[Server])
+    Why.Reason = ShareReason::HallDrained;
   return Why;
 }
 
--- a/lib/Proxy/ServiceNotices.cpp
+++ b/lib/Proxy/ServiceNotices.cpp
@@ -7,8 +7,9 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// The part of ServiceRuntime that handles server notices. Every selection of a
-/// server applies them through applyNotices.
+/// The part of ServiceRuntime that handles server notices and drained halls.
+/// Every selection of a server applies notices through applyNotices; servers of
+/// drained halls count as leaving.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -19,6 +20,10 @@
 
 namespace canvaswick {
 
+/// The time after which a caller may retry if the halls of all servers are
+/// drained: operators may return one at any time.
+static constexpr Duration DrainedHallWait = fromSeconds(1);
+
 ServerNoticeTableRef
 ServiceRuntime::chooseNoticeTable(const DaemonIdentity &Identity,
                                   const ServiceRuntime *Previous) {
@@ -68,6 +73,50 @@
   }
 }
 
+HallDrainsRef ServiceRuntime::chooseHallDrains(const DaemonIdentity &Identity,
+                                               const ServiceRuntime *Previous) {
+  if (Identity.Halls)
+    return Identity.Halls;
+  return Previous ? Previous->Halls : new HallDrains;
+}
+
+/// Takes the servers of drained halls out of use, and those of returned halls
+/// back into use: cold, and judged anew. The caller holds the mutex.
+void ServiceRuntime::updateHalls(TimePoint Now) {
+  const uint64_t Version = this->Halls->getVersion();
+  if (Version == this->HallsVersion)
+    return;
+  this->HallsVersion = Version;
+  for (size_t I = 0; I < this->Ids.size(); ++I) {
+    const std::string &Hall = this->getServer(I).Hall;
+    const bool IsDrained = this->Halls->isDrained(Hall);
+    if (this->LeavingByHall[I] == IsDrained)
+      continue;
+    this->LeavingByHall[I] = IsDrained;
+    this->applyLeaving(I, Now);
+    if (!IsDrained)
+      this->recordWarmup(I, Now + fromMillis(this->Config.WarmupMs), Now);
+  }
+}
+
+/// Records until when servers are cold, as their entries say.
+void ServiceRuntime::recordWarmups(TimePoint Now) {
+  for (size_t I = 0; I < this->Ids.size(); ++I)
+    this->recordWarmup(I, this->getServer(I).WarmAt, Now);
+}
+
+/// Records that a server is cold until Until. Does nothing if that is past, or
+/// if cold servers bear as many requests as others.
+void ServiceRuntime::recordWarmup(size_t Server, TimePoint Until,
+                                  TimePoint Now) {
+  if (this->Config.WarmupPerSecond <= 0 || Until <= Now)
+    return;
+  this->Notices->with([&](ServerNotices &All) {
+    All.recordWarmup(this->makeNoticeSource(Server),
+                     this->Config.WarmupPerSecond, Until, Now);
+  });
+}
+
 std::vector<NoticeChange>
 ServiceRuntime::applyPeerLimit(const LimitReport &Given, TimePoint Now) {
   const auto Found =
@@ -106,16 +155,28 @@
          });
 }
 
+/// Returns the time until a server may get a request, as far as its notices and
+/// its hall tell.
+Duration ServiceRuntime::getServerWait(size_t Server, TimePoint Now) const {
+  if (this->LeavingByHall[Server])
+    return DrainedHallWait;
+  if (this->Notices->isEmpty())
+    return Duration::zero();
+  return this->Notices->with([&](const ServerNotices &All) {
+    return All.getWait(this->Ids[Server], Now);
+  });
+}
+
 /// Returns the time until any server may get a request, or nothing if one may
 /// get it now.
 std::optional<Duration> ServiceRuntime::computeNoticeWait(TimePoint Now) const {
-  if (this->Notices->isEmpty() || this->Ids.empty())
+  const bool IsAnyExcluded =
+      this->HallsVersion > 0 || !this->Notices->isEmpty();
+  if (!IsAnyExcluded || this->Ids.empty())
     return std::nullopt;
   Duration Shortest = Duration::max();
-  this->Notices->with([&](const ServerNotices &All) {
-    for (const ServerId Id : this->Ids)
-      Shortest = std::min(Shortest, All.getWait(Id, Now));
-  });
+  for (size_t I = 0; I < this->Ids.size() && Shortest > Duration::zero(); ++I)
+    Shortest = std::min(Shortest, this->getServerWait(I, Now));
   if (Shortest <= Duration::zero())
     return std::nullopt;
   return Shortest;
@@ -129,6 +190,8 @@
     return ShareReason::Leaving;
   case NoticeKind::Backoff:
     return ShareReason::ServerBackoff;
+  case NoticeKind::Warmup:
+    return ShareReason::Cold;
   case NoticeKind::Malformed:
     break;
   }
--- a/lib/Proxy/ServiceRuntime.cpp
+++ b/lib/Proxy/ServiceRuntime.cpp
@@ -59,7 +59,8 @@
                           Identity.ExpectedDaemons)),
       Ids(makeIds(this->Config, this->Subset)),
       Notices(chooseNoticeTable(Identity, Previous)),
-      Switches(Identity.Switches), Policy(this->makePolicy(Identity)),
+      Halls(chooseHallDrains(Identity, Previous)), Switches(Identity.Switches),
+      Policy(this->makePolicy(Identity)),
       Selector(this->makeSelectable(Identity, Previous, Now),
                fromMillis(this->Config.ColdStartMs)),
       Latency(fromMillis(this->Config.SlowAfterMs)),
@@ -69,6 +70,7 @@
       Random(makeSeed(this->Config.Name, Identity.Name, Now)),
       LeavingByList(this->Subset.Servers.size(), false),
       LeavingByNotice(this->Subset.Servers.size(), false),
+      LeavingByHall(this->Subset.Servers.size(), false),
       IsLeaving(this->Subset.Servers.size(), false),
       Metrics(Previous ? Previous->Metrics
                        : std::make_shared<ServiceMetrics>()) {
@@ -81,12 +83,19 @@
             ActivePolicy.adopt(*Old, Now);
         },
         this->Policy);
-    this->Selector.adopt(Previous->Selector, this->matchServers(*Previous));
+    const std::vector<int> Matches = this->matchServers(*Previous);
+    this->Selector.adopt(Previous->Selector, Matches);
     this->Latency.adopt(Previous->Latency, Now);
+    for (size_t I = 0; I < Matches.size(); ++I)
+      this->LeavingByHall[I] =
+          Matches[I] >= 0 &&
+          Previous->LeavingByHall[static_cast<size_t>(Matches[I])];
   }
   for (size_t I = 0; I < this->countServers(); ++I)
     this->applyLeaving(I, Now);
+  this->updateHalls(Now);
   this->updateLeaving(Now);
+  this->recordWarmups(Now);
   std::visit([Now](auto &ActivePolicy) { ActivePolicy.advance(Now); },
              this->Policy);
 }
@@ -193,7 +202,8 @@
 void ServiceRuntime::applyLeaving(size_t Server, TimePoint Now) {
   const bool IsLeaving =
       this->getServer(Server).State == ServerState::Draining ||
-      this->LeavingByList[Server] || this->LeavingByNotice[Server];
+      this->LeavingByList[Server] || this->LeavingByNotice[Server] ||
+      this->LeavingByHall[Server];
   if (this->IsLeaving[Server] && !IsLeaving)
     this->Selector.restartColdStart(Server, Now);
   this->IsLeaving[Server] = IsLeaving;
@@ -208,6 +218,7 @@
                               TimePoint Now, Duration &Wait) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   Wait = BusyRetryAfter;
+  this->updateHalls(Now);
   if (!canMeetDeadline(Left, this->Latency.getMedian(Route)))
     return Refusal::DeadlineTooShort;
   if (const std::optional<Duration> NoticeWait = this->computeNoticeWait(Now)) {
@@ -244,6 +255,7 @@
 bool ServiceRuntime::begin(Attempt &Next, const AttemptNeeds &Needs,
                            TimePoint Now) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->updateHalls(Now);
   const std::vector<ServerShare> Granted = this->getShares(Needs, Now);
   std::vector<double> Shares;
   Shares.reserve(Granted.size());
--- a/lib/Routing/RateLimitShare.cpp
+++ b/lib/Routing/RateLimitShare.cpp
@@ -14,8 +14,6 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Routing/RateLimitShare.h"
-#include "canvaswick/Routing/SubsetChooser.h"
-#include "canvaswick/Support/Hash.h"
 
 #include <algorithm>
 #include <cmath>
@@ -73,33 +71,20 @@
 }
 
 void RateLimitShare::chooseSenders(const FleetDaemons &Fleet, TimePoint Now) {
-  const auto Found = Fleet.Halls.find(this->Hall);
-  const bool HasHall = Found != Fleet.Halls.end() && !Found->second.empty();
-  const std::vector<std::string> &HallDaemons =
-      HasHall ? Found->second : Fleet.All;
   const size_t Wanted =
-      countSenders(this->PerSecond, HallDaemons.size(), Fleet.All.size());
-  const std::vector<std::string> &Candidates =
-      Wanted == 0 ? Fleet.All : HallDaemons;
-  const size_t Senders = Wanted == 0 ? Candidates.size() : Wanted;
-  const bool IsCandidate = std::find(Candidates.begin(), Candidates.end(),
-                                     Fleet.Self) != Candidates.end();
-  const bool WasSender = std::exchange(
-      this->IsSender,
-      IsCandidate && static_cast<size_t>(getDaemonRank(this->Key, Fleet.Self,
-                                                       Candidates)) < Senders);
+      countSenders(this->PerSecond, getHallDaemons(Fleet, this->Hall).size(),
+                   Fleet.All.size());
+  const SenderChoice Choice =
+      canvaswick::chooseSenders(this->Key, this->Hall, Wanted, Fleet);
+  const bool WasSender = std::exchange(this->IsSender, Choice.IsSender);
   // A new sender must not use the tokens that another one has accumulated.
   this->Tokens = WasSender ? this->getTokens(Now) : 0;
   this->TokensAt = Now;
-  const auto Parts = static_cast<double>(std::max<size_t>(1, Senders));
-  this->Rate = SenderFraction * this->PerSecond / Parts;
-  this->WeightFactor =
-      static_cast<double>(Candidates.size()) / (this->IsSender ? Parts : 1);
+  this->Rate =
+      SenderFraction * this->PerSecond / static_cast<double>(Choice.Senders);
+  this->WeightFactor = Choice.WeightFactor;
   this->Daemons = std::max<size_t>(1, Fleet.All.size());
-  static constexpr uint64_t Steps = 1 << 20;
-  this->ProbePhase =
-      static_cast<double>(hashText(Fleet.Self, hashText(this->Key)) % Steps) /
-      static_cast<double>(Steps);
+  this->ProbePhase = getDaemonPhase(this->Key, Fleet.Self);
 }
 
 void RateLimitShare::updateLimit(double NewLimit, TimePoint At,
--- a/lib/Routing/ServerNotices.cpp
+++ b/lib/Routing/ServerNotices.cpp
@@ -51,11 +51,12 @@
 /// The upper bound of a backoff.
 static constexpr Duration MaxBackoff = fromSeconds(300);
 
-static constexpr EnumNames<NoticeKind, 4> NoticeKindNames = {{
+static constexpr EnumNames<NoticeKind, 5> NoticeKindNames = {{
     {NoticeKind::Limit, "limit"},
     {NoticeKind::Leaving, "leaving"},
     {NoticeKind::Backoff, "rest"},
     {NoticeKind::Malformed, "misread"},
+    {NoticeKind::Warmup, "warm-up"},
 }};
 
 static constexpr EnumNames<NoticeStep, 3> NoticeStepNames = {{
@@ -81,9 +82,12 @@
   if (Given == this->Fleet)
     return;
   this->Fleet = Given;
-  for (auto &[Id, State] : this->Entries)
+  for (auto &[Id, State] : this->Entries) {
     if (State.Limit)
       State.Limit->setFleet(Given, Now);
+    if (State.Warmup)
+      State.Warmup->setFleet(Given, Now);
+  }
 }
 
 ServerNotices::Entry &ServerNotices::findEntry(const NoticeSource &Source) {
@@ -197,6 +201,19 @@
   return All;
 }
 
+void ServerNotices::recordWarmup(const NoticeSource &From, double PerSecond,
+                                 TimePoint Until, TimePoint Now) {
+  if (PerSecond <= 0 || Until <= Now)
+    return;
+  Entry &State = this->findEntry(From);
+  if (isCold(State, Now) && State.Warmup->getPerSecond() == PerSecond) {
+    State.Warmup->extend(Until);
+    return;
+  }
+  State.Warmup.emplace(State.Key, State.Hall, PerSecond, Until, this->Fleet,
+                       Now);
+}
+
 LimitReport ServerNotices::makeReport(ServerId Server, const Entry &State,
                                       TimePoint Now) {
   if (State.Limit)
@@ -231,6 +248,11 @@
   return Limits;
 }
 
+/// Returns whether a server is known to be cold.
+bool ServerNotices::isCold(const Entry &State, TimePoint Now) {
+  return State.Warmup && !State.Warmup->isOver(Now);
+}
+
 double ServerNotices::getShareFactor(ServerId Server, TimePoint Now) const {
   const auto Found = this->Entries.find(Server);
   if (Found == this->Entries.end())
@@ -238,9 +260,16 @@
   const Entry &State = Found->second;
   if (isFuture(State.LeavingUntil, Now) || isFuture(State.BackoffUntil, Now))
     return 0;
-  if (!State.Limit)
-    return 1;
-  return State.Limit->maySend(Now) ? State.Limit->getWeightFactor() : 0;
+  double Factor = 1;
+  if (State.Limit)
+    Factor = State.Limit->maySend(Now) ? State.Limit->getWeightFactor() : 0;
+  if (!isCold(State, Now))
+    return Factor;
+  // A limit and a warm-up may choose different senders; the weight is raised
+  // for one of them only.
+  return State.Warmup->maySend(Now)
+             ? std::min(Factor, 1.0) * State.Warmup->getWeightFactor()
+             : 0;
 }
 
 Duration ServerNotices::getWait(ServerId Server, TimePoint Now) const {
@@ -253,13 +282,21 @@
   const Duration Backoff = isFuture(State.BackoffUntil, Now)
                                ? *State.BackoffUntil - Now
                                : Duration::zero();
-  return State.Limit ? std::max(Backoff, State.Limit->getWait(Now)) : Backoff;
+  Duration Wait =
+      State.Limit ? std::max(Backoff, State.Limit->getWait(Now)) : Backoff;
+  if (State.Warmup)
+    Wait = std::max(Wait, State.Warmup->getWait(Now));
+  return Wait;
 }
 
 void ServerNotices::recordRequestSent(ServerId Server, TimePoint Now) {
   const auto Found = this->Entries.find(Server);
-  if (Found != this->Entries.end() && Found->second.Limit)
+  if (Found == this->Entries.end())
+    return;
+  if (Found->second.Limit)
     Found->second.Limit->recordRequestSent(Now);
+  if (Found->second.Warmup)
+    Found->second.Warmup->recordRequestSent(Now);
 }
 
 std::optional<NoticeKind> ServerNotices::getActiveKind(ServerId Server,
@@ -274,6 +311,8 @@
     return NoticeKind::Backoff;
   if (State.Limit)
     return NoticeKind::Limit;
+  if (isCold(State, Now))
+    return NoticeKind::Warmup;
   return std::nullopt;
 }
 
@@ -293,6 +332,8 @@
   }
   if (!isFuture(State.MalformedUntil, Now))
     State.MalformedUntil.reset();
+  if (!isCold(State, Now))
+    State.Warmup.reset();
 }
 
 std::vector<NoticeChange> ServerNotices::forgetOld(TimePoint Now) {
@@ -302,7 +343,7 @@
   std::erase_if(this->Entries, [](const auto &Each) {
     const Entry &State = Each.second;
     return !State.Limit && !State.LimitEndedAt && !State.LeavingUntil &&
-           !State.BackoffUntil && !State.MalformedUntil;
+           !State.BackoffUntil && !State.MalformedUntil && !State.Warmup;
   });
   return All;
 }
@@ -313,6 +354,7 @@
     Counts.Limited += State.Limit ? 1 : 0;
     Counts.Leaving += isFuture(State.LeavingUntil, Now) ? 1 : 0;
     Counts.InBackoff += isFuture(State.BackoffUntil, Now) ? 1 : 0;
+    Counts.Cold += isCold(State, Now) ? 1 : 0;
   }
   return Counts;
 }
--- a/lib/Settings/FleetConfig.cpp
+++ b/lib/Settings/FleetConfig.cpp
@@ -19,6 +19,7 @@
 
 #include <charconv>
 #include <map>
+#include <sstream>
 
 namespace canvaswick {
 
@@ -107,6 +108,22 @@
   return makeOrganisationDirectory(std::move(All), HasKeys);
 }
 
+std::set<std::string> listDrainedHalls(const SettingsTree &Tree,
+                                       const SettingNode &Region) {
+  std::set<std::string> Halls;
+  std::istringstream Names(Tree.lookupText(Region, SettingKey::DrainedHalls));
+  for (std::string Hall; Names >> Hall;)
+    Halls.insert(Hall);
+  return Halls;
+}
+
+std::set<std::string> listDrainedHalls(const SettingsTree &Tree) {
+  std::set<std::string> Halls;
+  for (const auto &[Name, Node] : Tree.getNodes(SettingLevel::Region))
+    Halls.merge(listDrainedHalls(Tree, Node));
+  return Halls;
+}
+
 FleetConfigRef compileFleetConfig(const SettingsTree &Tree, uint64_t Version) {
   boost::intrusive_ptr<FleetConfig> Config(new FleetConfig);
   Config->Version = Version;
@@ -132,6 +149,7 @@
     Config->Routes.push_back(std::move(Route));
   }
   Config->Organisations = compileOrganisations(Tree);
+  Config->DrainedHalls = listDrainedHalls(Tree);
   return Config;
 }
 
--- a/lib/Settings/SettingTable.cpp
+++ b/lib/Settings/SettingTable.cpp
@@ -42,6 +42,7 @@
 }
 
 /// The levels at which settings of the different kinds may be set.
+static constexpr SettingLevels RegionOnly = levelBit(SettingLevel::Region);
 static constexpr SettingLevels Service =
     levelBit(SettingLevel::Region) | levelBit(SettingLevel::Service);
 static constexpr SettingLevels Inherited =
@@ -86,6 +87,8 @@
      "Path that a probe asks a backend server for."},
     {SettingKey::MaxBodyBytes, "max-body-bytes", Service, SettingType::Integer, 0, TebiByte, "1073741824", "bytes", nullptr,
      "Longest request body that is taken."},
+    {SettingKey::DrainedHalls, "drained-halls", RegionOnly, SettingType::Text, 0, 1024, "", "", nullptr,
+     "Halls of the region whose backend servers receive no requests, separated by spaces."},
     {SettingKey::RegionOfService, "region", ServiceOnly, SettingType::Text, 1, 64, "", "", nullptr,
      "Region the service belongs to and inherits from."},
     {SettingKey::Hall, "hall", ServerOnly, SettingType::Text, 1, 64, "", "", nullptr,
--- a/unittests/PlatformAdapter/PlatformFixture.h
+++ b/unittests/PlatformAdapter/PlatformFixture.h
@@ -75,12 +75,13 @@
     REQUIRE(this->Server->start({"127.0.0.1", 0}));
   }
 
-  std::string makeEntry(const std::string &State, int Sequence = 1) const {
+  std::string makeEntry(const std::string &State, int Sequence = 1,
+                        const std::string &Hall = "h") const {
     return fmt::format(
         R"({{"address": "127.0.0.1:{}", "info": {{"service": "s",
-        "version": "v1", "zone": "h", "slots": 3}},
+        "version": "v1", "zone": "{}", "slots": 3}},
         "status": {{"state": "{}", "seq": {}, "warmupLeftS": 0}}}})",
-        this->Server->getPort(), State, Sequence);
+        this->Server->getPort(), Hall, State, Sequence);
   }
 
   const std::string Id;
