--- a/include/canvaswick/Health/HealthPolicy.h
+++ b/include/canvaswick/Health/HealthPolicy.h
@@ -27,6 +27,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -186,7 +187,7 @@
   HealthTuning Tuning;
   ScopeTracker Local;
   std::vector<ServerState> Servers;
-  std::map<ServerId, size_t> IndexOfServer;
+  std::unordered_map<ServerId, size_t> IndexOfServer;
   std::map<std::string, OwnerView> Views;
   uint64_t ReportSequence = 0;
   TimePoint LastReport{};
--- a/include/canvaswick/Health/MarkovPolicy.h
+++ b/include/canvaswick/Health/MarkovPolicy.h
@@ -25,6 +25,7 @@
 #include "canvaswick/Health/TransitionRates.h"
 
 #include <map>
+#include <unordered_map>
 #include <vector>
 
 namespace canvaswick {
@@ -238,7 +239,7 @@
 
   PolicySetup Setup;
   std::vector<ServerState> Servers;
-  std::map<ServerId, size_t> IndexOfServer;
+  std::unordered_map<ServerId, size_t> IndexOfServer;
   std::vector<Observation> UnsentObservations;
   InFlightTable InFlight;
   LatencyDistribution Times;
--- a/include/canvaswick/Proxy/FleetRuntime.h
+++ b/include/canvaswick/Proxy/FleetRuntime.h
@@ -40,8 +40,10 @@
   /// Returns the service with this name, or null.
   ServiceRuntimeRef findService(const std::string &Name) const;
 
-  /// Sets for each server how many connections Pool may open to it.
-  void limitConnections(ConnectionPool &Pool) const;
+  /// Sets for each server how many connections Pool may open to it. Servers of
+  /// services that Previous has too are left out; it may be null.
+  void limitConnections(ConnectionPool &Pool,
+                        const FleetRuntime *Previous) const;
 
 private:
   const FleetConfigRef Config;
--- a/include/canvaswick/Proxy/ServiceRuntime.h
+++ b/include/canvaswick/Proxy/ServiceRuntime.h
@@ -266,10 +266,9 @@
   /// Returns the number of servers that this daemon uses.
   size_t countServers() const { return this->Subset.Servers.size(); }
 
-  /// Returns whether this instance was built for the same configuration,
-  /// servers and connection limits.
-  bool matchesConfig(const ServiceConfig &Config,
-                     const DaemonIdentity &Identity) const;
+  /// Returns whether a daemon with this identity would use the same servers
+  /// with the same connection limits.
+  bool matchesSubset(const DaemonIdentity &Identity) const;
 
 private:
   using Policies = std::variant<PooledPolicy, MarkovPolicy>;
--- a/lib/Daemon/Daemon.cpp
+++ b/lib/Daemon/Daemon.cpp
@@ -228,7 +228,7 @@
   const FleetRuntimeRef Previous = this->Fleet.get();
   const FleetRuntimeRef Next(
       new FleetRuntime(Compiled, Identity, Previous.get(), readSteadyClock()));
-  Next->limitConnections(this->Upstreams);
+  Next->limitConnections(this->Upstreams, Previous.get());
   this->Proxy->configure(*Compiled);
   this->Fleet.set(Next);
   this->Leaving->apply();
--- a/lib/Daemon/GatewayFleet.cpp
+++ b/lib/Daemon/GatewayFleet.cpp
@@ -48,7 +48,7 @@
   const FleetRuntimeRef Runtime(
       new FleetRuntime(Next, Identity, Previous.get(), readSteadyClock()));
   this->distributeRetryLimit(*Runtime);
-  Runtime->limitConnections(this->Upstreams);
+  Runtime->limitConnections(this->Upstreams, Previous.get());
   this->applyCallerLimits(Next->Limits);
   this->Proxy.configure(*Next);
   this->Fleet.set(Runtime);
--- a/lib/Health/AdoptStates.h
+++ b/lib/Health/AdoptStates.h
@@ -17,7 +17,7 @@
 
 #include "canvaswick/Health/HealthPolicy.h"
 
-#include <map>
+#include <unordered_map>
 #include <vector>
 
 namespace canvaswick {
@@ -26,7 +26,7 @@
 /// Config, and calls Adopted with its new and its old index.
 template <typename StateT, typename VisitorT>
 void adoptStates(std::vector<StateT> &New, const std::vector<StateT> &Old,
-                 const std::map<ServerId, size_t> &IndexOfOld,
+                 const std::unordered_map<ServerId, size_t> &IndexOfOld,
                  const VisitorT &Adopted) {
   for (size_t I = 0; I < New.size(); ++I) {
     const auto Found = IndexOfOld.find(New[I].Config.Id);
--- a/lib/Proxy/FleetRuntime.cpp
+++ b/lib/Proxy/FleetRuntime.cpp
@@ -18,11 +18,14 @@
 FleetRuntime::FleetRuntime(FleetConfigRef Given, const DaemonIdentity &Identity,
                            const FleetRuntime *Previous, TimePoint Now)
     : Config(std::move(Given)), Routes(this->Config->Routes) {
+  // Comparing the servers of a large fleet one by one takes milliseconds.
+  const bool IsSameConfig = Previous && Previous->Config == this->Config;
   for (const ServiceConfig &Service : this->Config->Services) {
     ServiceRuntimeRef Old;
     if (Previous)
       Old = Previous->findService(Service.Name);
-    if (Old && Old->matchesConfig(Service, Identity))
+    if (Old && (IsSameConfig || Old->getConfig() == Service) &&
+        Old->matchesSubset(Identity))
       this->Services.push_back(Old);
     else
       this->Services.emplace_back(
@@ -37,11 +40,15 @@
   return nullptr;
 }
 
-void FleetRuntime::limitConnections(ConnectionPool &Pool) const {
-  for (const ServiceRuntimeRef &Service : this->Services)
+void FleetRuntime::limitConnections(ConnectionPool &Pool,
+                                    const FleetRuntime *Previous) const {
+  for (const ServiceRuntimeRef &Service : this->Services) {
+    if (Previous && Previous->findService(Service->getConfig().Name) == Service)
+      continue;
     for (size_t I = 0; I < Service->countServers(); ++I)
       Pool.setBound(Service->getServer(I).Address,
                     static_cast<size_t>(Service->getSubset().Connections[I]));
+  }
 }
 
 FleetRuntimeRef FleetRuntimeSlot::get() const {
--- a/lib/Proxy/ServiceRuntime.cpp
+++ b/lib/Proxy/ServiceRuntime.cpp
@@ -17,7 +17,9 @@
 #include "canvaswick/Support/Hash.h"
 
 #include <algorithm>
-#include <map>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
 
 namespace canvaswick {
 
@@ -103,7 +105,7 @@
 /// Returns for each server its index in Other, or -1.
 std::vector<int>
 ServiceRuntime::matchServers(const ServiceRuntime &Other) const {
-  std::map<std::string, int> Known;
+  std::unordered_map<std::string_view, int> Known;
   for (size_t I = 0; I < Other.countServers(); ++I)
     Known[Other.getServer(I).Name] = static_cast<int>(I);
   std::vector<int> Matches;
@@ -148,12 +150,9 @@
   return this->Config.Servers[this->Subset.Servers[Index]];
 }
 
-bool ServiceRuntime::matchesConfig(const ServiceConfig &Other,
-                                   const DaemonIdentity &Identity) const {
-  if (!(this->Config == Other))
-    return false;
+bool ServiceRuntime::matchesSubset(const DaemonIdentity &Identity) const {
   const ServerSubset Wanted = chooseSubset(
-      Other, Identity.Name, Identity.Daemons, Identity.ExpectedDaemons);
+      this->Config, Identity.Name, Identity.Daemons, Identity.ExpectedDaemons);
   return Wanted.Servers == this->Subset.Servers &&
          Wanted.Connections == this->Subset.Connections;
 }
@@ -162,7 +161,7 @@
 ServiceRuntime::makeSelectable(const DaemonIdentity &Identity,
                                const ServiceRuntime *Previous,
                                TimePoint Now) const {
-  std::set<std::string> Known;
+  std::unordered_set<std::string_view> Known;
   if (Previous)
     for (const ServerConfig &Server : Previous->Config.Servers)
       Known.insert(Server.Name);
