--- a/unittests/FleetStart/FleetStartTest.cpp
+++ b/unittests/FleetStart/FleetStartTest.cpp
@@ -143,6 +143,26 @@
   Fixture.waitUntilServing(DaemonCount, "/y/1");
 }
 
+TEST_CASE("the seeds read a large store at the first start, the others wait "
+          "for their snapshot") {
+  FleetFixture Fixture;
+  // Eleven pages.
+  Fixture.Store.setPageItems(15);
+  constexpr size_t SeedCount = 3;
+  std::vector<Endpoint> Seeds;
+  for (size_t I = 0; I < SeedCount; ++I)
+    Seeds.push_back(Fixture.Configs[I].Control);
+  for (DaemonConfig &Config : Fixture.Configs)
+    Config.Seeds = Seeds;
+  Fixture.start();
+  Fixture.waitUntilServing(DaemonCount, "/x/1");
+  const size_t Pages = Fixture.Store.countCalls("/kv-range");
+  MESSAGE("pages read: ", Pages);
+  // The seeds read all pages, the others the first page with each look for the
+  // snapshot. If all read all pages, there would be 440.
+  CHECK(Pages < 5 * DaemonCount);
+}
+
 TEST_CASE("daemons learn changes when the elected watchers do not come back") {
   FleetFixture Fixture;
   Fixture.start();
--- a/unittests/PlatformAdapter/StoreWatcherFixture.h
+++ b/unittests/PlatformAdapter/StoreWatcherFixture.h
@@ -42,7 +42,7 @@
   CounterTable Counters;
   StoreClient Client;
   FleetView View{{70}, fromSeconds(2)};
-  StoreWatcher Watcher{Client, View, [] {}};
+  StoreWatcher Watcher{Client, View, FirstReadSchedule(true, 0, {}), [] {}};
   DaemonRecord Self{"d1", "h", {"10.0.0.1", 80}, {"10.0.0.1", 81}};
 };
 
--- a/unittests/PlatformAdapter/StoreWatcherTest.cpp
+++ b/unittests/PlatformAdapter/StoreWatcherTest.cpp
@@ -88,7 +88,8 @@
   RelayStandIn Relay(Fixture.Store.getAddress());
   REQUIRE(Relay.start({"127.0.0.1", 0}));
   StoreClient Client({"127.0.0.1", Relay.getPort()}, Fixture.Counters);
-  StoreWatcher Watcher(Client, Fixture.View, [] {});
+  StoreWatcher Watcher(Client, Fixture.View, FirstReadSchedule(true, 0, {}),
+                       [] {});
   Fixture.Store.put(DaemonKey, encodeDaemon(Fixture.Self));
   WatcherFixture::synchronize(Watcher);
   Relay.silenceOpenConnections();
--- a/unittests/StoreRestore/FeedRestoreTest.cpp
+++ b/unittests/StoreRestore/FeedRestoreTest.cpp
@@ -229,7 +229,7 @@
   Fixture.Store.restoreBackup();
   FleetView View{{70}, fromSeconds(2)};
   StoreClient Client(Fixture.Store.getAddress(), Fixture.Counters);
-  StoreWatcher Watcher(Client, View, [] {});
+  StoreWatcher Watcher(Client, View, FirstReadSchedule(true, 0, {}), [] {});
   Watcher.runRound();
   CHECK(View.getAsOf().Epoch == 1);
   const size_t Before = Fixture.Store.countCalls("/kv-range");
