--- a/include/canvaswick/Health/MarkovPolicy.h
+++ b/include/canvaswick/Health/MarkovPolicy.h
@@ -129,6 +129,12 @@
   void applySameHallEstimate(size_t Server, double UnhealthyProbability,
                              TimePoint Now);
 
+  /// Returns the probability that a server is unhealthy of which nothing is
+  /// known.
+  double getTypicalProbability() const {
+    return this->Rates.getStationaryProbability();
+  }
+
   /// Returns whether a daemon of this hall has used a server.
   bool isUsed(size_t Server) const;
 
--- a/include/canvaswick/Proxy/ServiceRuntime.h
+++ b/include/canvaswick/Proxy/ServiceRuntime.h
@@ -202,12 +202,16 @@
                          const std::vector<InFlightReport> &Reports,
                          TimePoint Now);
 
-  /// Returns this daemon's health estimates of the servers in its own hall.
-  std::vector<HealthEstimate> getSameHallEstimates(TimePoint Now) const;
-
-  /// Returns this daemon's health estimates of all servers that its hall has
-  /// used.
-  std::vector<HealthEstimate> getUsedEstimates(TimePoint Now) const;
+  /// Returns this daemon's health estimates of the servers in its own hall, at
+  /// most MaxCount: those that differ most from what a daemon without
+  /// information assumes.
+  std::vector<HealthEstimate> getSameHallEstimates(size_t MaxCount,
+                                                   TimePoint Now) const;
+
+  /// Returns this daemon's health estimates of the servers that its hall has
+  /// used, likewise.
+  std::vector<HealthEstimate> getUsedEstimates(size_t MaxCount,
+                                               TimePoint Now) const;
 
   /// Returns the recent failure rate of this hall's requests.
   HallFailureRate getFailureRate(TimePoint Now) const;
@@ -216,12 +220,15 @@
   void applyFailureRate(const std::string &Hall, const HallFailureRate &Rate,
                         TimePoint Now);
 
-  /// Applies a same-hall peer's estimate of a server that is new to this
-  /// daemon.
-  void applySameHallEstimate(const HealthEstimate &Given, TimePoint Now);
+  /// Applies a same-hall peer's estimates of servers that are new to this
+  /// daemon. Servers of other services are ignored.
+  void applySameHallEstimates(const std::vector<HealthEstimate> &Given,
+                              TimePoint Now);
 
-  /// Applies another hall's estimate of a server in that hall.
-  void applyRemoteEstimate(const HealthEstimate &Given, TimePoint Now);
+  /// Applies another hall's estimates of servers in that hall. Servers of other
+  /// services are ignored.
+  void applyRemoteEstimates(const std::vector<HealthEstimate> &Given,
+                            TimePoint Now);
 
   /// Returns the time without a response after which it is first checked
   /// whether a retry at another server is better.
@@ -289,7 +296,7 @@
   SelectionRules makeSelectionRules(RouteClass Class) const;
   template <typename Predicate>
   std::vector<HealthEstimate> makeEstimates(const MarkovPolicy &Markov,
-                                            TimePoint Now,
+                                            size_t MaxCount, TimePoint Now,
                                             Predicate Wants) const;
   RequestOutcome classifyEnd(const Attempt &Ended, RequestOutcome Outcome,
                              Duration Took) const;
--- a/lib/Daemon/PeerExchange.cpp
+++ b/lib/Daemon/PeerExchange.cpp
@@ -27,6 +27,10 @@
 /// second, sends them many requests.
 static constexpr Duration NewcomerInterval = fromMillis(500);
 
+/// The maximum number of servers whose estimates are sent at once. One daemon
+/// of each hall passes them on to all others of its hall, over its own link.
+static constexpr size_t MaxEstimates = 200;
+
 /// How often a daemon that watches the store reports the time of the store's
 /// last answer: at least twice within the time for which others rely on one
 /// report, in case a message is lost.
@@ -261,13 +265,24 @@
   return IsDue(this->Random);
 }
 
+/// Returns how many estimates of a service's servers are sent at once: its part
+/// of MaxEstimates by the number of its servers.
+static size_t getMaxEstimates(const ServiceRuntime &Service,
+                              const FleetRuntime &Current) {
+  size_t All = 0;
+  for (const ServiceRuntimeRef &Each : Current.getServices())
+    All += Each->countServers();
+  return 1 + MaxEstimates * Service.countServers() / std::max<size_t>(1, All);
+}
+
 /// Sends this hall's estimates of its servers and its failure rates to other
 /// halls.
 void PeerExchange::sendEstimates(const FleetRuntime &Current, TimePoint Now) {
   std::vector<HealthEstimate> Estimates;
   std::vector<HallFailureRate> Rates;
   for (const ServiceRuntimeRef &Service : Current.getServices()) {
-    const std::vector<HealthEstimate> More = Service->getSameHallEstimates(Now);
+    const std::vector<HealthEstimate> More =
+        Service->getSameHallEstimates(getMaxEstimates(*Service, Current), Now);
     Estimates.insert(Estimates.end(), More.begin(), More.end());
     Rates.push_back(Service->getFailureRate(Now));
   }
@@ -286,7 +301,8 @@
                                      TimePoint Now) {
   std::vector<HealthEstimate> Estimates;
   for (const ServiceRuntimeRef &Service : Current.getServices()) {
-    const std::vector<HealthEstimate> More = Service->getUsedEstimates(Now);
+    const std::vector<HealthEstimate> More =
+        Service->getUsedEstimates(getMaxEstimates(*Service, Current), Now);
     Estimates.insert(Estimates.end(), More.begin(), More.end());
   }
   this->Link.sendLocalEstimates(std::move(Estimates));
@@ -319,11 +335,10 @@
   if (Message.InFlight && Message.Hall == this->Hall)
     Service.applyPeerInFlight(Message.Source, Message.Sequence,
                               *Message.InFlight, Now);
-  for (const HealthEstimate &Each : Message.Estimates)
-    if (Message.Hall == this->Hall)
-      Service.applySameHallEstimate(Each, Now);
-    else
-      Service.applyRemoteEstimate(Each, Now);
+  if (Message.Hall == this->Hall)
+    Service.applySameHallEstimates(Message.Estimates, Now);
+  else
+    Service.applyRemoteEstimates(Message.Estimates, Now);
   for (const HallFailureRate &Each : Message.Rates)
     Service.applyFailureRate(Message.Hall, Each, Now);
   for (const LimitReport &Each : Message.Limits)
--- a/lib/Proxy/ServiceEvidence.cpp
+++ b/lib/Proxy/ServiceEvidence.cpp
@@ -18,6 +18,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
 
 namespace canvaswick {
 
@@ -152,11 +153,39 @@
     Markov->getInFlight().recordReportedLoad(Index, Seen.Load, Now);
 }
 
-/// Returns the estimates of the servers for whose index Wants returns true.
+/// How much more a server that is worse than typical matters than one that is
+/// as much better: requests that go there are lost.
+static constexpr int WorseWeight = 4;
+
+/// Returns how much an estimate tells a daemon without information, which
+/// assumes TypicalPerMille.
+static int getNewsValue(const HealthEstimate &Given, int TypicalPerMille) {
+  const int Distance = Given.PerMille - TypicalPerMille;
+  return Distance > 0 ? Distance * WorseWeight : -Distance;
+}
+
+/// Keeps the MaxCount estimates that tell most.
+static void keepMostTelling(std::vector<HealthEstimate> &Estimates,
+                            size_t MaxCount, int TypicalPerMille) {
+  if (Estimates.size() <= MaxCount)
+    return;
+  std::nth_element(
+      Estimates.begin(),
+      Estimates.begin() + static_cast<std::ptrdiff_t>(MaxCount),
+      Estimates.end(),
+      [&](const HealthEstimate &Left, const HealthEstimate &Right) {
+        return getNewsValue(Left, TypicalPerMille) >
+               getNewsValue(Right, TypicalPerMille);
+      });
+  Estimates.resize(MaxCount);
+}
+
+/// Returns the most telling estimates of the servers for whose index Wants
+/// returns true.
 template <typename Predicate>
 std::vector<HealthEstimate>
-ServiceRuntime::makeEstimates(const MarkovPolicy &Markov, TimePoint Now,
-                              Predicate Wants) const {
+ServiceRuntime::makeEstimates(const MarkovPolicy &Markov, size_t MaxCount,
+                              TimePoint Now, Predicate Wants) const {
   std::vector<HealthEstimate> Estimates;
   for (size_t I = 0; I < this->countServers(); ++I)
     if (Wants(I))
@@ -166,24 +195,27 @@
                             EstimateParts),
            static_cast<int>(
                std::lround(Markov.getInFlight().getLoad(I, Now) * LoadParts))});
+  keepMostTelling(
+      Estimates, MaxCount,
+      static_cast<int>(Markov.getTypicalProbability() * EstimateParts));
   return Estimates;
 }
 
 std::vector<HealthEstimate>
-ServiceRuntime::getSameHallEstimates(TimePoint Now) const {
+ServiceRuntime::getSameHallEstimates(size_t MaxCount, TimePoint Now) const {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   if (const auto *Markov = std::get_if<MarkovPolicy>(&this->Policy))
-    return this->makeEstimates(*Markov, Now, [this](size_t Server) {
+    return this->makeEstimates(*Markov, MaxCount, Now, [this](size_t Server) {
       return this->Selector.isSameHall(Server);
     });
   return {};
 }
 
 std::vector<HealthEstimate>
-ServiceRuntime::getUsedEstimates(TimePoint Now) const {
+ServiceRuntime::getUsedEstimates(size_t MaxCount, TimePoint Now) const {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   if (const auto *Markov = std::get_if<MarkovPolicy>(&this->Policy))
-    return this->makeEstimates(*Markov, Now, [Markov](size_t Server) {
+    return this->makeEstimates(*Markov, MaxCount, Now, [Markov](size_t Server) {
       return Markov->isUsed(Server);
     });
   return {};
@@ -194,26 +226,30 @@
   return Given.PerMille / static_cast<double>(EstimateParts);
 }
 
-void ServiceRuntime::applySameHallEstimate(const HealthEstimate &Given,
-                                           TimePoint Now) {
+void ServiceRuntime::applySameHallEstimates(
+    const std::vector<HealthEstimate> &Given, TimePoint Now) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   auto *Markov = std::get_if<MarkovPolicy>(&this->Policy);
-  const int Server = findServer(Markov, Given.Server);
-  if (Server >= 0)
-    Markov->applySameHallEstimate(static_cast<size_t>(Server),
-                                  getUnhealthyProbability(Given), Now);
+  for (const HealthEstimate &Each : Given) {
+    const int Server = findServer(Markov, Each.Server);
+    if (Server >= 0)
+      Markov->applySameHallEstimate(static_cast<size_t>(Server),
+                                    getUnhealthyProbability(Each), Now);
+  }
 }
 
-void ServiceRuntime::applyRemoteEstimate(const HealthEstimate &Given,
-                                         TimePoint Now) {
+void ServiceRuntime::applyRemoteEstimates(
+    const std::vector<HealthEstimate> &Given, TimePoint Now) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   auto *Markov = std::get_if<MarkovPolicy>(&this->Policy);
-  const int Server = findServer(Markov, Given.Server);
-  // This daemon has better evidence of the servers in its own hall.
-  if (Server >= 0 && !this->Selector.isSameHall(static_cast<size_t>(Server)))
-    Markov->applyRemoteEstimate(static_cast<size_t>(Server),
-                                getUnhealthyProbability(Given), Now,
-                                Given.LoadTenths / LoadParts);
+  for (const HealthEstimate &Each : Given) {
+    const int Server = findServer(Markov, Each.Server);
+    // This daemon has better evidence of the servers in its own hall.
+    if (Server >= 0 && !this->Selector.isSameHall(static_cast<size_t>(Server)))
+      Markov->applyRemoteEstimate(static_cast<size_t>(Server),
+                                  getUnhealthyProbability(Each), Now,
+                                  Each.LoadTenths / LoadParts);
+  }
 }
 
 ServerId ServiceRuntime::getId() const {
--- /dev/null
+++ b/unittests/Proxy/ServiceEstimatesTest.cpp
@@ -0,0 +1,70 @@
+//===- ServiceEstimatesTest.cpp - Tests of estimates for peers ------------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Tests that messages about the servers of a large hall are bounded, and that
+/// they hold what matters most.
+///
+//===----------------------------------------------------------------------===//
+
+#include "ServiceFixture.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace canvaswick;
+
+static constexpr int ServerCount = 400;
+
+/// Returns the unhealthy probability in thousandths that estimates give a
+/// server, or -1.
+static int findPerMille(const std::vector<HealthEstimate> &Estimates,
+                        const std::string &Server) {
+  const ServerId Id = getServerId("s", Server);
+  const auto Found = std::find_if(
+      Estimates.begin(), Estimates.end(),
+      [Id](const HealthEstimate &Each) { return Each.Server == Id; });
+  return Found == Estimates.end() ? -1 : Found->PerMille;
+}
+
+TEST_CASE(
+    "estimates of a large hall are bounded and name the failing servers") {
+  ServiceFixture Fixture(ServerCount);
+  for (int I = 0; I < 3; ++I)
+    for (const char *Server : {"b7", "b300"})
+      Fixture.answerWithNotice(Server, {}, RequestOutcome::Failed,
+                               FixtureStart);
+  for (const std::vector<HealthEstimate> &Estimates :
+       {Fixture.Service->getSameHallEstimates(40, FixtureStart),
+        Fixture.Service->getUsedEstimates(40, FixtureStart)}) {
+    CHECK(Estimates.size() == 40);
+    CHECK(findPerMille(Estimates, "b7") > 500);
+    CHECK(findPerMille(Estimates, "b300") > 500);
+  }
+}
+
+TEST_CASE("estimates of a small hall are complete") {
+  ServiceFixture Fixture(30);
+  CHECK(Fixture.Service->getSameHallEstimates(40, FixtureStart).size() == 30);
+  CHECK(Fixture.Service->getUsedEstimates(40, FixtureStart).empty());
+}
+
+TEST_CASE("estimates from another hall apply to its servers only") {
+  ServiceFixture Fixture(2);
+  Fixture.Config.Servers[1].Hall = "b";
+  Fixture.Service.reset();
+  Fixture.rebuild(FixtureStart);
+  Fixture.Service->applyRemoteEstimates({{getServerId("s", "b0"), 950, 0},
+                                         {getServerId("s", "b1"), 950, 0},
+                                         {getServerId("t", "b1"), 1, 0}},
+                                        FixtureStart);
+  const std::vector<ServerStatus> All = Fixture.Service->describe(FixtureStart);
+  CHECK(All[0].Explanation.LocalScore < 0.5);
+  CHECK(All[1].Explanation.LocalScore == doctest::Approx(0.95));
+}
