--- a/include/canvaswick/Directory/AheadPeers.h
+++ b/include/canvaswick/Directory/AheadPeers.h
@@ -45,6 +45,9 @@
   std::optional<std::string> choosePeer(const StorePosition &Known,
                                         TimePoint Now);
 
+  /// Returns how many revisions of the same epoch the farthest peer is ahead.
+  uint64_t getLag(const StorePosition &Known) const;
+
   /// Returns since when this daemon has been behind, or nullopt if it is not.
   std::optional<TimePoint> getBehindSince(const StorePosition &Known) const;
 
--- a/include/canvaswick/Directory/WatchElection.h
+++ b/include/canvaswick/Directory/WatchElection.h
@@ -70,14 +70,18 @@
   void setHallDaemons(const std::vector<std::string> &Names, TimePoint Now);
 
   /// Records that a daemon of this hall watches, and when the store last
-  /// answered it.
+  /// answered it. It may be one that is not among the hall's daemons yet.
   void recordWatcher(const std::string &Name, TimePoint HeardAt);
 
-  /// Returns the current role of this daemon.
-  WatchRole getRole(TimePoint Now) const;
+  /// Returns the current role of this daemon. One that is far behind can't
+  /// catch up by a few answers of the store: it leaves watching to daemons of
+  /// its hall that it does not know yet.
+  WatchRole getRole(TimePoint Now, bool IsFarBehind = false) const;
 
 private:
   size_t getRank(const std::string &Name) const;
+  bool precedes(const std::string &Name, size_t Rank, bool IsFarBehind) const;
+  bool hasWatcher(TimePoint Now) const;
   void presumeWatchers(TimePoint Now);
 
   const std::string Self;
--- a/lib/Directory/AheadPeers.cpp
+++ b/lib/Directory/AheadPeers.cpp
@@ -59,6 +59,14 @@
   return Candidates[this->Random() % Candidates.size()];
 }
 
+uint64_t AheadPeers::getLag(const StorePosition &Known) const {
+  uint64_t Lag = 0;
+  for (const auto &[Name, Peer] : this->Peers)
+    if (Peer.AsOf.Epoch == Known.Epoch && Peer.AsOf > Known)
+      Lag = std::max(Lag, Peer.AsOf.Revision - Known.Revision);
+  return Lag;
+}
+
 std::optional<TimePoint>
 AheadPeers::getBehindSince(const StorePosition &Known) const {
   if (!this->isAhead(Known))
--- a/lib/Directory/WatchElection.cpp
+++ b/lib/Directory/WatchElection.cpp
@@ -41,6 +41,9 @@
 static constexpr Duration StepPerRank = fromMillis(60);
 static constexpr size_t MaxSteps = 5;
 
+/// The key of the hall's order by hash.
+static constexpr const char *HallOrderKey = "store";
+
 static constexpr EnumNames<WatchRole, 3> WatchRoleNames = {{
     {WatchRole::Follow, "follow"},
     {WatchRole::StandBy, "stand-by"},
@@ -63,7 +66,7 @@
   if (std::find(All.begin(), All.end(), this->Self) == All.end())
     All.push_back(this->Self);
   this->Order.clear();
-  for (const size_t Index : rankByRendezvous("store", All))
+  for (const size_t Index : rankByRendezvous(HallOrderKey, All))
     this->Order.push_back(All[Index]);
   std::erase_if(this->HeardAt, [&](const auto &Entry) {
     return std::find(All.begin(), All.end(), Entry.first) == All.end();
@@ -93,9 +96,29 @@
       this->Order.begin());
 }
 
-WatchRole WatchElection::getRole(TimePoint Now) const {
-  if (this->Order.size() <= 1 && this->FirstSetAt &&
-      Now - *this->FirstSetAt < this->AloneWait)
+/// Returns whether any daemon of the hall watches and reaches the store.
+bool WatchElection::hasWatcher(TimePoint Now) const {
+  return std::any_of(
+      this->HeardAt.begin(), this->HeardAt.end(),
+      [Now](const auto &Entry) { return Now - Entry.second <= LeaderTimeout; });
+}
+
+/// Returns whether a daemon comes before this one, which has the given rank, in
+/// the hall's order. In a fleet that starts it may not be listed yet: each
+/// daemon knows different ones then.
+bool WatchElection::precedes(const std::string &Name, size_t Rank,
+                             bool IsFarBehind) const {
+  const size_t OtherRank = this->getRank(Name);
+  if (OtherRank < this->Order.size())
+    return OtherRank < Rank;
+  return IsFarBehind &&
+         rankByRendezvous(HallOrderKey, {this->Self, Name}).front() != 0;
+}
+
+WatchRole WatchElection::getRole(TimePoint Now, bool IsFarBehind) const {
+  const bool IsAlone = this->Order.size() <= 1 && this->FirstSetAt;
+  if (IsAlone && (Now - *this->FirstSetAt < this->AloneWait ||
+                  (IsFarBehind && this->hasWatcher(Now))))
     return WatchRole::Follow;
   const size_t Rank = this->getRank(this->Self);
   const Duration Step =
@@ -103,7 +126,7 @@
   bool IsLed = false;
   size_t Watchers = 0;
   for (const auto &[Name, At] : this->HeardAt) {
-    if (this->getRank(Name) >= Rank)
+    if (!this->precedes(Name, Rank, IsFarBehind))
       continue;
     IsLed |= Now - At <= LeaderTimeout + Step;
     Watchers += Now - At <= StandByTimeout + Step ? 1 : 0;
--- a/unittests/Directory/AheadPeersTest.cpp
+++ b/unittests/Directory/AheadPeersTest.cpp
@@ -67,3 +67,14 @@
   CHECK(Peers.getBehindSince({0, 5}) == Start);
   CHECK_FALSE(Peers.getBehindSince({0, 7}));
 }
+
+TEST_CASE(
+    "getLag counts the revisions to the farthest peer of the same epoch") {
+  AheadPeers Peers(1);
+  CHECK(Peers.getLag({1, 5}) == 0);
+  Peers.recordPeer("a", true, {1, 6}, {1, 5}, Start);
+  Peers.recordPeer("b", true, {1, 905}, {1, 5}, Start);
+  Peers.recordPeer("c", true, {2, 9000}, {1, 5}, Start);
+  CHECK(Peers.getLag({1, 5}) == 900);
+  CHECK(Peers.getLag({1, 905}) == 0);
+}
--- a/unittests/Directory/WatchElectionTest.cpp
+++ b/unittests/Directory/WatchElectionTest.cpp
@@ -46,14 +46,16 @@
 static std::vector<std::string> runHall(std::vector<WatchElection> &Elections,
                                         const std::vector<std::string> &Names,
                                         const std::vector<std::string> &Silent,
-                                        TimePoint &Now) {
+                                        TimePoint &Now,
+                                        bool AreFarBehind = false) {
   std::vector<std::string> Watching;
   for (int Round = 0; Round < 20; ++Round, Now += fromMillis(150)) {
     Watching.clear();
     for (size_t I = 0; I < Names.size(); ++I) {
       const bool IsSilent =
           std::find(Silent.begin(), Silent.end(), Names[I]) != Silent.end();
-      if (IsSilent || Elections[I].getRole(Now) == WatchRole::Follow)
+      if (IsSilent ||
+          Elections[I].getRole(Now, AreFarBehind) == WatchRole::Follow)
         continue;
       Watching.push_back(Names[I]);
       for (WatchElection &Other : Elections)
@@ -149,3 +151,30 @@
   CHECK(countRole(Elections, WatchRole::StandBy, Now) == 1);
   CHECK(countRole(Elections, WatchRole::Follow, Now) == 1);
 }
+
+TEST_CASE("a daemon that knows no other and is far behind follows whoever "
+          "watches in its hall") {
+  WatchElection Alone("d0", fromSeconds(2));
+  Alone.setHallDaemons({"d0"}, Start);
+  const TimePoint Now = Start + fromSeconds(5);
+  CHECK(Alone.getRole(Now, true) == WatchRole::Lead);
+  Alone.recordWatcher("d7", Now);
+  CHECK(Alone.getRole(Now, true) == WatchRole::Follow);
+  CHECK(Alone.getRole(Now + fromSeconds(2), true) == WatchRole::Lead);
+  // One call of its own brings it up to date.
+  CHECK(Alone.getRole(Now, false) == WatchRole::Lead);
+}
+
+TEST_CASE("daemons that are far behind agree on the first watchers, though "
+          "each knows others of the hall") {
+  const std::vector<std::string> Names = makeNames(40);
+  std::vector<WatchElection> Elections;
+  // Each knows itself and the next two only.
+  for (size_t I = 0; I < Names.size(); ++I) {
+    Elections.emplace_back(Names[I], fromSeconds(2));
+    Elections.back().setHallDaemons(
+        {Names[I], Names[(I + 1) % 40], Names[(I + 2) % 40]}, Start);
+  }
+  TimePoint Now = Start + fromSeconds(4);
+  CHECK(runHall(Elections, Names, {}, Now, true).size() == 2);
+}
--- a/unittests/FleetStart/FleetStartTest.cpp
+++ b/unittests/FleetStart/FleetStartTest.cpp
@@ -163,6 +163,31 @@
   CHECK(Pages < 5 * DaemonCount);
 }
 
+TEST_CASE("a fleet whose servers enter as it starts makes few calls") {
+  FleetFixture Fixture;
+  constexpr int EnteringServers = 1500;
+  Fixture.Store.setMaxEvents(60);
+  std::thread Entering([&Fixture] {
+    for (int I = 0; I < EnteringServers; ++I) {
+      Fixture.Store.put(fmt::format("servers/i-entering-{}", I),
+                        R"({"address": "127.0.0.1:1", "info": {"service": "t",
+                            "version": "v1", "zone": "h", "slots": 3},
+                            "status": {"state": "ready", "seq": 1,
+                            "warmupLeftS": 0}})");
+      std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+  });
+  Fixture.start();
+  Fixture.waitUntilServing(DaemonCount, "/x/1");
+  Entering.join();
+  Fixture.writeConfig(3, "/y/");
+  Fixture.waitUntilServing(DaemonCount, "/y/1");
+  const double Cost = Fixture.Store.sumCallCosts() / DaemonCount;
+  MESSAGE("first start: ", Cost, " calls each");
+  // The changes of the start fill 26 answers. Only the watchers need them all.
+  CHECK(Cost < 8);
+}
+
 TEST_CASE("daemons learn changes when the elected watchers do not come back") {
   FleetFixture Fixture;
   Fixture.start();
