--- a/include/canvaswick/Directory/FirstReadSchedule.h
+++ b/include/canvaswick/Directory/FirstReadSchedule.h
@@ -23,19 +23,25 @@
 
 namespace canvaswick {
 
-/// Decides when a daemon reads all items of a store without a snapshot. Not
-/// thread-safe.
+/// Decides when a daemon reads all items of a store without a snapshot, or
+/// watches it without knowing any other daemon. Not thread-safe.
 class FirstReadSchedule {
 public:
   /// IsSeed tells whether this daemon is one of the seeds. Draw is a uniform
   /// random number from 0 to 1. The time counts from Start.
   FirstReadSchedule(bool IsSeed, double Draw, TimePoint Start);
 
+  /// Returns how long after its start this daemon waits for a snapshot.
+  Duration getDelay() const { return this->Delay; }
+
   /// Returns whether this daemon may read all items now.
-  bool mayReadAll(TimePoint Now) const { return Now >= this->ReadAt; }
+  bool mayReadAll(TimePoint Now) const {
+    return Now >= this->Start + this->Delay;
+  }
 
 private:
-  TimePoint ReadAt{};
+  TimePoint Start{};
+  Duration Delay{};
 };
 
 } // namespace canvaswick
--- a/lib/Directory/FirstReadSchedule.cpp
+++ b/lib/Directory/FirstReadSchedule.cpp
@@ -29,12 +29,11 @@
 /// enough time to write the snapshot.
 static constexpr double GrowthExponent = 4;
 
-FirstReadSchedule::FirstReadSchedule(bool IsSeed, double Draw,
-                                     TimePoint Start) {
+FirstReadSchedule::FirstReadSchedule(bool IsSeed, double Draw, TimePoint Start)
+    : Start(Start) {
   const double Part = std::pow(Draw, 1 / GrowthExponent);
-  this->ReadAt =
-      IsSeed ? Start
-             : Start + SeedTime + fromSeconds(toSeconds(LongestDelay) * Part);
+  if (!IsSeed)
+    this->Delay = SeedTime + fromSeconds(toSeconds(LongestDelay) * Part);
 }
 
 } // namespace canvaswick
