--- a/lib/Proxy/ServiceEvidence.cpp
+++ b/lib/Proxy/ServiceEvidence.cpp
@@ -76,10 +76,12 @@
   const auto *Markov = std::get_if<MarkovPolicy>(&this->Policy);
   if (!Markov)
     return;
-  for (const InFlightRequest &Each : Markov->getInFlight().getLocalRequests())
-    Reports.push_back({this->Ids[Each.Server],
-                       static_cast<int>(toMillis(Now - Each.Began)),
+  for (const InFlightRequest &Each : Markov->getInFlight().getLocalRequests()) {
+    // Another thread may have begun a request after the caller took Now.
+    const Duration Age = std::max(Duration::zero(), Now - Each.Began);
+    Reports.push_back({this->Ids[Each.Server], static_cast<int>(toMillis(Age)),
                        static_cast<int>(toMillis(Each.TypicalTime))});
+  }
 }
 
 void ServiceRuntime::applyPeerInFlight(
--- a/unittests/Proxy/ServiceEstimatesTest.cpp
+++ b/unittests/Proxy/ServiceEstimatesTest.cpp
@@ -68,3 +68,17 @@
   CHECK(All[0].Explanation.LocalScore < 0.5);
   CHECK(All[1].Explanation.LocalScore == doctest::Approx(0.95));
 }
+
+TEST_CASE(
+    "a request that began after the time of a report has no negative age") {
+  ServiceFixture Fixture;
+  Attempt Current;
+  const TimePoint Later = FixtureStart + fromMillis(20);
+  REQUIRE(
+      Fixture.Service->begin(Current, ServiceFixture::makeNeeds(Later), Later));
+  std::vector<InFlightReport> Reports;
+  Fixture.Service->appendInFlight(Reports, FixtureStart);
+  REQUIRE(Reports.size() == 1);
+  CHECK(Reports[0].AgeMs == 0);
+  Fixture.Service->end(Current, RequestOutcome::Good, Later);
+}
