--- a/unittests/Directory/FirstReadScheduleTest.cpp
+++ b/unittests/Directory/FirstReadScheduleTest.cpp
@@ -42,6 +42,7 @@
   std::mt19937_64 Random(Seed);
   std::uniform_real_distribution<double> Uniform;
   std::vector<FirstReadSchedule> All;
+  All.reserve(static_cast<size_t>(Daemons));
   for (int I = 0; I < Daemons; ++I)
     All.emplace_back(I < LiveSeeds, Uniform(Random), Start);
   std::optional<TimePoint> WrittenAt;
