--- a/include/canvaswick/Routing/HallDrains.h
+++ b/include/canvaswick/Routing/HallDrains.h
@@ -27,7 +27,6 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -65,10 +64,6 @@
   /// Returns whether the servers of a hall must get no requests.
   bool isDrained(const std::string &Hall) const;
 
-  /// Returns when a hall was returned, or nothing if it is drained or never
-  /// was.
-  std::optional<TimePoint> getReturnTime(const std::string &Hall) const;
-
   /// Returns the drained halls by name.
   std::vector<HallDrain> list() const;
 
@@ -78,7 +73,6 @@
 private:
   mutable std::mutex Mutex;
   std::map<std::string, TimePoint> DrainedSince;
-  std::map<std::string, TimePoint> ReturnedAt;
   std::atomic<uint64_t> Version{0};
 };
 
--- a/lib/Routing/HallDrains.cpp
+++ b/lib/Routing/HallDrains.cpp
@@ -32,13 +32,11 @@
   for (const std::string &Hall : Halls) {
     if (!this->DrainedSince.emplace(Hall, Now).second)
       continue;
-    this->ReturnedAt.erase(Hall);
     Changes.push_back({Hall, HallStep::Drained, {}});
   }
   std::erase_if(this->DrainedSince, [&](const auto &Entry) {
     if (Halls.count(Entry.first) > 0)
       return false;
-    this->ReturnedAt[Entry.first] = Now;
     Changes.push_back({Entry.first, HallStep::Returned, Now - Entry.second});
     return true;
   });
@@ -52,15 +50,6 @@
   return this->DrainedSince.count(Hall) > 0;
 }
 
-std::optional<TimePoint>
-HallDrains::getReturnTime(const std::string &Hall) const {
-  std::lock_guard<std::mutex> Lock(this->Mutex);
-  const auto Found = this->ReturnedAt.find(Hall);
-  if (Found == this->ReturnedAt.end())
-    return std::nullopt;
-  return Found->second;
-}
-
 std::vector<HallDrain> HallDrains::list() const {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   std::vector<HallDrain> All;
