--- a/include/canvaswick/Daemon/DirectoryCalls.h
+++ b/include/canvaswick/Daemon/DirectoryCalls.h
@@ -82,10 +82,12 @@
                         ChangesResponder &Responder);
 
 /// Requests changes from a peer. Fails like PeerCaller::call, and with
-/// Unavailable if the peer has no capacity for a full replica.
+/// Unavailable if the peer has no capacity for a full replica. Fills in Traffic
+/// unless it is null.
 Result<ItemChanges> fetchChanges(PeerCaller &Caller, const Endpoint &Peer,
                                  const ChangesRequest &Request,
-                                 Duration Timeout);
+                                 Duration Timeout,
+                                 CallTraffic *Traffic = nullptr);
 
 Json::Value encodeRequest(const ChangesRequest &Request);
 
--- a/include/canvaswick/Rpc/PeerCaller.h
+++ b/include/canvaswick/Rpc/PeerCaller.h
@@ -34,6 +34,13 @@
 /// The HTTP path of all calls.
 inline constexpr const char *CallPath = "/rpc";
 
+/// What a call put on the network, for logs.
+struct CallTraffic {
+  size_t BytesReceived = 0;
+  /// The HTTP status, or 0 if no head of an answer arrived.
+  int Status = 0;
+};
+
 /// Makes calls over pooled connections. Thread-safe.
 class PeerCaller {
 public:
@@ -47,8 +54,10 @@
   /// if the call was not sent, OutcomeUnknown if no valid answer arrived,
   /// Unauthorized if the peer rejected the signature, and otherwise the kind
   /// that the method returned.
+  /// Fills in Traffic unless it is null.
   Result<Json::Value> call(const Endpoint &Peer, const std::string &Method,
-                           const Json::Value &Params, Duration Timeout);
+                           const Json::Value &Params, Duration Timeout,
+                           CallTraffic *Traffic = nullptr);
 
   /// Closes connections that have been idle for a minute.
   void closeIdle(TimePoint Now);
--- a/lib/Daemon/DirectoryCalls.cpp
+++ b/lib/Daemon/DirectoryCalls.cpp
@@ -275,10 +275,10 @@
 
 Result<ItemChanges> fetchChanges(PeerCaller &Caller, const Endpoint &Peer,
                                  const ChangesRequest &Request,
-                                 Duration Timeout) {
+                                 Duration Timeout, CallTraffic *Traffic) {
   BOOST_OUTCOME_TRY(
       Json::Value Answer,
-      Caller.call(Peer, MethodName, encodeRequest(Request), Timeout));
+      Caller.call(Peer, MethodName, encodeRequest(Request), Timeout, Traffic));
   return decodeChanges(Answer);
 }
 
--- a/lib/Http/CallFailure.cpp
+++ b/lib/Http/CallFailure.cpp
@@ -29,6 +29,10 @@
   if (wasNeverSent(Answer.End))
     return {ErrorKind::Unavailable,
             fmt::format("{}: cannot reach {}", CallName, ServiceName)};
+  if (Answer.End != ExchangeEnd::Complete && Answer.BytesReceived > 0)
+    return {ErrorKind::OutcomeUnknown,
+            fmt::format("{}: answer from {} incomplete after {} bytes",
+                        CallName, ServiceName, Answer.BytesReceived)};
   if (Answer.End != ExchangeEnd::Complete)
     return {ErrorKind::OutcomeUnknown,
             fmt::format("{}: no answer from {}", CallName, ServiceName)};
--- a/lib/Rpc/PeerCaller.cpp
+++ b/lib/Rpc/PeerCaller.cpp
@@ -65,7 +65,7 @@
 Result<Json::Value> PeerCaller::call(const Endpoint &Peer,
                                      const std::string &Method,
                                      const Json::Value &Params,
-                                     Duration Timeout) {
+                                     Duration Timeout, CallTraffic *Traffic) {
   ExchangeResult Exchange;
   const JsonRpcTransport Transport = [&](const std::string &Request,
                                          std::string &Answer) {
@@ -85,6 +85,8 @@
   };
   Json::Value Answer;
   const std::string Failure = callJsonRpc(Transport, Method, Params, Answer);
+  if (Traffic)
+    *Traffic = {Exchange.BytesReceived, Exchange.Status};
   this->count(Counter::CallsSent, 1);
   this->count(Counter::ControlBytesSent, Exchange.BytesSent);
   this->count(Counter::ControlBytesReceived, Exchange.BytesReceived);
--- a/unittests/Http/CallFailureTest.cpp
+++ b/unittests/Http/CallFailureTest.cpp
@@ -38,6 +38,11 @@
     CHECK(Incomplete.Kind == ErrorKind::OutcomeUnknown);
     CHECK(Incomplete.Message == "read k: no answer from the store");
   }
+  ExchangeResult Partial;
+  Partial.End = ExchangeEnd::Timeout;
+  Partial.BytesReceived = 1200;
+  CHECK(describeCallFailure(Partial, "read k", "the store", Meanings).Message ==
+        "read k: answer from the store incomplete after 1200 bytes");
   const Error Missing = describe(ExchangeEnd::Complete, 404);
   CHECK(Missing.Kind == ErrorKind::NotFound);
   CHECK(Missing.Message == "read k: the store answered 404");
