--- a/include/canvaswick/StandIn/RelayStandIn.h
+++ b/include/canvaswick/StandIn/RelayStandIn.h
@@ -35,6 +35,9 @@
   std::atomic<bool> CutBackward{false};
   /// Delay before each read is forwarded, in either direction.
   std::atomic<int64_t> DelayMs{0};
+  /// Bandwidth from the target to the clients, which all connections share, in
+  /// bytes per second. 0 means no limit.
+  std::atomic<int64_t> BytesPerSecond{0};
 };
 
 /// Relays the connections of one address to another. Thread-safe after start().
@@ -54,6 +57,9 @@
   /// them. Later connections work.
   void silenceOpenConnections();
 
+  /// Returns how many bytes were forwarded from the target to the clients.
+  size_t countBytesBackward() const { return this->BytesBackward; }
+
   /// Returns the faults in force, which may be changed at any time.
   RelayFaults &getFaults() { return this->Faults; }
 
@@ -68,7 +74,8 @@
 
   void acceptLoop();
   void forwardBytes(int From, int To, const std::atomic<bool> &Cut,
-                    const std::atomic<bool> &IsSilent);
+                    const std::atomic<bool> &IsSilent, bool IsBackward);
+  void waitForBandwidth(size_t Bytes);
 
   const Endpoint Target;
   RelayFaults Faults;
@@ -78,6 +85,10 @@
   std::thread Acceptor;
   std::mutex Mutex;
   std::list<Connection> Connections;
+  std::atomic<size_t> BytesBackward{0};
+  std::mutex BandwidthMutex;
+  /// When the link from the target is free again.
+  TimePoint LinkFreeAt{};
 };
 
 } // namespace canvaswick
--- a/lib/StandIn/RelayStandIn.cpp
+++ b/lib/StandIn/RelayStandIn.cpp
@@ -20,6 +20,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+
 namespace canvaswick {
 
 static constexpr int PollMillis = 20;
@@ -68,20 +70,39 @@
     Added.Upstream = Upstream;
     Added.Forward = std::thread([this, Client, Upstream, &Added] {
       this->forwardBytes(Client, Upstream, this->Faults.CutForward,
-                         Added.IsSilent);
+                         Added.IsSilent, false);
     });
     Added.Backward = std::thread([this, Client, Upstream, &Added] {
       this->forwardBytes(Upstream, Client, this->Faults.CutBackward,
-                         Added.IsSilent);
+                         Added.IsSilent, true);
     });
   }
 }
 
+/// Waits until the link from the target has carried Bytes more.
+void RelayStandIn::waitForBandwidth(size_t Bytes) {
+  const int64_t PerSecond = this->Faults.BytesPerSecond;
+  if (PerSecond <= 0)
+    return;
+  TimePoint Until;
+  {
+    std::lock_guard<std::mutex> Lock(this->BandwidthMutex);
+    this->LinkFreeAt = std::max(this->LinkFreeAt, readSteadyClock()) +
+                       fromSeconds(static_cast<double>(Bytes) /
+                                   static_cast<double>(PerSecond));
+    Until = this->LinkFreeAt;
+  }
+  while (!this->Stopping && readSteadyClock() < Until)
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+}
+
 /// Forwards bytes in one direction until From reaches its end or the relay
 /// stops, then shuts down the sending side of To.
 void RelayStandIn::forwardBytes(int From, int To, const std::atomic<bool> &Cut,
-                                const std::atomic<bool> &IsSilent) {
-  char Data[16384];
+                                const std::atomic<bool> &IsSilent,
+                                bool IsBackward) {
+  // Small enough that a slow link still forwards several times a second.
+  char Data[4096];
   while (!this->Stopping) {
     if (Cut || IsSilent) {
       std::this_thread::sleep_for(std::chrono::milliseconds(PollMillis));
@@ -98,6 +119,10 @@
     const int64_t DelayMs = this->Faults.DelayMs;
     if (DelayMs > 0)
       std::this_thread::sleep_for(std::chrono::milliseconds(DelayMs));
+    if (IsBackward) {
+      this->waitForBandwidth(static_cast<size_t>(Count));
+      this->BytesBackward += static_cast<size_t>(Count);
+    }
     ssize_t Sent = 0;
     while (Sent < Count && !this->Stopping) {
       const ssize_t Now =
