--- a/include/canvaswick/Daemon/DirectoryCalls.h
+++ b/include/canvaswick/Daemon/DirectoryCalls.h
@@ -37,12 +37,15 @@
   StorePosition After;
   /// Whether the peer accepts large values, too.
   bool WantsLarge = true;
-  /// The large items that the peer holds, whose changes may be sent as deltas.
-  /// All positions have the epoch of After.
+  /// The large items that the peer holds: they are not sent again, and their
+  /// changes may be sent as deltas. All positions have the epoch of After.
   ItemPositions Held;
   /// Whether the request names an epoch. A peer of a version without epochs
   /// names none; its request is then read as one in the responder's epoch.
   bool HasEpoch = true;
+  /// Whether the peer decodes large values that are packed one by one. A peer
+  /// of an earlier version does not.
+  bool AcceptsPackedValues = true;
 };
 
 /// Returns the changes that the peer lacks.
@@ -65,8 +68,16 @@
     Json::Value Value;
   };
 
+  /// A large value, compressed and encoded as text.
+  struct PackedValue {
+    StorePosition At;
+    std::string Text;
+  };
+
   Json::Value packCached(const ItemChanges &Changes,
                          const StorePosition &After);
+  Json::Value encodeLarge(ItemChanges Changes);
+  std::string packValue(const StoreItem &Item);
 
   const ChangesSource Source;
   const std::function<bool()> HasCapacity;
@@ -75,6 +86,12 @@
   /// Recently packed responses, by After: the daemons of a hall make the same
   /// request at about the same time.
   std::map<StorePosition, CachedResponse> Cache;
+  /// Guards PackedValues, also while a value is packed: several peers ask for
+  /// the same one, and packing it twice at once would take longer for all.
+  std::mutex PackMutex;
+  /// The last packed value of each large item. It outlasts changes of other
+  /// items, which come several times a second.
+  std::map<std::string, PackedValue> PackedValues;
 };
 
 /// Adds the method that peers call. Responder must outlive the dispatcher.
@@ -86,7 +103,7 @@
 /// unless it is null.
 Result<ItemChanges> fetchChanges(PeerCaller &Caller, const Endpoint &Peer,
                                  const ChangesRequest &Request,
-                                 Duration Timeout,
+                                 const CallLimits &Limits,
                                  CallTraffic *Traffic = nullptr);
 
 Json::Value encodeRequest(const ChangesRequest &Request);
--- a/include/canvaswick/Directory/AheadPeers.h
+++ b/include/canvaswick/Directory/AheadPeers.h
@@ -41,7 +41,8 @@
                   TimePoint Now);
 
   /// Returns a random peer that is ahead of Known, from the same hall if there
-  /// is one there, or nullopt if no peer is ahead.
+  /// is one there, or nullopt if no peer is ahead. Known may be later than the
+  /// position that recordPeer was given: peers between stay recorded.
   std::optional<std::string> choosePeer(const StorePosition &Known,
                                         TimePoint Now);
 
--- a/include/canvaswick/Http/HttpClient.h
+++ b/include/canvaswick/Http/HttpClient.h
@@ -69,8 +69,12 @@
   bool BodyIsChunked = false;
   /// Limits that apply once the head of the response has arrived: the longest
   /// time without a byte, and the time by which the body must be complete.
+  /// Without a body deadline, a body that is collected must be complete by the
+  /// deadline of the head.
   Duration StallLimit = Duration::zero();
   TimePoint BodyDeadline = TimePoint::max();
+  /// Called whenever a part of a collected body has arrived, unless empty.
+  std::function<void()> OnBodyPart;
   /// Called when the deadline for the head has passed. Returns the new
   /// deadline; the request times out if that is not later.
   std::function<TimePoint()> ExtendDeadline;
--- a/include/canvaswick/Rpc/PeerCaller.h
+++ b/include/canvaswick/Rpc/PeerCaller.h
@@ -16,6 +16,7 @@
 #ifndef CANVASWICK_RPC_PEERCALLER_H
 #define CANVASWICK_RPC_PEERCALLER_H
 
+#include "canvaswick/Http/CancelSignal.h"
 #include "canvaswick/Http/HttpClient.h"
 #include "canvaswick/Http/HttpServer.h"
 #include "canvaswick/Metrics/Counters.h"
@@ -34,6 +35,19 @@
 /// The HTTP path of all calls.
 inline constexpr const char *CallPath = "/rpc";
 
+/// The time limits of a call whose answer may be long. An answer that keeps
+/// arriving is not given up as early as one that does not come.
+struct CallLimits {
+  /// For a new connection.
+  Duration Connect;
+  /// Until the head of the answer has arrived.
+  Duration Head;
+  /// For each wait for more of the body.
+  Duration Stall;
+  /// From the start of the call until the body is complete.
+  Duration Whole;
+};
+
 /// What a call put on the network, for logs.
 struct CallTraffic {
   size_t BytesReceived = 0;
@@ -54,11 +68,17 @@
   /// if the call was not sent, OutcomeUnknown if no valid answer arrived,
   /// Unauthorized if the peer rejected the signature, and otherwise the kind
   /// that the method returned.
-  /// Fills in Traffic unless it is null.
   Result<Json::Value> call(const Endpoint &Peer, const std::string &Method,
-                           const Json::Value &Params, Duration Timeout,
+                           const Json::Value &Params, Duration Timeout);
+
+  /// Does the same with separate limits. Fills in Traffic unless it is null.
+  Result<Json::Value> call(const Endpoint &Peer, const std::string &Method,
+                           const Json::Value &Params, const CallLimits &Limits,
                            CallTraffic *Traffic = nullptr);
 
+  /// Cancels the calls that wait, and all later calls.
+  void cancel() { this->Cancellation.trigger(); }
+
   /// Closes connections that have been idle for a minute.
   void closeIdle(TimePoint Now);
 
@@ -72,6 +92,7 @@
   CounterTable *Counters;
   std::atomic<uint64_t> NextNonce;
   ConnectionPool Pool;
+  CancelSignal Cancellation;
 };
 
 /// Builds the answer of a method that failed, from which PeerCaller::call()
--- a/lib/Daemon/DirectoryCalls.cpp
+++ b/lib/Daemon/DirectoryCalls.cpp
@@ -9,7 +9,7 @@
 /// \file
 /// An item is encoded as [key, revision, value, epoch]. The epoch is omitted if
 /// it is the epoch of the whole answer. An item without a value has been
-/// deleted.
+/// deleted. Large values may be listed apart, each compressed and in base64.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -155,11 +155,26 @@
   return Rows;
 }
 
+/// Decodes the large values that are packed one by one, if there are any.
+static Result<void> decodePackedValues(const Json::Value &Rows, uint64_t Epoch,
+                                       std::vector<StoreItem> &Items) {
+  for (const Json::Value &Row : Rows) {
+    StoreItem Item;
+    if (!decodeItem(Row, Epoch, Item) || Item.IsRemoved)
+      return makeError(ErrorKind::InvalidArgument, "malformed packed value");
+    BOOST_OUTCOME_TRY(std::string Packed, decodeBase64(Item.Value));
+    BOOST_OUTCOME_TRY(Item.Value, decompressText(Packed, MaxUnpackedBytes));
+    Items.push_back(std::move(Item));
+  }
+  return outcome::success();
+}
+
 Result<ItemChanges> decodeChanges(const Json::Value &Value) {
   if (!Value.isObject() || !Value["as-of"].isUInt64() ||
       (Value.isMember("epoch") && !Value["epoch"].isUInt64()) ||
       !Value["all"].isBool() ||
       (Value.isMember("partial") && !Value["partial"].isBool()) ||
+      (Value.isMember("values") && !Value["values"].isArray()) ||
       (Value.isMember("deltas") && !Value["deltas"].isArray()))
     return makeError(ErrorKind::InvalidArgument,
                      "malformed changes of the store");
@@ -176,6 +191,7 @@
       return makeError(ErrorKind::InvalidArgument, "malformed item");
     Changes.Items.push_back(std::move(Item));
   }
+  BOOST_OUTCOME_TRYV(decodePackedValues(Value["values"], Epoch, Changes.Items));
   for (const Json::Value &Row : Value["deltas"]) {
     ItemDelta Delta;
     if (!decodeDelta(Row, Epoch, Delta))
@@ -205,12 +221,38 @@
     Changes.OmitsLarge = true;
     return packChanges(encodeChanges(Changes));
   }
+  if (HasLarge && !IsFullReplica && Request.AcceptsPackedValues)
+    return this->encodeLarge(std::move(Changes));
   // Deltas depend on what the peer holds, so they are not cached.
   if (!Changes.Deltas.empty())
     return packChanges(encodeChanges(Changes));
   return this->packCached(Changes, After);
 }
 
+/// Returns the packed value of a large item, which is packed once.
+std::string ChangesResponder::packValue(const StoreItem &Item) {
+  std::lock_guard<std::mutex> Lock(this->PackMutex);
+  PackedValue &Packed = this->PackedValues[Item.Key];
+  if (Packed.At != Item.At || Packed.Text.empty())
+    Packed = {Item.At, encodeBase64(compressText(Item.Value))};
+  return Packed.Text;
+}
+
+/// Encodes changes whose large values are packed one by one.
+Json::Value ChangesResponder::encodeLarge(ItemChanges Changes) {
+  Json::Value Values(Json::arrayValue);
+  std::erase_if(Changes.Items, [&](StoreItem &Item) {
+    if (!isLarge(Item))
+      return false;
+    Item.Value = this->packValue(Item);
+    Values.append(encodeItem(Item, Changes.AsOf.Epoch));
+    return true;
+  });
+  Json::Value Encoded = packChanges(encodeChanges(Changes));
+  Encoded["values"] = std::move(Values);
+  return Encoded;
+}
+
 /// Encodes and packs changes, or returns the cached response to the same
 /// request.
 Json::Value ChangesResponder::packCached(const ItemChanges &Changes,
@@ -247,6 +289,7 @@
   Params["after"] = static_cast<Json::UInt64>(Request.After.Revision);
   Params["epoch"] = static_cast<Json::UInt64>(Request.After.Epoch);
   Params["large"] = Request.WantsLarge;
+  Params["packed-values"] = Request.AcceptsPackedValues;
   Params["held"] = Json::objectValue;
   for (const auto &[Key, At] : Request.Held)
     if (At.Epoch == Request.After.Epoch)
@@ -259,11 +302,13 @@
   if (!Params.isObject() || !Params["after"].isUInt64() ||
       (Params.isMember("epoch") && !Params["epoch"].isUInt64()) ||
       (Params.isMember("large") && !Params["large"].isBool()) ||
+      (Params.isMember("packed-values") && !Params["packed-values"].isBool()) ||
       (Params.isMember("held") && !Params["held"].isObject()))
     return makeError(ErrorKind::InvalidArgument, "not a request for changes");
   Request.HasEpoch = Params.isMember("epoch");
   Request.After = {Params["epoch"].asUInt64(), Params["after"].asUInt64()};
   Request.WantsLarge = !Params.isMember("large") || Params["large"].asBool();
+  Request.AcceptsPackedValues = Params["packed-values"].asBool();
   const Json::Value &Held = Params["held"];
   for (const std::string &Key : Held.getMemberNames()) {
     if (!Held[Key].isUInt64())
@@ -275,10 +320,11 @@
 
 Result<ItemChanges> fetchChanges(PeerCaller &Caller, const Endpoint &Peer,
                                  const ChangesRequest &Request,
-                                 Duration Timeout, CallTraffic *Traffic) {
+                                 const CallLimits &Limits,
+                                 CallTraffic *Traffic) {
   BOOST_OUTCOME_TRY(
       Json::Value Answer,
-      Caller.call(Peer, MethodName, encodeRequest(Request), Timeout, Traffic));
+      Caller.call(Peer, MethodName, encodeRequest(Request), Limits, Traffic));
   return decodeChanges(Answer);
 }
 
--- a/lib/Directory/AheadPeers.cpp
+++ b/lib/Directory/AheadPeers.cpp
@@ -42,12 +42,13 @@
 std::optional<std::string> AheadPeers::choosePeer(const StorePosition &Known,
                                                   TimePoint Now) {
   std::erase_if(this->Peers, [&](const auto &Entry) {
-    return Entry.second.AsOf <= Known ||
-           Now - Entry.second.HeardAt > ReportTimeout;
+    return Now - Entry.second.HeardAt > ReportTimeout;
   });
   std::vector<std::string> SameHall;
   std::vector<std::string> All;
   for (const auto &[Name, Each] : this->Peers) {
+    if (Each.AsOf <= Known)
+      continue;
     All.push_back(Name);
     if (Each.IsSameHall)
       SameHall.push_back(Name);
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -234,7 +234,7 @@
       return false;
     State.HeadTaken = true;
     Stream.setStallLimit(Outgoing.StallLimit);
-    if (Sink)
+    if (Sink || Outgoing.BodyDeadline != TimePoint::max())
       Stream.setDeadline(Outgoing.BodyDeadline);
     if (Sink && !Sink->OnHead(Response)) {
       State.IsRefusedBySink = true;
@@ -243,9 +243,9 @@
     // A response such as 304 has no body, whatever its Content-Length.
     return !State.IsBodyless;
   };
-  Request.content_receiver = [&State, Sink, &Result](const char *Data,
-                                                     size_t Size, uint64_t,
-                                                     uint64_t) {
+  Request.content_receiver = [&State, &Outgoing, Sink,
+                              &Result](const char *Data, size_t Size, uint64_t,
+                                       uint64_t) {
     if (Sink) {
       State.IsRefusedBySink = !Sink->OnBody(Data, Size);
       return !State.IsRefusedBySink;
@@ -253,6 +253,8 @@
     if (Result.Body.size() + Size > MaxCollectedBytes)
       return false;
     Result.Body.append(Data, Size);
+    if (Outgoing.OnBodyPart)
+      Outgoing.OnBodyPart();
     return true;
   };
 }
--- a/lib/Rpc/PeerCaller.cpp
+++ b/lib/Rpc/PeerCaller.cpp
@@ -65,7 +65,16 @@
 Result<Json::Value> PeerCaller::call(const Endpoint &Peer,
                                      const std::string &Method,
                                      const Json::Value &Params,
-                                     Duration Timeout, CallTraffic *Traffic) {
+                                     Duration Timeout) {
+  return this->call(Peer, Method, Params,
+                    CallLimits{Timeout, Timeout, Duration::zero(), Timeout});
+}
+
+Result<Json::Value> PeerCaller::call(const Endpoint &Peer,
+                                     const std::string &Method,
+                                     const Json::Value &Params,
+                                     const CallLimits &Limits,
+                                     CallTraffic *Traffic) {
   ExchangeResult Exchange;
   const JsonRpcTransport Transport = [&](const std::string &Request,
                                          std::string &Answer) {
@@ -73,13 +82,17 @@
     Outgoing.Method = "POST";
     Outgoing.Target = CallPath;
     Outgoing.Body = Request;
+    Outgoing.ConnectLimit = Limits.Connect;
+    Outgoing.StallLimit = Limits.Stall;
+    const TimePoint Now = readSteadyClock();
+    Outgoing.BodyDeadline = Now + Limits.Whole;
     if (this->Key)
       Outgoing.Headers.emplace(CallSignatureHeader,
                                signCall(*this->Key, Request,
                                         readCalendarMillis(),
                                         this->NextNonce++));
-    Exchange = this->Pool.exchange(Peer, Outgoing, readSteadyClock() + Timeout,
-                                   -1, nullptr);
+    Exchange = this->Pool.exchange(Peer, Outgoing, Now + Limits.Head,
+                                   this->Cancellation.getDescriptor(), nullptr);
     Answer = Exchange.Body;
     return Exchange.End == ExchangeEnd::Complete && Exchange.Status == 200;
   };
--- a/unittests/LargeSettings/LargeSettingsTest.cpp
+++ b/unittests/LargeSettings/LargeSettingsTest.cpp
@@ -212,6 +212,8 @@
           "configuration") {
   Hall Fixture(4);
   Fixture.startServing();
+  // Watches that were begun before the hall had its watchers end by then.
+  std::this_thread::sleep_for(std::chrono::milliseconds(2500));
   const std::vector<Member *> Watchers = Fixture.listWatchers();
   for (const std::unique_ptr<Member> &Each : Fixture.Members)
     Each->StoreRelay.getFaults().BytesPerSecond = SlowLink;
