Few large answers are on their way at once, until their peers confirm them

The limit of two counted what was being written, and what is written waits in the socket's buffer.

Listening sockets begin with their whole queue: cpp-httplib listens with five first.

Of the two new cases of DirectoryCalls the first does not exist without the mend (no receipts); the second compares both encodings.

--- a/include/canvaswick/Daemon/DirectoryCalls.h
+++ b/include/canvaswick/Daemon/DirectoryCalls.h
@@ -46,11 +46,31 @@
   /// Whether the peer decodes large values that are packed one by one. A peer
   /// of an earlier version does not.
   bool AcceptsPackedValues = true;
+  /// Names the answer for confirmReceipt; 0 if the peer does not confirm.
+  uint64_t Receipt = 0;
 };
 
 /// Returns the changes that the peer lacks.
 using ChangesSource = std::function<ItemChanges(const ChangesRequest &)>;
 
+/// The large answers on their way to peers. An answer that was written is not
+/// sent yet: it waits in buffers for the link, with whatever is written after
+/// it. So it counts until its peer confirms it, or until ReceiptTimeout. Not
+/// thread-safe.
+class LargeAnswers {
+public:
+  /// Counts an answer unless MaxLargeAnswers are on their way. Returns whether
+  /// it may be sent.
+  bool tryBegin(uint64_t Receipt, TimePoint Now);
+
+  /// Ends an answer; an unknown receipt is ignored.
+  void end(uint64_t Receipt) { this->Until.erase(Receipt); }
+
+private:
+  /// When each answer stops counting.
+  std::map<uint64_t, TimePoint> Until;
+};
+
 /// Answers peers' requests for changes. Urgent changes are small (a server that
 /// leaves) and must not wait behind large ones (a configuration): large values
 /// are sent only if the peer requests them and this daemon has the capacity;
@@ -60,7 +80,12 @@
   /// HasCapacity returns whether another large response may be sent now.
   ChangesResponder(ChangesSource Source, std::function<bool()> HasCapacity);
 
-  Json::Value answer(const ChangesRequest &Request);
+  /// Fails with Unavailable if the request wants a large answer, for which
+  /// there is no capacity.
+  Json::Value answer(const ChangesRequest &Request, TimePoint Now);
+
+  /// Records that a peer has received the answer with this receipt.
+  void confirmReceipt(uint64_t Receipt);
 
 private:
   struct CachedResponse {
@@ -74,6 +99,7 @@
     std::string Text;
   };
 
+  bool tryBeginLarge(const ChangesRequest &Request, TimePoint Now);
   Json::Value packCached(const ItemChanges &Changes,
                          const StorePosition &After);
   Json::Value encodeLarge(ItemChanges Changes);
@@ -86,6 +112,9 @@
   /// Recently packed responses, by After: the daemons of a hall make the same
   /// request at about the same time.
   std::map<StorePosition, CachedResponse> Cache;
+  std::mutex LargeMutex;
+  /// Guarded by LargeMutex.
+  LargeAnswers Large;
   /// Guards PackedValues, also while a value is packed: several peers ask for
   /// the same one, and packing it twice at once would take longer for all.
   std::mutex PackMutex;
@@ -106,6 +135,10 @@
                                  const CallLimits &Limits,
                                  CallTraffic *Traffic = nullptr);
 
+/// Tells a peer that its large answer has arrived, so that it may send another
+/// one. A failure is ignored: the peer stops counting the answer after a while.
+void confirmReceipt(PeerCaller &Caller, const Endpoint &Peer, uint64_t Receipt);
+
 Json::Value encodeRequest(const ChangesRequest &Request);
 
 /// Fails with InvalidArgument if the request is malformed.
--- a/lib/Daemon/DirectoryCalls.cpp
+++ b/lib/Daemon/DirectoryCalls.cpp
@@ -23,6 +23,17 @@
 namespace canvaswick {
 
 static constexpr const char *MethodName = "directory.changes";
+static constexpr const char *ReceiptMethodName = "directory.received";
+
+/// The maximum number of large answers on their way to peers. Those who have
+/// one pass it on, so that few at a time reach a hall sooner than all at once.
+static constexpr size_t MaxLargeAnswers = 2;
+
+/// A large answer that was not confirmed stops counting after this time: its
+/// peer has ended or is cut off.
+static constexpr Duration ReceiptTimeout = fromMillis(1000);
+
+static constexpr Duration ConfirmTimeout = fromMillis(100);
 
 /// Items are packed if their text is longer than this. For shorter texts
 /// packing saves less than one network segment.
@@ -205,18 +216,45 @@
                                    std::function<bool()> HasCapacity)
     : Source(std::move(Source)), HasCapacity(std::move(HasCapacity)) {}
 
-Json::Value ChangesResponder::answer(const ChangesRequest &Request) {
+bool LargeAnswers::tryBegin(uint64_t Receipt, TimePoint Now) {
+  std::erase_if(this->Until,
+                [Now](const auto &Entry) { return Entry.second <= Now; });
+  if (this->Until.size() >= MaxLargeAnswers)
+    return false;
+  this->Until[Receipt] = Now + ReceiptTimeout;
+  return true;
+}
+
+/// Returns whether a peer that confirms its answers may be sent a large one.
+bool ChangesResponder::tryBeginLarge(const ChangesRequest &Request,
+                                     TimePoint Now) {
+  std::lock_guard<std::mutex> Lock(this->LargeMutex);
+  return this->Large.tryBegin(Request.Receipt, Now);
+}
+
+void ChangesResponder::confirmReceipt(uint64_t Receipt) {
+  std::lock_guard<std::mutex> Lock(this->LargeMutex);
+  this->Large.end(Receipt);
+}
+
+Json::Value ChangesResponder::answer(const ChangesRequest &Request,
+                                     TimePoint Now) {
+  if (Request.WantsLarge && Request.Receipt != 0 &&
+      !this->tryBeginLarge(Request, Now))
+    return makeCallError({ErrorKind::Unavailable, "no room for large values"});
   ItemChanges Changes = this->Source(Request);
   StorePosition After = Request.After;
   if (!Request.HasEpoch)
     After.Epoch = Changes.AsOf.Epoch;
   const bool IsFullReplica =
       After.isNone() || After.Epoch != Changes.AsOf.Epoch;
-  if (IsFullReplica && !this->HasCapacity())
+  // Whoever confirms its answers has been counted by them already.
+  const bool HasRoom = Request.Receipt != 0 || this->HasCapacity();
+  if (IsFullReplica && !HasRoom)
     return makeCallError({ErrorKind::Unavailable, "no room for a whole copy"});
   const bool HasLarge =
       std::any_of(Changes.Items.begin(), Changes.Items.end(), isLarge);
-  if (HasLarge && !(Request.WantsLarge && this->HasCapacity())) {
+  if (HasLarge && !(Request.WantsLarge && HasRoom)) {
     std::erase_if(Changes.Items, isLarge);
     Changes.OmitsLarge = true;
     return packChanges(encodeChanges(Changes));
@@ -279,9 +317,15 @@
                         ChangesResponder &Responder) {
   Dispatcher.add(MethodName, [&Responder](const Json::Value &Params) {
     const Result<ChangesRequest> Request = decodeRequest(Params);
-    return Request ? Responder.answer(Request.value())
+    return Request ? Responder.answer(Request.value(), readSteadyClock())
                    : makeCallError(Request.error());
   });
+  Dispatcher.add(ReceiptMethodName, [&Responder](const Json::Value &Params) {
+    if (!Params.isObject() || !Params["receipt"].isUInt64())
+      return makeCallError({ErrorKind::InvalidArgument, "not a receipt"});
+    Responder.confirmReceipt(Params["receipt"].asUInt64());
+    return Json::Value(Json::objectValue);
+  });
 }
 
 Json::Value encodeRequest(const ChangesRequest &Request) {
@@ -290,6 +334,8 @@
   Params["epoch"] = static_cast<Json::UInt64>(Request.After.Epoch);
   Params["large"] = Request.WantsLarge;
   Params["packed-values"] = Request.AcceptsPackedValues;
+  if (Request.Receipt != 0)
+    Params["receipt"] = static_cast<Json::UInt64>(Request.Receipt);
   Params["held"] = Json::objectValue;
   for (const auto &[Key, At] : Request.Held)
     if (At.Epoch == Request.After.Epoch)
@@ -302,6 +348,7 @@
   if (!Params.isObject() || !Params["after"].isUInt64() ||
       (Params.isMember("epoch") && !Params["epoch"].isUInt64()) ||
       (Params.isMember("large") && !Params["large"].isBool()) ||
+      (Params.isMember("receipt") && !Params["receipt"].isUInt64()) ||
       (Params.isMember("packed-values") && !Params["packed-values"].isBool()) ||
       (Params.isMember("held") && !Params["held"].isObject()))
     return makeError(ErrorKind::InvalidArgument, "not a request for changes");
@@ -309,6 +356,7 @@
   Request.After = {Params["epoch"].asUInt64(), Params["after"].asUInt64()};
   Request.WantsLarge = !Params.isMember("large") || Params["large"].asBool();
   Request.AcceptsPackedValues = Params["packed-values"].asBool();
+  Request.Receipt = Params["receipt"].asUInt64();
   const Json::Value &Held = Params["held"];
   for (const std::string &Key : Held.getMemberNames()) {
     if (!Held[Key].isUInt64())
@@ -328,4 +376,11 @@
   return decodeChanges(Answer);
 }
 
+void confirmReceipt(PeerCaller &Caller, const Endpoint &Peer,
+                    uint64_t Receipt) {
+  Json::Value Params;
+  Params["receipt"] = static_cast<Json::UInt64>(Receipt);
+  (void)Caller.call(Peer, ReceiptMethodName, Params, ConfirmTimeout);
+}
+
 } // namespace canvaswick
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -57,6 +57,35 @@
   ::setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
 }
 
+/// Opens a socket that listens at an IPv4 address. cpp-httplib would listen
+/// with a queue of five connections first, and a hall that connects at once is
+/// more. Returns the descriptor, or -1 on failure.
+static int listenTcp(const Endpoint &Address, int Backlog) {
+  sockaddr_in Name{};
+  Name.sin_family = AF_INET;
+  Name.sin_port = htons(Address.Port);
+  if (::inet_pton(AF_INET, Address.Host.c_str(), &Name.sin_addr) != 1)
+    return -1;
+  const int Descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (Descriptor < 0)
+    return -1;
+  setServerSocketOptions(Descriptor);
+  if (::bind(Descriptor, reinterpret_cast<const sockaddr *>(&Name),
+             sizeof(Name)) == 0 &&
+      ::listen(Descriptor, Backlog) == 0)
+    return Descriptor;
+  ::close(Descriptor);
+  return -1;
+}
+
+/// Returns the port to which a socket is bound.
+static uint16_t readPort(int Descriptor) {
+  sockaddr_in Name{};
+  socklen_t Length = sizeof(Name);
+  ::getsockname(Descriptor, reinterpret_cast<sockaddr *>(&Name), &Length);
+  return ntohs(Name.sin_port);
+}
+
 HttpServer::HttpServer(HttpServerLimits Limits, ExchangeHandler Handler)
     : Limits(Limits), Handler(std::move(Handler)),
       MaxHeadBytes(Limits.MaxHeadBytes), HeadMicros(Limits.HeadTime.count()),
@@ -97,6 +126,13 @@
 }
 
 Result<void> HttpServer::bind(const Endpoint &Address) {
+  const int Listening = listenTcp(Address, ListenBacklog);
+  if (Listening >= 0) {
+    this->svr_sock_ = Listening;
+    this->Port = readPort(Listening);
+    return outcome::success();
+  }
+  // The host is a name, or the address is taken.
   if (Address.Port == 0) {
     const int Chosen = this->bind_to_any_port(Address.Host);
     if (Chosen <= 0)
--- a/unittests/Daemon/DirectoryCallsTest.cpp
+++ b/unittests/Daemon/DirectoryCallsTest.cpp
@@ -92,7 +92,9 @@
       [](const ChangesRequest &) { return makeLargeChanges(); },
       [&HasCapacity] { return HasCapacity; });
   const auto Request = [&](bool WantsLarge) {
-    return decodeChanges(Responder.answer({{0, 3}, WantsLarge, {}})).value();
+    return decodeChanges(
+               Responder.answer({{0, 3}, WantsLarge, {}}, TimePoint{}))
+        .value();
   };
   CHECK(Request(true).Items.size() == 2);
   CHECK_FALSE(Request(true).OmitsLarge);
@@ -107,8 +109,9 @@
   ChangesResponder Responder(
       [](const ChangesRequest &) { return SmallChanges; },
       [] { return false; });
-  CHECK_FALSE(
-      decodeChanges(Responder.answer({{0, 3}, false, {}})).value().OmitsLarge);
+  CHECK_FALSE(decodeChanges(Responder.answer({{0, 3}, false, {}}, TimePoint{}))
+                  .value()
+                  .OmitsLarge);
 }
 
 TEST_CASE("a full replica is refused with a reason if there is no capacity") {
@@ -116,10 +119,10 @@
   ChangesResponder Responder(
       [](const ChangesRequest &) { return makeReplica(); },
       [&HasCapacity] { return HasCapacity; });
-  CHECK(Responder.answer({{0, 0}, true, {}})["error"].asString() ==
+  CHECK(Responder.answer({{0, 0}, true, {}}, TimePoint{})["error"].asString() ==
         getName(ErrorKind::Unavailable));
   HasCapacity = true;
-  CHECK(decodeChanges(Responder.answer({{0, 0}, true, {}}))
+  CHECK(decodeChanges(Responder.answer({{0, 0}, true, {}}, TimePoint{}))
             .value()
             .Items.size() == 1163);
 }
@@ -129,17 +132,18 @@
   ChangesResponder Responder(
       [&Replica](const ChangesRequest &) { return Replica; },
       [] { return true; });
-  const Json::Value First = Responder.answer({{0, 0}, true, {}});
-  CHECK(Responder.answer({{0, 0}, true, {}}) == First);
+  const Json::Value First = Responder.answer({{0, 0}, true, {}}, TimePoint{});
+  CHECK(Responder.answer({{0, 0}, true, {}}, TimePoint{}) == First);
   Replica.AsOf = {0, 6000};
   Replica.Items.pop_back();
-  CHECK(decodeChanges(Responder.answer({{0, 0}, true, {}})).value().AsOf ==
-        StorePosition(0, 6000));
+  CHECK(decodeChanges(Responder.answer({{0, 0}, true, {}}, TimePoint{}))
+            .value()
+            .AsOf == StorePosition(0, 6000));
   // More distinct requests than the cache holds are all answered correctly.
   for (uint64_t After = 1; After < 30; ++After)
-    CHECK(
-        decodeChanges(Responder.answer({{0, After}, true, {}})).value().Items ==
-        Replica.Items);
+    CHECK(decodeChanges(Responder.answer({{0, After}, true, {}}, TimePoint{}))
+              .value()
+              .Items == Replica.Items);
 }
 
 TEST_CASE("malformed fields and corrupt packed items are rejected") {
@@ -178,7 +182,8 @@
       },
       [] { return false; });
   const ItemChanges Changes =
-      decodeChanges(Responder.answer({{0, 3}, false, {{"config", {0, 3}}}}))
+      decodeChanges(
+          Responder.answer({{0, 3}, false, {{"config", {0, 3}}}}, TimePoint{}))
           .value();
   CHECK_FALSE(Changes.OmitsLarge);
   CHECK(Changes.Items.size() == 1);
@@ -190,7 +195,7 @@
   CHECK(Item.value() == *Table.find("config"));
   // A daemon that holds another version, or none, does not get the delta.
   for (const ItemPositions &Held : {ItemPositions{{"config", {0, 2}}}, {}})
-    CHECK(decodeChanges(Responder.answer({{0, 3}, false, Held}))
+    CHECK(decodeChanges(Responder.answer({{0, 3}, false, Held}, TimePoint{}))
               .value()
               .OmitsLarge);
   ItemTable Other;
@@ -260,15 +265,59 @@
   const ChangesRequest Without{{0, 110}, true, {}, false};
   const ChangesRequest Earlier{{0, 110}, true, {}, true};
   for (int Time = 0; Time < 2; ++Time) {
-    const auto Changes = decodeChanges(Responder.answer(Without));
+    const auto Changes = decodeChanges(Responder.answer(Without, TimePoint{}));
     REQUIRE(Changes);
     CHECK(Changes.value().Items.size() == 1);
-    const auto Full = decodeChanges(Responder.answer(Earlier));
+    const auto Full = decodeChanges(Responder.answer(Earlier, TimePoint{}));
     REQUIRE(Full);
     CHECK(Full.value().Items.size() == 101);
   }
   // Changes are small and need no capacity; a full replica does.
   HasCapacity = false;
-  CHECK(decodeChanges(Responder.answer(Without)));
-  CHECK_FALSE(decodeChanges(Responder.answer(Earlier)));
+  CHECK(decodeChanges(Responder.answer(Without, TimePoint{})));
+  CHECK_FALSE(decodeChanges(Responder.answer(Earlier, TimePoint{})));
+}
+
+TEST_CASE("few large answers are on their way at once, until they are "
+          "confirmed") {
+  ChangesResponder Responder(
+      [](const ChangesRequest &) { return makeLargeChanges(); },
+      [] { return false; });
+  const TimePoint Start = TimePoint{} + fromSeconds(1);
+  const auto IsSent = [&](uint64_t Receipt, bool WantsLarge, TimePoint Now) {
+    ChangesRequest Request{{0, 3}, WantsLarge, {}};
+    Request.Receipt = Receipt;
+    return decodeChanges(Responder.answer(Request, Now)).has_value();
+  };
+  CHECK(IsSent(1, true, Start));
+  CHECK(IsSent(2, true, Start));
+  CHECK_FALSE(IsSent(3, true, Start));
+  // Small items need no room.
+  CHECK(IsSent(0, false, Start));
+  TimePoint Now = Start;
+  SUBCASE("a peer confirms") { Responder.confirmReceipt(2); }
+  SUBCASE("a peer that does not confirm counts for a second") {
+    CHECK_FALSE(IsSent(3, true, Start + fromMillis(900)));
+    Now = Start + fromMillis(1100);
+    CHECK(IsSent(4, true, Now));
+  }
+  CHECK(IsSent(3, true, Now));
+  CHECK_FALSE(IsSent(5, true, Now));
+}
+
+TEST_CASE("large values that are packed one by one decode to the same items") {
+  ChangesResponder Responder(
+      [](const ChangesRequest &) { return makeLargeChanges(); },
+      [] { return true; });
+  ChangesRequest Request{{0, 3}, true, {}};
+  const Json::Value Packed = Responder.answer(Request, TimePoint{});
+  CHECK(Packed["values"].size() == 1);
+  Request.AcceptsPackedValues = false;
+  const Json::Value Plain = Responder.answer(Request, TimePoint{});
+  CHECK_FALSE(Plain.isMember("values"));
+  CHECK(decodeChanges(Packed).value().Items ==
+        decodeChanges(Plain).value().Items);
+  Json::Value Broken = Packed;
+  Broken["values"][0][2] = "no packed text";
+  CHECK_FALSE(decodeChanges(Broken));
 }
--- a/unittests/LargeSettings/LargeSettingsTest.cpp
+++ b/unittests/LargeSettings/LargeSettingsTest.cpp
@@ -157,7 +157,7 @@
       },
       [] { return true; });
   const Json::Value Answer =
-      Responder.answer({{0, 3}, false, {{ConfigKey, {0, 3}}}});
+      Responder.answer({{0, 3}, false, {{ConfigKey, {0, 3}}}}, TimePoint{});
   CHECK(writeJson(Answer).size() <= MaxSmallAnswerBytes);
   const ItemChanges Changes = decodeChanges(Answer).value();
   CHECK(Changes.OmitsLarge);
