--- /dev/null
+++ b/unittests/FarBehind/FarBehindTest.cpp
@@ -0,0 +1,66 @@
+//===- FarBehindTest.cpp - Settings of a daemon that is far behind --------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// A daemon that lacks hundreds of changes waits for the snapshot in the store,
+/// which may come after many seconds. Settings must be in force within two.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Daemon/DirectoryCalls.h"
+#include "platform/PeerFollower.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+using namespace canvaswick;
+using namespace canvaswick::platform;
+
+static constexpr const char *ConfigKey = "op/config";
+
+/// More changes than a daemon asks a peer for.
+static constexpr uint64_t ManyChanges = 600;
+
+static constexpr Duration SettingsTime = fromSeconds(2);
+
+TEST_CASE("a daemon that lacks hundreds of changes has new settings in time") {
+  FleetView PeerView{{70}, fromSeconds(2)};
+  PeerView.replaceAll({}, {0, 1}, readSteadyClock());
+  const StorePosition ConfigAt{0, ManyChanges};
+  PeerView.applyEvents({{ConfigKey, std::string(5000, ' '), ConfigAt, false}},
+                       {0, ManyChanges + 1}, readSteadyClock());
+  JsonRpcDispatcher Dispatcher;
+  ChangesResponder Responder(
+      [&PeerView](const ChangesRequest &Request) {
+        return PeerView.getChangesAfter(Request.After, Request.Held);
+      },
+      [] { return true; });
+  addDirectoryMethod(Dispatcher, Responder);
+  HttpServer Server(HttpServerLimits{}, [&](HttpExchange &Exchange) {
+    serveUnsignedCall(Exchange, Dispatcher);
+  });
+  REQUIRE(Server.start({"127.0.0.1", 0}));
+
+  CounterTable Counters;
+  FleetView View{{70}, fromSeconds(2)};
+  View.replaceAll({}, {0, 1}, readSteadyClock());
+  PeerFollower Follower({"a", "h", {}, {}}, {}, {}, View, Counters, [] {});
+  Follower.setDaemons({{"peer", "h", {"127.0.0.1", Server.getPort()}, {}}},
+                      readSteadyClock());
+  PeerMessage Message;
+  Message.Source = "peer";
+  Message.Hall = "h";
+  Message.AsOf = PeerView.getAsOf();
+  const TimePoint GiveUpAt = readSteadyClock() + SettingsTime;
+  while (!View.findItem(ConfigKey) && readSteadyClock() < GiveUpAt) {
+    Follower.handleMessage(Message, readSteadyClock());
+    Follower.runRound(readSteadyClock());
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  CHECK(View.findItem(ConfigKey).has_value());
+}
