--- a/lib/Bench/CapacityBench.cpp
+++ b/lib/Bench/CapacityBench.cpp
@@ -265,6 +265,7 @@
       {"claims", "claims against platform writes, 2 ms platform",
        measureClaims},
       {"starts", "a whole fleet that starts at once (model)", measureStarts},
+      {"spread", "a configuration goes round in a hall (model)", measureSpread},
       {"detection", "detection time against the rate seen", measureDetection},
   };
   return Tables;
--- a/lib/Bench/CapacityTables.h
+++ b/lib/Bench/CapacityTables.h
@@ -59,6 +59,10 @@
 /// Computes the start of a whole fleet from a model. Returns CSV.
 std::string measureStarts();
 
+/// Computes how long a configuration takes to all daemons of a hall from a
+/// model. Returns CSV.
+std::string measureSpread();
+
 } // namespace canvaswick
 
 #endif // CANVASWICK_LIB_BENCH_CAPACITYTABLES_H
