--- a/lib/Daemon/DirectoryCalls.cpp
+++ b/lib/Daemon/DirectoryCalls.cpp
@@ -16,6 +16,7 @@
 #include "canvaswick/Daemon/DirectoryCalls.h"
 #include "canvaswick/Json/JsonText.h"
 #include "canvaswick/Support/Base64.h"
+#include "canvaswick/Support/Log.h"
 #include "canvaswick/Support/TextCompression.h"
 
 #include <algorithm>
@@ -380,7 +381,11 @@
                     uint64_t Receipt) {
   Json::Value Params;
   Params["receipt"] = static_cast<Json::UInt64>(Receipt);
-  (void)Caller.call(Peer, ReceiptMethodName, Params, ConfirmTimeout);
+  const Result<Json::Value> Confirmed =
+      Caller.call(Peer, ReceiptMethodName, Params, ConfirmTimeout);
+  if (!Confirmed)
+    logInfo("receipt-lost", "peer={} what={:?}", Peer.format(),
+            Confirmed.error().Message);
 }
 
 } // namespace canvaswick
--- a/unittests/LargeSettings/LargeSettingsTest.cpp
+++ b/unittests/LargeSettings/LargeSettingsTest.cpp
@@ -189,6 +189,23 @@
   });
 }
 
+TEST_CASE("small items are fetched after the store has lost changes") {
+  FollowerFixture Fixture;
+  Fixture.Peer.write("large", makeRandomText(SlowValueBytes));
+  for (int I = 0; I < 10; ++I)
+    Fixture.Peer.write("servers/i-1", fmt::format("{}", I));
+  Fixture.followUntil([&] { return Fixture.has("servers/i-1"); });
+  REQUIRE_FALSE(Fixture.has("large"));
+  // The same epoch goes on with a lower revision.
+  for (FleetView *View : {&Fixture.View, &Fixture.Peer.View}) {
+    View->markStale(readSteadyClock());
+    View->replaceAll({}, {0, 3}, readSteadyClock());
+  }
+  Fixture.Peer.Revision = 3;
+  Fixture.Peer.write("servers/i-2", "leaves");
+  Fixture.followUntil([&] { return Fixture.has("servers/i-2"); });
+}
+
 TEST_CASE("a large value that arrives slowly from the store is not given up") {
   StoreStandIn Store;
   REQUIRE(Store.start());
