A store that loses changes in one epoch: what was asked before counts no more

Found when the diff was read. The position up to which small items are known outlasted a reset of the view, and an answer to a request of before the reset was applied after it, so that a daemon stood at a position of the lost history.

--- a/unittests/LargeSettings/LargeSettingsTest.cpp
+++ b/unittests/LargeSettings/LargeSettingsTest.cpp
@@ -204,6 +204,10 @@
   Fixture.Peer.Revision = 3;
   Fixture.Peer.write("servers/i-2", "leaves");
   Fixture.followUntil([&] { return Fixture.has("servers/i-2"); });
+  // The large answer that was on its way is of before.
+  std::this_thread::sleep_for(std::chrono::seconds(4));
+  CHECK_FALSE(Fixture.has("large"));
+  CHECK(Fixture.View.getAsOf() == Fixture.Peer.View.getAsOf());
 }
 
 TEST_CASE("a large value that arrives slowly from the store is not given up") {
