--- a/lib/Daemon/Gateway.cpp
+++ b/lib/Daemon/Gateway.cpp
@@ -33,8 +33,9 @@
 /// ControlTimeLimit bounds one such call.
 static constexpr size_t ControlWorkers = 4;
 
-/// The maximum number of large responses at once. The other threads remain for
-/// small changes.
+/// The maximum number of responses that are written at once, if one of them is
+/// large and its peer, of an earlier version, does not confirm it. The other
+/// threads remain for small changes.
 static constexpr size_t MaxLargeResponses = 2;
 
 /// The number of peers' calls that may wait for a thread. Further calls are
