Lifetimes: the test waits until the new instance's entry is in force

That is allowed: a change has seconds. The test took the first answer for the entry being in force. Its checks are as they were: the new name listed, the old one gone, all answers of the new instance.

--- a/unittests/Lifetimes/LifetimesTest.cpp
+++ b/unittests/Lifetimes/LifetimesTest.cpp
@@ -153,8 +153,13 @@
   Fixture.Store.put("servers/i-1", Second->makeEntry());
   CHECK(InFlight.Status == 502);
 
-  Fixture.waitFor(
-      [&] { return Fixture.sendRequest("GET", "/x/1").Status == 200; });
+  // Until the new entry is in force, requests reach the new instance under the
+  // name of the old one, which has the same address.
+  Fixture.waitFor([&] {
+    return Fixture.sendRequest("GET", "/x/1").Status == 200 &&
+           Fixture.readMetrics().find("server=\"i-1@7d0\"") !=
+               std::string::npos;
+  });
   CHECK(Fixture.sendRequest("GET", "/x/1").Body == "2000");
   CHECK(Fixture.sendRequest("POST", "/pay/1", "order").Body == "2000");
   const std::string Metrics = Fixture.readMetrics();
