--- a/lib/Bench/SpreadModel.cpp
+++ b/lib/Bench/SpreadModel.cpp
@@ -56,9 +56,9 @@
   return Way == SpreadWay::PassedOn ? "passed-on" : "from-watchers";
 }
 
-/// Sizes and times of a configuration, measured with routes of random names:
-/// 434 KB for 2,799 routes, 64 KB packed, 7 ms to pack and 10 ms to decode and
-/// compile on a whole core.
+/// Size of a route in bytes, the factors by which base64 and packing change it,
+/// and the times in milliseconds that packing and taking a route need on a
+/// tenth of a core.
 static constexpr double BytesPerRoute = 155;
 static constexpr double StoreFormFactor = 4.0 / 3;
 static constexpr double PackedFraction = 0.147;
--- a/lib/Daemon/DirectoryCalls.cpp
+++ b/lib/Daemon/DirectoryCalls.cpp
@@ -34,6 +34,7 @@
 /// peer has ended or is cut off.
 static constexpr Duration ReceiptTimeout = fromMillis(1000);
 
+/// Timeout of a confirmation, during which the received value is not in force.
 static constexpr Duration ConfirmTimeout = fromMillis(100);
 
 /// Items are packed if their text is longer than this. For shorter texts
