ServerPartition: failing test of daemons that are cut off from all servers, known red

Gateways whose only way to eight servers is a relay each, callers that try each request once.

The relay stand-in can drop, refuse and reset connections now.

--- a/include/canvaswick/StandIn/RelayStandIn.h
+++ b/include/canvaswick/StandIn/RelayStandIn.h
@@ -17,6 +17,7 @@
 #define CANVASWICK_STANDIN_RELAYSTANDIN_H
 
 #include "canvaswick/Settings/FleetConfig.h"
+#include "canvaswick/Support/Error.h"
 #include "canvaswick/Support/Time.h"
 
 #include <atomic>
@@ -24,6 +25,7 @@
 #include <memory>
 #include <mutex>
 #include <thread>
+#include <vector>
 
 namespace canvaswick {
 
@@ -40,6 +42,14 @@
   std::atomic<int64_t> BytesPerSecond{0};
 };
 
+/// What happens to new connections.
+enum class NewConnections : uint8_t {
+  Accept,
+  /// Nothing answers, as behind a firewall that drops packets.
+  Hang,
+  Refuse,
+};
+
 /// Relays the connections of one address to another. Thread-safe after start().
 class RelayStandIn {
 public:
@@ -57,6 +67,12 @@
   /// them. Later connections work.
   void silenceOpenConnections();
 
+  /// Sets what happens to connections that are opened from now on.
+  void setNewConnections(NewConnections Next);
+
+  /// Resets the connections that are open now, on the client's side.
+  void resetOpenConnections();
+
   /// Returns how many bytes were forwarded from the target to the clients.
   size_t countBytesBackward() const { return this->BytesBackward; }
 
@@ -72,14 +88,25 @@
     std::thread Backward;
   };
 
+  Result<void> listen(int Backlog);
   void acceptLoop();
+  int getListener();
+  void acceptOne();
+  void fillQueue();
+  void clearQueue();
   void forwardBytes(int From, int To, const std::atomic<bool> &Cut,
                     const std::atomic<bool> &IsSilent, bool IsBackward);
   void waitForBandwidth(size_t Bytes);
 
   const Endpoint Target;
   RelayFaults Faults;
+  Endpoint Address;
+  /// Guards Listener, Fillers and Mode.
+  std::mutex ListenMutex;
   int Listener = -1;
+  /// Connections that keep the listen queue full while new ones hang.
+  std::vector<int> Fillers;
+  NewConnections Mode = NewConnections::Accept;
   uint16_t Port = 0;
   std::atomic<bool> Stopping{false};
   std::thread Acceptor;
