--- a/include/canvaswick/Daemon/PeerLink.h
+++ b/include/canvaswick/Daemon/PeerLink.h
@@ -101,6 +101,9 @@
   /// Sets the state of the store that messages carry.
   void setStoreState(const StoreState &State);
 
+  /// Sets whether messages say that this daemon reaches no servers.
+  void setCutOff(bool Now) { this->IsCutOff = Now; }
+
   /// Returns the number of known daemons of this hall, this one included.
   size_t countHallDaemons();
 
@@ -124,6 +127,7 @@
   int Descriptor = -1;
   std::atomic<uint64_t> NextSequence;
   std::atomic<bool> IsStopping{false};
+  std::atomic<bool> IsCutOff{false};
   std::mutex Mutex;
   StoreState Store;
   std::vector<DaemonRecord> LocalPeers;
--- a/include/canvaswick/Daemon/PeerMessage.h
+++ b/include/canvaswick/Daemon/PeerMessage.h
@@ -50,6 +50,8 @@
   /// the source watches the store itself. A watcher proves nothing by watching
   /// alone: the store may not have answered it since.
   std::optional<Duration> SinceStoreAnswer;
+  /// Whether the source reaches no servers itself.
+  bool IsCutOff = false;
   /// Whether a daemon of the receiver's hall relayed the message.
   bool IsRelayed = false;
   /// Increases with each message of a source; starts at the source's calendar
--- a/include/canvaswick/Http/HttpClient.h
+++ b/include/canvaswick/Http/HttpClient.h
@@ -16,6 +16,7 @@
 #define CANVASWICK_HTTP_HTTPCLIENT_H
 
 #include "canvaswick/Http/SocketStream.h"
+#include "canvaswick/Http/Tunnel.h"
 #include "canvaswick/Settings/FleetConfig.h"
 
 #include <httplib.h>
@@ -25,6 +26,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace canvaswick {
@@ -86,6 +88,16 @@
   Duration ConnectLimit = fromSeconds(1);
   /// Uses a new connection and closes it after the exchange.
   bool WantsFreshConnection = false;
+  /// Connects to the server through a peer. Such a connection is new and is
+  /// closed after the exchange.
+  std::optional<TunnelTarget> Through;
+  /// The time limit for opening a tunnel once the peer is connected, and the
+  /// time by which it must be open whatever the deadline of the head.
+  Duration TunnelLimit = fromSeconds(1);
+  TimePoint TunnelDeadline = TimePoint::max();
+  /// Called with the time at which an attempt to connect directly began, and
+  /// whether it succeeded, unless empty.
+  std::function<void(TimePoint, bool)> OnConnect;
   /// Whether a response without a length may be delimited by the end of its
   /// connection.
   bool MayEndWithConnection = false;
@@ -100,6 +112,8 @@
   bool HeadTaken = false;
   size_t BytesSent = 0;
   size_t BytesReceived = 0;
+  /// How a tunnel was answered, if one was asked for.
+  TunnelAnswer Tunnel = TunnelAnswer::Opened;
 };
 
 /// Pools a bounded number of connections to each address. Thread-safe.
@@ -145,7 +159,14 @@
 
   std::unique_ptr<SocketStream> acquire(const Endpoint &Endpoint,
                                         const OutgoingRequest &Outgoing,
-                                        TimePoint Deadline, ExchangeEnd &End);
+                                        TimePoint Deadline,
+                                        ExchangeResult &Result);
+  std::unique_ptr<SocketStream> connect(const Endpoint &Endpoint,
+                                        const OutgoingRequest &Outgoing,
+                                        TimePoint Deadline,
+                                        ExchangeResult &Result);
+  static std::unique_ptr<SocketStream>
+  connectThroughPeer(const OutgoingRequest &Outgoing, ExchangeResult &Result);
   std::unique_ptr<SocketStream> takeIdle(Address &Entry, TimePoint Now);
   void setServerInstance(Address &Entry, const std::string &ServerInstance);
   void giveBack(const Endpoint &Endpoint, const std::string &ServerInstance,
--- a/include/canvaswick/Http/SocketStream.h
+++ b/include/canvaswick/Http/SocketStream.h
@@ -15,12 +15,14 @@
 #ifndef CANVASWICK_HTTP_SOCKETSTREAM_H
 #define CANVASWICK_HTTP_SOCKETSTREAM_H
 
+#include "canvaswick/Settings/FleetConfig.h"
 #include "canvaswick/Support/Time.h"
 
 #include <httplib.h>
 
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace canvaswick {
 
@@ -99,6 +101,14 @@
   /// already written. Input is discarded from now on.
   void beginLinger();
 
+  /// Makes the connection end with a reset when it is closed, so that the peer
+  /// does not take what it has received for complete.
+  void resetOnClose();
+
+  /// Detects within about three seconds that the peer disappeared without
+  /// closing the connection. connectTcp does that for its connections.
+  void detectDeadPeer();
+
   /// Returns whether beginLinger was called.
   bool isLingering() const;
 
@@ -151,6 +161,14 @@
 /// descriptor, or -1 if no connection was established.
 int connectTcp(const std::string &Host, uint16_t Port, TimePoint Deadline);
 
+/// The outcome of a connection attempt whose connection is not used.
+enum class ConnectionProbe : uint8_t { Connected, Refused, TimedOut };
+
+/// Tries to connect to all addresses at once before Deadline, and closes the
+/// connections.
+std::vector<ConnectionProbe> probeConnections(const std::vector<Endpoint> &All,
+                                              TimePoint Deadline);
+
 } // namespace canvaswick
 
 #endif // CANVASWICK_HTTP_SOCKETSTREAM_H
--- a/include/canvaswick/Metrics/Counters.h
+++ b/include/canvaswick/Metrics/Counters.h
@@ -76,11 +76,17 @@
   RetriesLent,
   RetriesBorrowed,
   RetryLoansFailed,
+  /// Attempts that a peer connected to a server, and peers that did not.
+  TunnelsOpened,
+  TunnelsDeclined,
+  /// Connections to servers for peers, and those that were refused to them.
+  TunnelsCarried,
+  TunnelsRefused,
 };
 
 /// The number of counters.
 inline constexpr size_t CounterCount =
-    static_cast<size_t>(Counter::RetryLoansFailed) + 1;
+    static_cast<size_t>(Counter::TunnelsRefused) + 1;
 
 /// Returns the name of a counter as the metrics page prints it, without the
 /// prefix "canvaswick_".
--- a/include/canvaswick/Proxy/RequestProxy.h
+++ b/include/canvaswick/Proxy/RequestProxy.h
@@ -25,6 +25,7 @@
 #include "canvaswick/Proxy/ProxyOptions.h"
 #include "canvaswick/Proxy/RequestQuarantine.h"
 #include "canvaswick/Proxy/ResponseRelay.h"
+#include "canvaswick/Proxy/ServerPaths.h"
 
 #include <atomic>
 #include <functional>
@@ -82,6 +83,9 @@
   /// Returns the quarantine of requests that crash servers.
   RequestQuarantine &getQuarantine() { return this->Quarantine; }
 
+  /// Returns the paths to the servers.
+  ServerPaths &getPaths() { return this->Paths; }
+
   /// Begins to shut down: from now on no attempt is abandoned while a server
   /// works on it, and new requests get their final response before Until.
   void beginStop(TimePoint Until) {
@@ -149,6 +153,16 @@
   bool takeRetry(ServiceRuntime &Service, bool IsNotRun, TimePoint Now);
   bool mayRetry(RequestContext &Request, const ResponseRelay &Relay);
 
+  // RequestPaths.cpp: direct attempts and those through peers.
+  bool choosePath(RequestContext &Request) const;
+  ExchangeResult sendAttempt(RequestContext &Request, const Attempt &Current,
+                             OutgoingRequest &Outgoing, TimePoint Deadline,
+                             int CallerSocket, const AnswerSink &Sink);
+  ExchangeResult sendThroughPeers(RequestContext &Request,
+                                  const ServerConfig &Server,
+                                  OutgoingRequest &Outgoing, TimePoint Deadline,
+                                  int CallerSocket, const AnswerSink &Sink);
+
   // RequestAttempts.cpp: attempts at servers.
   void runAttempts(RequestContext &Request, ResponseRelay &Relay);
   void notifyAttemptListener(TimePoint Now) const;
@@ -184,6 +198,7 @@
   ClaimGate *Claims;
   const ProxyOptions Options;
   RequestQuarantine Quarantine;
+  ServerPaths Paths;
   /// The time since which the daemon has waited for its first settings.
   const TimePoint Started;
   /// Null if no peer lends retries.
--- a/include/canvaswick/Proxy/ServiceRuntime.h
+++ b/include/canvaswick/Proxy/ServiceRuntime.h
@@ -72,6 +72,13 @@
   bool IsTest = false;
   /// Whether the response asked for a backoff (Retry-After).
   bool HasBackoffRequest = false;
+  /// Whether a peer connects to the server for this daemon.
+  bool IsThroughPeer = false;
+  /// Whether no peer connected to the server, which says nothing about it.
+  bool HadNoTunnel = false;
+  /// Whether a failure says nothing about the server, because this daemon was
+  /// cut off from all servers of the service meanwhile.
+  bool IsDisregarded = false;
   /// The number of servers that were excluded from the selection because of
   /// their own notices.
   size_t ExcludedServers = 0;
@@ -89,6 +96,8 @@
   TimePoint ObjectiveDeadline{};
   /// Whether no retry is possible if this attempt fails.
   bool IsLast = true;
+  /// Whether a peer is to connect to the server.
+  bool IsThroughPeer = false;
   /// Servers that were tried before.
   std::vector<size_t> Tried;
 };
@@ -152,6 +161,18 @@
   /// Unlinks an attempt and records its outcome.
   void end(Attempt &Ended, RequestOutcome Outcome, TimePoint Now);
 
+  /// Marks the attempts that are not through peers: the daemon is cut off from
+  /// the servers, so that their failures say nothing about them.
+  void disregardDirectAttempts();
+
+  /// Returns whether an attempt in flight was marked by
+  /// disregardDirectAttempts.
+  bool isDisregarded(const Attempt &Each) const;
+
+  /// Returns when the latest attempt without a response began that is not
+  /// through a peer and has taken far longer than usual.
+  std::optional<TimePoint> findSilence(TimePoint Now) const;
+
   /// Takes one retry from the budget. Returns false if none is left.
   bool tryTakeRetry(TimePoint Now);
 
--- a/include/canvaswick/Rpc/PeerCaller.h
+++ b/include/canvaswick/Rpc/PeerCaller.h
@@ -76,6 +76,10 @@
                            const Json::Value &Params, const CallLimits &Limits,
                            CallTraffic *Traffic = nullptr);
 
+  /// Returns the headers by which peers recognise a request of this daemon that
+  /// is no call, and that Text describes. Empty if calls are not signed.
+  httplib::Headers sign(const std::string &Text);
+
   /// Cancels the calls that wait, and all later calls.
   void cancel() { this->Cancellation.trigger(); }
 
@@ -99,6 +103,11 @@
 /// restores the kind and message of the error.
 Json::Value makeCallError(const Error &Failure);
 
+/// Returns whether a request carries the headers of PeerCaller::sign for Text.
+/// Locks VerifierMutex while it uses Verifier.
+bool isSignedRequest(const HttpExchange &Exchange, const std::string &Text,
+                     CallVerifier &Verifier, std::mutex &VerifierMutex);
+
 /// Verifies the signature of a received call, dispatches it and fills in the
 /// HTTP response: 401 for a rejected signature, 413 for a body that is too long
 /// or incomplete. Locks VerifierMutex while it uses Verifier.
--- a/lib/Daemon/Daemon.cpp
+++ b/lib/Daemon/Daemon.cpp
@@ -22,7 +22,9 @@
 #include "canvaswick/Daemon/OperatorApi.h"
 #include "canvaswick/Daemon/PoisonRequestAgent.h"
 #include "canvaswick/Daemon/QuotaAgent.h"
+#include "canvaswick/Proxy/PathProber.h"
 #include "canvaswick/Proxy/RequestProxy.h"
+#include "canvaswick/Proxy/TunnelResponder.h"
 #include "canvaswick/Support/Log.h"
 #include "canvaswick/Support/PauseDetector.h"
 #include "canvaswick/Support/PeriodicThread.h"
@@ -31,6 +33,7 @@
 
 static constexpr size_t CallThreads = 6;
 static constexpr size_t CallQueue = 512;
+/// Threads for calls; each tunnel of a peer occupies one more.
 static constexpr size_t ControlWorkers = 12;
 static constexpr Duration UpstreamIdleLimit = fromSeconds(30);
 
@@ -58,6 +61,8 @@
   void applyConfig(const FleetConfigRef &Compiled);
   void rebuildIfMembersChanged();
   void updateLimitSharers();
+  void updateTunnelPeers();
+  void startTunnels();
   void housekeep();
   void handleControl(HttpExchange &Exchange);
   void startAgents();
@@ -78,6 +83,10 @@
   std::unique_ptr<ClaimAgent> Claims;
   std::unique_ptr<OperatorApi> Operators;
   std::unique_ptr<RequestProxy> Proxy;
+  std::unique_ptr<TunnelResponder> Tunnels;
+  /// Tunnels, once it answers.
+  std::atomic<TunnelResponder *> TunnelAnswers{nullptr};
+  std::unique_ptr<PathProber> Prober;
   std::unique_ptr<PoisonRequestAgent> PoisonRequests;
   std::unique_ptr<QuotaAgent> Quotas;
   ConnectionPool Upstreams;
@@ -90,7 +99,7 @@
   std::atomic<bool> IsStopping{false};
   /// Used by housekeeping only.
   PauseDetector Pauses{HousekeepingInterval};
-  PeriodicThread Threads[8];
+  PeriodicThread Threads[9];
 };
 
 Daemon::Impl::Impl(DaemonConfig Given)
@@ -112,7 +121,8 @@
 
   // The control address is bound first, because peers learn its port.
   HttpServerLimits ControlLimits;
-  ControlLimits.Workers.MaxThreads = ControlWorkers;
+  ControlLimits.Workers.MaxThreads =
+      ControlWorkers + TunnelResponder::MaxTunnels;
   this->Control = std::make_unique<HttpServer>(
       ControlLimits,
       [this](HttpExchange &Exchange) { this->handleControl(Exchange); });
@@ -133,6 +143,7 @@
   this->Proxy = std::make_unique<RequestProxy>(this->Config.Name, this->Fleet,
                                                this->Upstreams, this->Counters,
                                                this->Claims.get());
+  this->startTunnels();
   this->PoisonRequests = std::make_unique<PoisonRequestAgent>(
       *this->Context, *this->Members, this->Proxy->getQuarantine());
   this->Quotas = std::make_unique<QuotaAgent>(*this->Context, *this->Members,
@@ -176,6 +187,22 @@
   return outcome::success();
 }
 
+/// Begins to connect to servers for peers that are cut off from them.
+void Daemon::Impl::startTunnels() {
+  ServerPaths &Paths = this->Proxy->getPaths();
+  Paths.setSigner(
+      [this](const std::string &Server) { return this->Caller->sign(Server); });
+  Paths.setProbeListener([this] { this->Threads[8].wake(); });
+  this->Prober = std::make_unique<PathProber>(this->Fleet, Paths);
+  this->Tunnels = std::make_unique<TunnelResponder>(
+      this->Fleet, Paths, this->Counters,
+      [this](const HttpExchange &Exchange, const std::string &Server) {
+        return isSignedRequest(Exchange, Server, *this->Verifier,
+                               this->VerifierMutex);
+      });
+  this->TunnelAnswers = this->Tunnels.get();
+}
+
 void Daemon::Impl::startAgents() {
   this->Threads[0].start(EvidenceInterval,
                          [this] { this->Evidence->runRound(); });
@@ -192,6 +219,8 @@
   this->Threads[7].start(QuotaReportInterval,
                          [this] { this->Quotas->runRound(readSteadyClock()); });
   this->Threads[5].start(HousekeepingInterval, [this] { this->housekeep(); });
+  this->Threads[8].start(PathRoundInterval,
+                         [this] { this->Prober->runRound(readSteadyClock()); });
 }
 
 void Daemon::Impl::stopAgents() {
@@ -211,12 +240,23 @@
       [&](ServerNotices &Known) { Known.setFleet(Fleet, readSteadyClock()); });
 }
 
+/// Updates the peers that may connect to servers for this daemon.
+void Daemon::Impl::updateTunnelPeers() {
+  std::vector<TunnelPeer> Peers;
+  for (const std::string &Name : this->Members->getWorking())
+    if (const std::optional<MemberRecord> Member = this->Members->find(Name);
+        Member && Name != this->Config.Name)
+      Peers.push_back({Name, Member->Hall, Member->Control});
+  this->Proxy->getPaths().setPeers(this->Config.Hall, std::move(Peers));
+}
+
 void Daemon::Impl::applyConfig(const FleetConfigRef &Compiled) {
   logHallChanges(
       this->Halls->update(Compiled->DrainedHalls, readSteadyClock()));
   std::lock_guard<std::mutex> Lock(this->BuildMutex);
   this->BuiltForMembers = this->Members->getWorkingVersion();
   this->updateLimitSharers();
+  this->updateTunnelPeers();
   DaemonIdentity Identity;
   Identity.Name = this->Config.Name;
   Identity.Hall = this->Config.Hall;
@@ -267,6 +307,11 @@
               this->Counters);
     return;
   }
+  TunnelResponder *const Answers = this->TunnelAnswers;
+  if (Target == TunnelPath && Answers) {
+    Answers->handle(Exchange);
+    return;
+  }
   if (Target == "/live") {
     Exchange.Response.set_content("live\n", "text/plain");
     return;
@@ -288,6 +333,7 @@
 
 void Daemon::Impl::beginStop() {
   this->IsStopping = true;
+  this->Tunnels->beginStop();
   logInfo("daemon-stopping", "in-flight={}", this->Callers->countInFlight());
   this->Members->leave();
 }
--- a/lib/Daemon/Gateway.cpp
+++ b/lib/Daemon/Gateway.cpp
@@ -77,7 +77,13 @@
     : Config(std::move(Given)), Self(makeSelf(this->Config)),
       Proxy(this->Config.Name, this->Fleet, this->Upstreams, this->Counters,
             nullptr, addDaemonSettings(std::move(Options), this->Config)),
-      RetryLimit(this->Config.RetryLimit) {}
+      TunnelAnswers(this->Fleet, this->Proxy.getPaths(), this->Counters,
+                    [this](const HttpExchange &Exchange, const std::string &) {
+                      return this->Proxy.getPaths().hasPeerAt(
+                          Exchange.Request.remote_addr);
+                    }),
+      RetryLimit(this->Config.RetryLimit),
+      Prober(this->Fleet, this->Proxy.getPaths()) {}
 
 Result<void> Gateway::Impl::start() {
   // Created before the metrics are served, because they report its threads.
@@ -88,6 +94,7 @@
   this->startMetrics();
   if (this->Config.PeerPort != 0) {
     BOOST_OUTCOME_TRY(this->startPeers());
+    BOOST_OUTCOME_TRY(this->startTunnels());
   }
   BOOST_OUTCOME_TRY(this->startControl());
   BOOST_OUTCOME_TRY(this->Callers->bind(this->Config.Callers));
@@ -136,8 +143,8 @@
 Result<void> Gateway::Impl::startPeers() {
   this->Peers = std::make_unique<PeerExchange>(
       this->Self, this->Fleet, this->Proxy.getQuarantine(),
-      this->Proxy.getOrganisations(), *this->Notices, this->Counters,
-      this->OnPeerMessage, this->Config.Policy);
+      this->Proxy.getOrganisations(), this->Proxy.getPaths(), *this->Notices,
+      this->Counters, this->OnPeerMessage, this->Config.Policy);
   this->Proxy.getQuarantine().setUpdateListener(
       [this](const PoisonRequestUpdate &Update, TimePoint Now) {
         this->Peers->reportPoisonRequests(Update, Now);
@@ -150,6 +157,26 @@
   return this->Peers->start();
 }
 
+/// Connects to servers for peers that are cut off from them, and finds out
+/// whether this daemon is.
+Result<void> Gateway::Impl::startTunnels() {
+  HttpServerLimits Limits;
+  Limits.Workers.MaxThreads = TunnelResponder::MaxTunnels;
+  Limits.Workers.Queue = 0;
+  this->Tunnels =
+      std::make_unique<HttpServer>(Limits, [this](HttpExchange &Exchange) {
+        if (Exchange.Request.target == TunnelPath)
+          this->TunnelAnswers.handle(Exchange);
+        else
+          Exchange.Response.status = 404;
+      });
+  BOOST_OUTCOME_TRY(this->Tunnels->start(this->Self.Peer));
+  this->Proxy.getPaths().setProbeListener([this] { this->ProbeRounds.wake(); });
+  this->ProbeRounds.start(PathRoundInterval,
+                          [this] { this->Prober.runRound(readSteadyClock()); });
+  return outcome::success();
+}
+
 /// Serves peers' requests for changes of the store's replica.
 Result<void> Gateway::Impl::startControl() {
   if (this->Config.Control.Port == 0 || !this->Source)
@@ -191,7 +218,9 @@
             return Quota.describe(MaxListedOrganisations, Now);
           }),
           this->Notices->with(
-              [Now](const ServerNotices &Known) { return Known.count(Now); })};
+              [Now](const ServerNotices &Known) { return Known.count(Now); }),
+          this->Proxy.getPaths().countCutOff(),
+          this->TunnelAnswers.countOpen()};
 }
 
 /// Handles a pause of the process. Servers may have closed idle connections
@@ -240,6 +269,7 @@
   this->IsStopping = true;
   this->Proxy.beginStop(readSteadyClock() + this->Config.Grace - StopMargin);
   this->Callers->beginClosing();
+  this->TunnelAnswers.beginStop();
   logInfo("daemon-stopping", "in-flight={}", this->Callers->countInFlight());
 }
 
@@ -249,6 +279,9 @@
   this->Proxy.refuseLateRequests();
   const bool AllEnded =
       !this->Callers || this->Callers->stopGracefully(Deadline);
+  if (this->Tunnels)
+    this->Tunnels->stopGracefully(Deadline);
+  this->ProbeRounds.stop();
   this->HealthRounds.stop();
   this->HousekeepingRounds.stop();
   if (this->Peers)
--- a/lib/Daemon/GatewayImpl.h
+++ b/lib/Daemon/GatewayImpl.h
@@ -21,7 +21,9 @@
 #include "canvaswick/Daemon/DirectoryCalls.h"
 #include "canvaswick/Daemon/Gateway.h"
 #include "canvaswick/Http/HttpServer.h"
+#include "canvaswick/Proxy/PathProber.h"
 #include "canvaswick/Proxy/RequestProxy.h"
+#include "canvaswick/Proxy/TunnelResponder.h"
 #include "canvaswick/Support/PauseDetector.h"
 #include "canvaswick/Support/PeriodicThread.h"
 
@@ -68,6 +70,7 @@
   Result<void> startReady();
   void startMetrics();
   void applyCallerLimits(const CallerLimits &Given);
+  Result<void> startTunnels();
   Result<void> startControl();
 
   const TimePoint Started = readSteadyClock();
@@ -81,6 +84,9 @@
   std::unique_ptr<HttpServer> Callers;
   std::unique_ptr<HttpServer> Ready;
   std::unique_ptr<HttpServer> Metrics;
+  TunnelResponder TunnelAnswers;
+  /// Null if this daemon exchanges nothing with peers.
+  std::unique_ptr<HttpServer> Tunnels;
   JsonRpcDispatcher Dispatcher;
   std::unique_ptr<ChangesResponder> Responder;
   std::unique_ptr<HttpServer> Control;
@@ -95,6 +101,8 @@
   std::atomic<bool> IsStopped{false};
   /// Used by the health rounds only.
   PauseDetector Pauses{HealthInterval};
+  PathProber Prober;
+  PeriodicThread ProbeRounds;
   PeriodicThread HealthRounds;
   PeriodicThread HousekeepingRounds;
 };
--- a/lib/Daemon/HealthEndpoints.cpp
+++ b/lib/Daemon/HealthEndpoints.cpp
@@ -107,6 +107,12 @@
   return Text;
 }
 
+std::string formatPaths(size_t CutOffServices, size_t OpenTunnels) {
+  return fmt::format("canvaswick_services_out_of_reach {}\n"
+                     "canvaswick_tunnels_open {}\n",
+                     CutOffServices, OpenTunnels);
+}
+
 static std::string formatMetrics(const DaemonMetrics &Metrics,
                                  const FleetRuntime *Current) {
   std::string Text = Metrics.Counters.format();
@@ -115,6 +121,7 @@
   Text += formatPoisonRequests(Metrics.PoisonRequests);
   Text += formatOrganisations(Metrics.Organisations);
   Text += formatNotices(Metrics.Notices);
+  Text += formatPaths(Metrics.CutOffServices, Metrics.OpenTunnels);
   Text +=
       fmt::format("canvaswick_log_lines_dropped {}\n", countDroppedLogLines());
   if (!Current)
--- a/lib/Daemon/HealthEndpoints.h
+++ b/lib/Daemon/HealthEndpoints.h
@@ -37,6 +37,10 @@
   std::vector<QuotaStatus> Organisations;
   /// The number of servers per kind of notice.
   NoticeCounts Notices;
+  /// The number of services whose servers are out of reach, and of the tunnels
+  /// that are open for peers.
+  size_t CutOffServices = 0;
+  size_t OpenTunnels = 0;
 };
 
 /// The number of organisations that metrics and tools list: enough to find
@@ -49,6 +53,9 @@
 /// Formats the number of servers per kind of notice as metrics.
 std::string formatNotices(const NoticeCounts &Notices);
 
+/// Formats the paths to servers as metrics.
+std::string formatPaths(size_t CutOffServices, size_t OpenTunnels);
+
 /// Formats poison requests as metrics.
 std::string
 formatPoisonRequests(const std::vector<PoisonRequestStatus> &PoisonRequests);
--- a/lib/Daemon/PeerExchange.cpp
+++ b/lib/Daemon/PeerExchange.cpp
@@ -73,12 +73,12 @@
                            const FleetRuntimeSlot &Fleet,
                            RequestQuarantine &Quarantine,
                            OrganisationQuotas &Organisations,
-                           ServerNoticeTable &Notices, CounterTable &Counters,
-                           PeerLink::Handler OnMessage,
+                           ServerPaths &Paths, ServerNoticeTable &Notices,
+                           CounterTable &Counters, PeerLink::Handler OnMessage,
                            const PolicySwitches &Switches)
     : Name(Self.Name), Hall(Self.Hall), Fleet(Fleet), Quarantine(Quarantine),
-      Organisations(Organisations), Notices(Notices), Counters(Counters),
-      OnMessage(std::move(OnMessage)), Switches(Switches),
+      Organisations(Organisations), Paths(Paths), Notices(Notices),
+      Counters(Counters), OnMessage(std::move(OnMessage)), Switches(Switches),
       SendTokens(MaxSendTokens),
       Borrower(std::random_device()(), Counters,
                [this](const RetryLoan &Loan, bool AsksRemoteHall) {
@@ -97,11 +97,16 @@
   this->Link.setPeers(Daemons);
   std::vector<std::string> LocalPeers;
   std::map<std::string, size_t> RemotePeers;
-  for (const DaemonRecord &Each : Daemons)
+  std::vector<TunnelPeer> Tunnels;
+  for (const DaemonRecord &Each : Daemons) {
     if (Each.Hall != this->Hall)
       ++RemotePeers[Each.Hall];
     else if (Each.Name != this->Name)
       LocalPeers.push_back(Each.Name);
+    if (Each.Name != this->Name)
+      Tunnels.push_back({Each.Name, Each.Hall, Each.Peer});
+  }
+  this->Paths.setPeers(this->Hall, std::move(Tunnels));
   this->Organisations.with([&](FleetQuota &Quota) {
     Quota.getLiveness().setFleet(LocalPeers, RemotePeers, readSteadyClock());
   });
@@ -223,8 +228,20 @@
     this->Link.sendHallUsages(*Update);
 }
 
+/// Tells this hall at once when this daemon is cut off from all servers, and
+/// when it no longer is. All later messages repeat it.
+void PeerExchange::reportPaths(TimePoint Now) {
+  const bool IsCutOff = this->Paths.isIsolated();
+  if (IsCutOff == this->WasCutOff)
+    return;
+  this->WasCutOff = IsCutOff;
+  this->Link.setCutOff(IsCutOff);
+  this->Link.sendStoreState(Now);
+}
+
 void PeerExchange::runRound(const FleetRuntime &Current, Duration Interval,
                             TimePoint Now) {
+  this->reportPaths(Now);
   this->sendDueUpdate(Current, Now);
   this->reportQuotaUsage(Current, Now);
   if (this->IsWatching && Now - this->StoreStateSent >= WatcherInterval) {
@@ -358,12 +375,23 @@
   });
 }
 
+/// Returns whether a message reports a response of a server.
+static bool hasAnswer(const PeerMessage &Message) {
+  return std::any_of(Message.Observations.begin(), Message.Observations.end(),
+                     [](const Observation &Each) {
+                       return Each.Outcome == RequestOutcome::Good ||
+                              Each.Outcome == RequestOutcome::Slow;
+                     });
+}
+
 /// Handles a peer's message on the link's thread.
 void PeerExchange::handleMessage(const PeerMessage &Message) {
   if (this->OnMessage)
     this->OnMessage(Message);
   const TimePoint Now = readSteadyClock();
   this->applyQuotaUsage(Message, Now);
+  this->Paths.recordPeerMessage(Message.Source, Message.IsCutOff,
+                                hasAnswer(Message), Now);
   if (!Message.PoisonRequests.isEmpty())
     this->Quarantine.mergeUpdate(readPoisonReport(Message.PoisonRequests, Now),
                                  Now);
--- a/lib/Daemon/PeerExchange.h
+++ b/lib/Daemon/PeerExchange.h
@@ -21,6 +21,7 @@
 #include "canvaswick/Proxy/FleetRuntime.h"
 #include "canvaswick/Proxy/OrganisationQuotas.h"
 #include "canvaswick/Proxy/RequestQuarantine.h"
+#include "canvaswick/Proxy/ServerPaths.h"
 
 #include <atomic>
 #include <mutex>
@@ -33,12 +34,13 @@
 public:
   /// Self is the record by which peers know this daemon, Fleet the state that
   /// it serves, Quarantine its knowledge of poison requests, Organisations
-  /// their quotas. OnMessage, which may be empty, is called first for each
-  /// message, on the link's thread.
+  /// their quotas, Paths its paths to servers. OnMessage, which may be empty,
+  /// is called first for each message, on the link's thread.
   PeerExchange(const DaemonRecord &Self, const FleetRuntimeSlot &Fleet,
                RequestQuarantine &Quarantine, OrganisationQuotas &Organisations,
-               ServerNoticeTable &Notices, CounterTable &Counters,
-               PeerLink::Handler OnMessage, const PolicySwitches &Switches);
+               ServerPaths &Paths, ServerNoticeTable &Notices,
+               CounterTable &Counters, PeerLink::Handler OnMessage,
+               const PolicySwitches &Switches);
 
   /// Binds the socket and starts to receive. Fails like PeerLink::start.
   Result<void> start();
@@ -78,6 +80,7 @@
   void sendEstimates(const FleetRuntime &Current, TimePoint Now);
   void sendUsedEstimates(const FleetRuntime &Current, TimePoint Now);
   void resendPoisonRequests(TimePoint Now);
+  void reportPaths(TimePoint Now);
   std::optional<std::vector<QuotaUsage>> collectHallUsage(TimePoint Now);
   void reportQuotaUsage(const FleetRuntime &Current, TimePoint Now);
   void applyQuotaUsage(const PeerMessage &Message, TimePoint Now);
@@ -92,12 +95,14 @@
   const FleetRuntimeSlot &Fleet;
   RequestQuarantine &Quarantine;
   OrganisationQuotas &Organisations;
+  ServerPaths &Paths;
   ServerNoticeTable &Notices;
   CounterTable &Counters;
   const PeerLink::Handler OnMessage;
   std::atomic<bool> IsWatching{false};
   /// Used by the rounds only.
   TimePoint StoreStateSent{};
+  bool WasCutOff = false;
   TimePoint HallUsageSent{};
   TimePoint FullHallUsageSent{};
   std::mt19937_64 Random{std::random_device()()};
--- a/lib/Daemon/PeerLink.cpp
+++ b/lib/Daemon/PeerLink.cpp
@@ -145,6 +145,7 @@
   Message.Source = this->Self.Name;
   Message.Hall = this->Self.Hall;
   Message.Sequence = this->NextSequence++;
+  Message.IsCutOff = this->IsCutOff;
   std::lock_guard<std::mutex> Lock(this->Mutex);
   Message.AsOf = this->Store.AsOf;
   return Message;
--- a/lib/Daemon/PeerMessage.cpp
+++ b/lib/Daemon/PeerMessage.cpp
@@ -73,6 +73,8 @@
   Value["hall"] = Message.Hall;
   if (Message.IsRelayed)
     Value["relayed"] = true;
+  if (Message.IsCutOff)
+    Value["cut-off"] = true;
   if (Message.SinceStoreAnswer)
     Value["heard-ms"] =
         static_cast<Json::UInt64>(toMillis(*Message.SinceStoreAnswer));
@@ -254,6 +256,7 @@
   Message.AsOf.Revision = Value["as-of"].asUInt64();
   BOOST_OUTCOME_TRY(Message.AsOf.Epoch, decodeEpoch(Value["epoch"]));
   BOOST_OUTCOME_TRY(Message.SinceStoreAnswer, decodeAge(Value["heard-ms"]));
+  Message.IsCutOff = Value["cut-off"].isBool() && Value["cut-off"].asBool();
   Message.IsRelayed = Value["relayed"].isBool() && Value["relayed"].asBool();
   BOOST_OUTCOME_TRY(decodeList(Value["seen"], decodeObservation,
                                "malformed observation", Message.Observations));
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -152,33 +152,68 @@
 std::unique_ptr<SocketStream>
 ConnectionPool::acquire(const Endpoint &Endpoint,
                         const OutgoingRequest &Outgoing, TimePoint Deadline,
-                        ExchangeEnd &End) {
+                        ExchangeResult &Result) {
   {
     std::lock_guard<std::mutex> Lock(this->Mutex);
     Address &Entry = this->Addresses[Endpoint.format()];
     this->setServerInstance(Entry, Outgoing.ServerInstance);
     std::unique_ptr<SocketStream> Stream;
-    if (!Outgoing.WantsFreshConnection)
+    if (!Outgoing.WantsFreshConnection && !Outgoing.Through)
       Stream = this->takeIdle(Entry, readSteadyClock());
     if (Stream)
       return Stream;
     const size_t Bound = Entry.Bound ? Entry.Bound : this->PerAddress;
     if (Bound && Entry.Open >= Bound) {
-      End = ExchangeEnd::NoConnection;
+      Result.End = ExchangeEnd::NoConnection;
       return nullptr;
     }
     ++Entry.Open;
   }
-  const TimePoint ConnectBy =
-      std::min(Deadline, readSteadyClock() + Outgoing.ConnectLimit);
-  const int Descriptor = connectTcp(Endpoint.Host, Endpoint.Port, ConnectBy);
-  if (Descriptor >= 0)
-    return std::make_unique<SocketStream>(Descriptor);
-  End = ExchangeEnd::NotSent;
+  std::unique_ptr<SocketStream> Stream =
+      this->connect(Endpoint, Outgoing, Deadline, Result);
+  if (Stream)
+    return Stream;
+  Result.End = ExchangeEnd::NotSent;
   this->drop(Endpoint, nullptr);
   return nullptr;
 }
 
+/// Connects to a server, directly or through a peer. Returns null on failure.
+std::unique_ptr<SocketStream>
+ConnectionPool::connect(const Endpoint &Server, const OutgoingRequest &Outgoing,
+                        TimePoint Deadline, ExchangeResult &Result) {
+  if (Outgoing.Through)
+    return connectThroughPeer(Outgoing, Result);
+  const TimePoint Began = readSteadyClock();
+  const int Descriptor =
+      connectTcp(Server.Host, Server.Port,
+                 std::min(Deadline, Began + Outgoing.ConnectLimit));
+  if (Outgoing.OnConnect)
+    Outgoing.OnConnect(Began, Descriptor >= 0);
+  return Descriptor >= 0 ? std::make_unique<SocketStream>(Descriptor) : nullptr;
+}
+
+/// Opens a tunnel to a server. Returns null on failure.
+std::unique_ptr<SocketStream>
+ConnectionPool::connectThroughPeer(const OutgoingRequest &Outgoing,
+                                   ExchangeResult &Result) {
+  const auto GetDeadline = [&Outgoing](Duration Limit) {
+    return std::min(Outgoing.TunnelDeadline, readSteadyClock() + Limit);
+  };
+  const Endpoint &Peer = Outgoing.Through->Peer;
+  Result.Tunnel = TunnelAnswer::NoPeer;
+  const int Descriptor =
+      connectTcp(Peer.Host, Peer.Port, GetDeadline(Outgoing.ConnectLimit));
+  if (Descriptor < 0)
+    return nullptr;
+  auto Stream = std::make_unique<SocketStream>(Descriptor);
+  Result.Tunnel =
+      openTunnel(*Stream, *Outgoing.Through, GetDeadline(Outgoing.TunnelLimit));
+  if (Result.Tunnel != TunnelAnswer::Opened)
+    return nullptr;
+  return Stream;
+}
+
 void ConnectionPool::giveBack(const Endpoint &Endpoint,
                               const std::string &ServerInstance,
                               std::unique_ptr<SocketStream> Stream,
@@ -306,7 +341,7 @@
                                         const AnswerSink *Sink) {
   ExchangeResult Result;
   std::unique_ptr<SocketStream> Stream =
-      this->acquire(Endpoint, Outgoing, Deadline, Result.End);
+      this->acquire(Endpoint, Outgoing, Deadline, Result);
   if (!Stream)
     return Result;
   Stream->beginHead(MaxResponseHeadBytes);
@@ -338,9 +373,10 @@
     Result.Headers = Response.headers;
   Result.End =
       IsWhole ? ExchangeEnd::Complete : classifyFailure(*Stream, State);
-  const bool IsReusable =
-      IsWhole && allowsReuse(Response) && !Outgoing.WantsFreshConnection &&
-      isSelfDelimited(Response) && !Stream->hasUnexpectedInput();
+  const bool IsReusable = IsWhole && allowsReuse(Response) &&
+                          !Outgoing.WantsFreshConnection && !Outgoing.Through &&
+                          isSelfDelimited(Response) &&
+                          !Stream->hasUnexpectedInput();
   if (IsReusable)
     this->giveBack(Endpoint, Outgoing.ServerInstance, std::move(Stream),
                    parseIdleLimit(Response));
--- a/lib/Http/SocketStream.cpp
+++ b/lib/Http/SocketStream.cpp
@@ -276,6 +276,33 @@
   ::shutdown(this->Descriptor, SHUT_WR);
 }
 
+/// TCP options that detect a peer that disappeared without closing the
+/// connection. It is detected after about three seconds, both while data is
+/// unacknowledged and while the connection is idle.
+static constexpr int KeepAliveIdleSeconds = 1;
+static constexpr int KeepAliveIntervalSeconds = 1;
+static constexpr int KeepAliveProbes = 2;
+static constexpr unsigned UnacknowledgedMillis = 3000;
+
+static void setDeadPeerDetection(int Descriptor) {
+  const auto Set = [Descriptor](int Level, int Option, auto Value) {
+    ::setsockopt(Descriptor, Level, Option, &Value, sizeof(Value));
+  };
+  Set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  Set(IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
+  Set(IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
+  Set(IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+  Set(IPPROTO_TCP, TCP_USER_TIMEOUT, UnacknowledgedMillis);
+}
+
+void SocketStream::detectDeadPeer() { setDeadPeerDetection(this->Descriptor); }
+
+void SocketStream::resetOnClose() {
+  const linger Reset{1, 0};
+  ::setsockopt(this->Descriptor, SOL_SOCKET, SO_LINGER, &Reset, sizeof(Reset));
+  this->Failure = StreamFailure::Io;
+}
+
 bool SocketStream::isLingering() const { return this->Lingering; }
 
 bool SocketStream::discardInput() {
@@ -341,26 +368,10 @@
   }
 }
 
-/// TCP options that detect a peer that disappeared without closing the
-/// connection. It is detected after about three seconds, both while data is
-/// unacknowledged and while the connection is idle.
-static constexpr int KeepAliveIdleSeconds = 1;
-static constexpr int KeepAliveIntervalSeconds = 1;
-static constexpr int KeepAliveProbes = 2;
-static constexpr unsigned UnacknowledgedMillis = 3000;
-
-static void setDeadPeerDetection(int Descriptor) {
-  const auto Set = [Descriptor](int Level, int Option, auto Value) {
-    ::setsockopt(Descriptor, Level, Option, &Value, sizeof(Value));
-  };
-  Set(SOL_SOCKET, SO_KEEPALIVE, 1);
-  Set(IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
-  Set(IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
-  Set(IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
-  Set(IPPROTO_TCP, TCP_USER_TIMEOUT, UnacknowledgedMillis);
-}
-
-int connectTcp(const std::string &Host, uint16_t Port, TimePoint Deadline) {
+/// Begins to connect. Returns the descriptor, or -1 if the address is malformed
+/// or the attempt failed at once. Sets IsConnected if the connection is there.
+static int beginConnect(const std::string &Host, uint16_t Port,
+                        bool &IsConnected) {
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
   Address.sin_port = htons(Port);
@@ -371,15 +382,45 @@
   if (Descriptor < 0)
     return -1;
   setDeadPeerDetection(Descriptor);
-  const int Code =
+  IsConnected =
       ::connect(Descriptor, reinterpret_cast<const sockaddr *>(&Address),
-                sizeof(Address));
-  if (Code == 0)
+                sizeof(Address)) == 0;
+  if (IsConnected || errno == EINPROGRESS)
     return Descriptor;
-  if (errno == EINPROGRESS && finishConnect(Descriptor, Deadline))
+  ::close(Descriptor);
+  return -1;
+}
+
+int connectTcp(const std::string &Host, uint16_t Port, TimePoint Deadline) {
+  bool IsConnected = false;
+  const int Descriptor = beginConnect(Host, Port, IsConnected);
+  if (Descriptor < 0 || IsConnected || finishConnect(Descriptor, Deadline))
     return Descriptor;
   ::close(Descriptor);
   return -1;
 }
 
+std::vector<ConnectionProbe> probeConnections(const std::vector<Endpoint> &All,
+                                              TimePoint Deadline) {
+  std::vector<int> Descriptors;
+  for (const Endpoint &Each : All) {
+    bool IsConnected = false;
+    Descriptors.push_back(beginConnect(Each.Host, Each.Port, IsConnected));
+  }
+  std::vector<ConnectionProbe> Results;
+  for (const int Descriptor : Descriptors) {
+    if (Descriptor < 0)
+      Results.push_back(ConnectionProbe::Refused);
+    else if (finishConnect(Descriptor, Deadline))
+      Results.push_back(ConnectionProbe::Connected);
+    else
+      Results.push_back(readSteadyClock() < Deadline
+                            ? ConnectionProbe::Refused
+                            : ConnectionProbe::TimedOut);
+    if (Descriptor >= 0)
+      ::close(Descriptor);
+  }
+  return Results;
+}
+
 } // namespace canvaswick
--- a/lib/Metrics/Counters.cpp
+++ b/lib/Metrics/Counters.cpp
@@ -70,6 +70,10 @@
     {Counter::RetriesLent, "repeats_lent"},
     {Counter::RetriesBorrowed, "repeats_borrowed"},
     {Counter::RetryLoansFailed, "repeats_asked_in_vain"},
+    {Counter::TunnelsOpened, "tunnels_opened"},
+    {Counter::TunnelsDeclined, "tunnels_declined"},
+    {Counter::TunnelsCarried, "tunnels_carried"},
+    {Counter::TunnelsRefused, "tunnels_refused"},
 }};
 
 const char *getName(Counter Which) { return getEnumName(CounterNames, Which); }
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -34,13 +34,13 @@
 /// Appends an attempt to the trail that is logged when the request ends.
 void RequestProxy::addToTrail(RequestContext &Request, const Attempt &Ended,
                               RequestOutcome Outcome, Duration Took) {
-  Request.AttemptTrail +=
-      fmt::format("{}{}:{}:{}ms:share={:.3f}:sick={:.3f}:load={:.1f}{}",
-                  Request.AttemptTrail.empty() ? "" : ",",
-                  Request.Service->getServer(Ended.Server).Name,
-                  Ended.WasCutOff ? "cut-off" : getName(Outcome),
-                  toMillis(Took), Ended.Share, Ended.UnhealthyProbability,
-                  Ended.ServerLoad, Ended.IsTest ? ":test" : "");
+  Request.AttemptTrail += fmt::format(
+      "{}{}:{}:{}ms:share={:.3f}:sick={:.3f}:load={:.1f}{}{}",
+      Request.AttemptTrail.empty() ? "" : ",",
+      Request.Service->getServer(Ended.Server).Name,
+      Ended.WasCutOff ? "cut-off" : getName(Outcome), toMillis(Took),
+      Ended.Share, Ended.UnhealthyProbability, Ended.ServerLoad,
+      Ended.IsTest ? ":test" : "", Ended.IsThroughPeer ? ":peer" : "");
 }
 
 /// Returns whether another attempt may begin, given the route's maximum number
@@ -124,6 +124,8 @@
     Needs.IsLast = !isRetryable(*Request.Route) ||
                    Request.AttemptCount + 1 >= this->getMaxAttempts(Request) ||
                    !Request.Service->hasRetry(Now);
+    if (!this->choosePath(Request))
+      break;
     Attempt Current;
     if (!Request.Service->begin(Current, Needs, Now)) {
       Request.HasNoServer = Needs.Tried.empty();
@@ -305,12 +307,15 @@
   // this caller has disconnected.
   const bool MayCancel = Request.IsBodyBuffered && !Request.HasClaim;
   const int CallerSocket = MayCancel ? Request.Exchange.Stream.socket() : -1;
-  const ExchangeResult Result = this->Upstreams.exchange(
-      Server.Address, Outgoing, Deadline, CallerSocket, &Sink);
+  const ExchangeResult Result = this->sendAttempt(Request, Current, Outgoing,
+                                                  Deadline, CallerSocket, Sink);
   const RequestOutcome Outcome = this->classifyExchange(Request, Relay, Result);
   Current.WasTimedOut = Result.End == ExchangeEnd::Timeout;
-  Current.WasCutOff =
-      Result.End == ExchangeEnd::Broken && Result.BytesReceived == 0;
+  Current.WasCutOff = Result.End == ExchangeEnd::Broken &&
+                      Result.BytesReceived == 0 &&
+                      !Request.Service->isDisregarded(Current);
+  Current.HadNoTunnel =
+      Result.End == ExchangeEnd::NotSent && Current.IsThroughPeer;
   // An attempt that was abandoned at its soft deadline is only slow.
   return IsSoftDeadline && Result.End == ExchangeEnd::Timeout
              ? RequestOutcome::Slow
--- a/lib/Proxy/RequestContext.h
+++ b/lib/Proxy/RequestContext.h
@@ -57,6 +57,13 @@
   size_t AttemptCount = 0;
   /// Requirements of the next attempt.
   AttemptNeeds Needs;
+  /// When the last direct connection to a server broke, or the attempt to
+  /// establish it began, if it failed.
+  std::optional<TimePoint> LinkFailedAt;
+  /// Whether the attempt in flight is compared with a retry elsewhere.
+  bool IsWeighed = false;
+  /// Whether no peer connects to a server for this request.
+  bool HasNoPeer = false;
   RunOutcome Outcome = RunOutcome::NotRun;
   bool WasFailed = false;
   bool WasTimeout = false;
--- /dev/null
+++ b/lib/Proxy/RequestPaths.cpp
@@ -0,0 +1,119 @@
+//===- RequestPaths.cpp - Paths of attempts to servers --------------------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// The part of RequestProxy that decides whether this daemon connects to a
+/// server itself or has a peer do it, and that finds the peer.
+///
+//===----------------------------------------------------------------------===//
+
+#include "RequestContext.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace canvaswick {
+
+/// Peers that are asked for one attempt. Those that decline do so at once.
+static constexpr size_t MaxPeersPerAttempt = 4;
+
+/// Time limits for connecting to a peer, and then for its connection to the
+/// server. Both take a few milliseconds, or one more with a lost packet.
+static constexpr Duration PeerConnectLimit = fromMillis(200);
+static constexpr Duration TunnelOpenLimit = fromMillis(400);
+
+/// Chooses the path of the next attempt. Returns false if there is none: this
+/// daemon is cut off from the servers, and so is every peer that answered.
+bool RequestProxy::choosePath(RequestContext &Request) const {
+  const ServerId Service = Request.Service->getId();
+  if (Request.HasNoPeer) {
+    const PathState State = this->Paths.getState(Service);
+    Request.Needs.IsThroughPeer = false;
+    return !State.IsCutOff || !State.IsSilent;
+  }
+  const bool NeedsPeer = this->Paths.needsPeer(Service, Request.LinkFailedAt);
+  // The servers that this daemon did not reach may be fine.
+  if (NeedsPeer && !Request.Needs.IsThroughPeer && !Request.WasSent)
+    Request.Needs.Tried.clear();
+  Request.Needs.IsThroughPeer = NeedsPeer;
+  return true;
+}
+
+/// Sends an attempt on its path.
+ExchangeResult RequestProxy::sendAttempt(RequestContext &Request,
+                                         const Attempt &Current,
+                                         OutgoingRequest &Outgoing,
+                                         TimePoint Deadline, int CallerSocket,
+                                         const AnswerSink &Sink) {
+  const ServerConfig &Server = Request.Service->getServer(Current.Server);
+  if (Current.IsThroughPeer)
+    return this->sendThroughPeers(Request, Server, Outgoing, Deadline,
+                                  CallerSocket, Sink);
+  const ServerId Service = Request.Service->getId();
+  Outgoing.OnConnect = [this, &Request, Service](TimePoint Began,
+                                                 bool IsConnected) {
+    Request.LinkFailedAt.reset();
+    if (IsConnected) {
+      this->Paths.recordConnected(Service, readSteadyClock());
+      return;
+    }
+    Request.LinkFailedAt = Began;
+    this->Paths.recordFailure(Service, Began);
+  };
+  const ExchangeResult Result = this->Upstreams.exchange(
+      Server.Address, Outgoing, Deadline, CallerSocket, &Sink);
+  const TimePoint Ended = readSteadyClock();
+  if (Result.BytesReceived > 0) {
+    this->Paths.recordAnswer(Service, Ended);
+  } else if (Result.End == ExchangeEnd::Broken) {
+    Request.LinkFailedAt = Ended;
+    this->Paths.recordFailure(Service, Ended);
+  }
+  return Result;
+}
+
+/// Sends an attempt through the first peer that connects to the server.
+ExchangeResult RequestProxy::sendThroughPeers(RequestContext &Request,
+                                              const ServerConfig &Server,
+                                              OutgoingRequest &Outgoing,
+                                              TimePoint Deadline,
+                                              int CallerSocket,
+                                              const AnswerSink &Sink) {
+  ExchangeResult Result;
+  Result.End = ExchangeEnd::NotSent;
+  Outgoing.ConnectLimit = PeerConnectLimit;
+  Outgoing.TunnelLimit = TunnelOpenLimit;
+  Outgoing.TunnelDeadline = Request.Deadline;
+  std::vector<std::string> Asked;
+  while (Asked.size() < MaxPeersPerAttempt) {
+    const std::optional<TunnelPeer> Peer =
+        this->Paths.choosePeer(Asked, readSteadyClock());
+    if (!Peer) {
+      Request.HasNoPeer = true;
+      return Result;
+    }
+    Asked.push_back(Peer->Name);
+    Outgoing.Through = this->Paths.makeTarget(
+        *Peer, Request.Service->getConfig().Name, Server.Name);
+    Result = this->Upstreams.exchange(Server.Address, Outgoing, Deadline,
+                                      CallerSocket, &Sink);
+    if (Result.End != ExchangeEnd::NotSent) {
+      this->Counters.add(Counter::TunnelsOpened);
+      return Result;
+    }
+    this->Counters.add(Counter::TunnelsDeclined);
+    // Either the server is gone or the peer is cut off too.
+    this->Paths.recordDeclined(*Peer, readSteadyClock());
+    if (Result.Tunnel == TunnelAnswer::NoServer)
+      return Result;
+  }
+  return Result;
+}
+
+} // namespace canvaswick
--- a/lib/Proxy/RequestProxy.cpp
+++ b/lib/Proxy/RequestProxy.cpp
@@ -290,6 +290,8 @@
     return;
   }
   Request.Reason = Request.WasTimeout ? "deadline" : "server-failed";
+  if (Request.HasNoPeer && Request.Outcome == RunOutcome::NotRun)
+    Request.Reason = "servers-out-of-reach";
   int Status = Request.WasTimeout ? 504 : 502;
   if (Request.Outcome == RunOutcome::NotRun)
     Status = this->Options.NotRunStatus;
--- a/lib/Proxy/RequestRetries.cpp
+++ b/lib/Proxy/RequestRetries.cpp
@@ -26,6 +26,10 @@
 /// alternative: many times within a typical latency objective.
 static constexpr Duration RetryCheckInterval = fromMillis(25);
 
+/// The interval at which an attempt that is not weighed against an alternative
+/// is checked for whether this daemon was cut off from the server.
+static constexpr Duration PathCheckInterval = fromMillis(100);
+
 size_t RequestProxy::getMaxAttempts(const RequestContext &Request) const {
   const auto Configured = static_cast<size_t>(Request.Route->MaxAttempts);
   return Configured > 0 ? std::min(Configured, MaxAttempts) : MaxAttempts;
@@ -43,32 +47,43 @@
   if (Relay.hasBegun())
     return Now + fromMillis(Request.Service->getConfig().StallMs);
   const bool IsLast = Request.AttemptCount + 1 >= this->getMaxAttempts(Request);
-  if (this->Options.MaxBufferedResponseBytes == 0 || IsLast ||
-      !Request.IsBodyBuffered || !isRetryable(*Request.Route) ||
-      !Request.Service->hasRetry(Now))
+  if (IsLast || !Request.IsBodyBuffered || !isRetryable(*Request.Route))
+    return Request.Deadline;
+  Request.IsWeighed = this->Options.MaxBufferedResponseBytes > 0 &&
+                      Request.Service->hasRetry(Now);
+  if (!Request.IsWeighed && !this->Paths.hasPeers())
     return Request.Deadline;
   const TimePoint Until =
-      Now + Request.Service->getRetryCheckDelay(Request.Route->Name,
-                                                Request.Needs.Objective);
+      Now + (Request.IsWeighed
+                 ? Request.Service->getRetryCheckDelay(Request.Route->Name,
+                                                       Request.Needs.Objective)
+                 : PathCheckInterval);
   IsSoftDeadline = Until < Request.Deadline;
   return std::min(Until, Request.Deadline);
 }
 
 /// Called when the soft deadline of an attempt has passed. Returns the time
-/// until which the attempt goes on, or an earlier time to abandon it. An
+/// until which the attempt goes on, or an earlier time to abandon it: because a
+/// retry is better, or because this daemon was cut off from the server. An
 /// attempt is abandoned only if a retry has been taken from the budget, and a
 /// daemon that is stopping does not abandon requests on which a server works.
 TimePoint RequestProxy::extendSoftDeadline(RequestContext &Request,
                                            const Attempt &Current,
                                            bool &IsSoftDeadline) {
   const TimePoint Now = readSteadyClock();
-  const TimePoint Next = Now + RetryCheckInterval;
+  const TimePoint Next =
+      Now + (Request.IsWeighed ? RetryCheckInterval : PathCheckInterval);
+  const bool IsCutOff = Request.Service->isDisregarded(Current);
   if (!this->IsStopping && Next < Request.Deadline) {
-    if (!Request.Service->shouldAbandonAttempt(Current, Request.Needs, Now))
+    if (!IsCutOff &&
+        !(Request.IsWeighed &&
+          Request.Service->shouldAbandonAttempt(Current, Request.Needs, Now)))
       return Next;
     Request.HasRetryPermit = this->takeRetry(*Request.Service, false, Now);
     if (Request.HasRetryPermit)
       return TimePoint{};
+    if (IsCutOff)
+      return Next;
   }
   IsSoftDeadline = false;
   return Request.Deadline;
--- a/lib/Proxy/ServiceEvidence.cpp
+++ b/lib/Proxy/ServiceEvidence.cpp
@@ -106,7 +106,7 @@
 /// track requests in flight.
 static void countIfSlow(PooledPolicy &Policy, Attempt &Each, Duration SlowAfter,
                         TimePoint Now) {
-  if (Each.IsCountedSlow || Now - Each.Began <= SlowAfter)
+  if (Each.IsCountedSlow || Each.IsDisregarded || Now - Each.Began <= SlowAfter)
     return;
   Each.IsCountedSlow = true;
   Policy.recordOutcome(Each.Server, RequestOutcome::Slow, Now);
@@ -124,6 +124,46 @@
              this->Policy);
 }
 
+void ServiceRuntime::disregardDirectAttempts() {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  auto *Markov = std::get_if<MarkovPolicy>(&this->Policy);
+  for (Attempt &Each : this->Attempts) {
+    if (Each.IsThroughPeer)
+      continue;
+    Each.IsDisregarded = true;
+    // Otherwise peers would take the servers for unhealthy and loaded.
+    if (Markov)
+      Markov->getInFlight().end(Each.InFlightNumber);
+  }
+}
+
+bool ServiceRuntime::isDisregarded(const Attempt &Each) const {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  return Each.IsDisregarded;
+}
+
+/// An attempt without a response is silent from this multiple of its typical
+/// time on, which one good answer in a hundred takes too, but not before
+/// MinSilence.
+static constexpr double SilenceRatio = 3;
+static constexpr Duration MinSilence = fromMillis(200);
+
+std::optional<TimePoint> ServiceRuntime::findSilence(TimePoint Now) const {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  std::optional<TimePoint> Latest;
+  for (const Attempt &Each : this->Attempts) {
+    const Duration Known =
+        this->Latency.getTypicalTime(Each.Route, Duration::zero());
+    const Duration Usual =
+        fromSeconds(toSeconds(Known) * Each.QueueFactor * SilenceRatio);
+    const bool IsSilent = !Each.IsThroughPeer && !Each.IsDisregarded &&
+                          Now - Each.Began > std::max(Usual, MinSilence);
+    if (IsSilent && (!Latest || Each.Began > *Latest))
+      Latest = Each.Began;
+  }
+  return Latest;
+}
+
 void ServiceRuntime::recordLoadReport(size_t Server, double Load,
                                       TimePoint Now) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
--- a/lib/Proxy/ServiceRuntime.cpp
+++ b/lib/Proxy/ServiceRuntime.cpp
@@ -272,6 +272,8 @@
   Next.Deadline = Needs.Deadline;
   Next.IsCountedSlow = false;
   Next.WasTimedOut = false;
+  Next.IsThroughPeer = Needs.IsThroughPeer;
+  Next.IsDisregarded = false;
   Next.Share = Granted[Next.Server].Share;
   Next.IsTest = Granted[Next.Server].IsTest;
   if (!this->Notices->isEmpty())
@@ -290,7 +292,7 @@
                                            RequestOutcome Outcome,
                                            Duration Took) const {
   const bool IsMarkov = std::holds_alternative<MarkovPolicy>(this->Policy);
-  if (Ended.WasTimedOut && IsMarkov)
+  if (Ended.WasTimedOut && IsMarkov && !Ended.IsDisregarded)
     return RequestOutcome::Overdue;
   if (isFailure(Outcome))
     return this->Latency.classifyFailure(Ended.Route, Took);
@@ -307,6 +309,10 @@
   // treated as unhealthy.
   if (Ended.HasBackoffRequest && Outcome == RequestOutcome::Shed)
     Outcome = RequestOutcome::Canceled;
+  const bool IsFailed = isFailure(Outcome) || Ended.WasTimedOut ||
+                        Outcome == RequestOutcome::Unreachable;
+  if (Ended.HadNoTunnel || (Ended.IsDisregarded && IsFailed))
+    Outcome = RequestOutcome::Canceled;
   this->Selector.end(Ended.Server, Outcome, Now);
   const Duration Took = Now - Ended.Began;
   // The time spent in the queue says nothing about this kind of request.
@@ -317,7 +323,8 @@
   const int LatencyRatioPercent = this->computeLatencyRatioPercent(Ended, Now);
   // A timed-out attempt would have taken even longer. If it were ignored, a
   // service that has become slow would seem as fast as before.
-  const bool IsLonger = Ended.WasTimedOut && IdleServerTime > Ended.TypicalTime;
+  const bool IsLonger = Ended.WasTimedOut && !Ended.IsDisregarded &&
+                        IdleServerTime > Ended.TypicalTime;
   if (Outcome == RequestOutcome::Good || IsLonger)
     this->Latency.add(Ended.Route, IdleServerTime, Now);
   if (auto *Markov = std::get_if<MarkovPolicy>(&this->Policy)) {
--- a/lib/Rpc/PeerCaller.cpp
+++ b/lib/Rpc/PeerCaller.cpp
@@ -52,6 +52,15 @@
   this->Pool.closeIdle(TimePoint::max(), TimePoint::max());
 }
 
+httplib::Headers PeerCaller::sign(const std::string &Text) {
+  httplib::Headers Headers;
+  if (this->Key)
+    Headers.emplace(
+        CallSignatureHeader,
+        signCall(*this->Key, Text, readCalendarMillis(), this->NextNonce++));
+  return Headers;
+}
+
 static ErrorKind findErrorKind(const std::string &Name) {
   for (const ErrorKind Kind :
        {ErrorKind::InvalidArgument, ErrorKind::NotFound, ErrorKind::Conflict,
@@ -86,11 +95,7 @@
     Outgoing.StallLimit = Limits.Stall;
     const TimePoint Now = readSteadyClock();
     Outgoing.BodyDeadline = Now + Limits.Whole;
-    if (this->Key)
-      Outgoing.Headers.emplace(CallSignatureHeader,
-                               signCall(*this->Key, Request,
-                                        readCalendarMillis(),
-                                        this->NextNonce++));
+    Outgoing.Headers = this->sign(Request);
     Exchange = this->Pool.exchange(Peer, Outgoing, Now + Limits.Head,
                                    this->Cancellation.getDescriptor(), nullptr);
     Answer = Exchange.Body;
@@ -154,6 +159,22 @@
   Exchange.Response.set_content(Dispatcher.handle(Body), "application/json");
 }
 
+/// Checks the signature of a request for Text.
+static Result<void> checkSignature(const HttpExchange &Exchange,
+                                   const std::string &Text,
+                                   CallVerifier &Verifier,
+                                   std::mutex &VerifierMutex) {
+  const std::string Signature =
+      Exchange.Request.get_header_value(CallSignatureHeader);
+  std::lock_guard<std::mutex> Lock(VerifierMutex);
+  return Verifier.verify(Signature, Text, readCalendarMillis());
+}
+
+bool isSignedRequest(const HttpExchange &Exchange, const std::string &Text,
+                     CallVerifier &Verifier, std::mutex &VerifierMutex) {
+  return checkSignature(Exchange, Text, Verifier, VerifierMutex).has_value();
+}
+
 void serveCall(HttpExchange &Exchange, CallVerifier &Verifier,
                std::mutex &VerifierMutex, const JsonRpcDispatcher &Dispatcher,
                CounterTable &Counters) {
@@ -163,13 +184,8 @@
     Exchange.MustClose = true;
     return;
   }
-  const std::string Signature =
-      Exchange.Request.get_header_value(CallSignatureHeader);
-  Result<void> Check = outcome::success();
-  {
-    std::lock_guard<std::mutex> Lock(VerifierMutex);
-    Check = Verifier.verify(Signature, Body, readCalendarMillis());
-  }
+  const Result<void> Check =
+      checkSignature(Exchange, Body, Verifier, VerifierMutex);
   if (!Check) {
     Counters.add(Counter::CallsRefused);
     Exchange.Response.status = 401;
--- a/unittests/ServerPartition/PartitionFixture.h
+++ b/unittests/ServerPartition/PartitionFixture.h
@@ -258,6 +258,86 @@
   std::thread Paying;
 };
 
+/// The time within which a daemon has noticed that it is cut off.
+inline constexpr std::chrono::milliseconds NoticeTime(1000);
+
+/// The time over which callers' requests are counted.
+inline constexpr std::chrono::milliseconds CountTime(1500);
+
+/// The part of the requests at cut daemons that is served, of the same part at
+/// the others.
+inline constexpr double MinServedRatio = 0.95;
+
+/// What a daemon that uses its links receives over NoticeTime at least.
+inline constexpr size_t MinBytes = 1000;
+
+/// One daemon with its links and callers.
+struct FleetMember {
+  explicit FleetMember(
+      const std::vector<std::unique_ptr<CountingServer>> &Servers)
+      : Links(Servers) {}
+
+  DaemonLinks Links;
+  std::unique_ptr<Callers> Asking;
+};
+
+/// Servers, and members that a test starts.
+struct PartitionFixture {
+  PartitionFixture() {
+    for (size_t I = 0; I < ServicesCount * ServersPerService; ++I)
+      this->Servers.push_back(std::make_unique<CountingServer>(this->Ledger));
+  }
+
+  ~PartitionFixture() {
+    for (const std::unique_ptr<FleetMember> &Each : this->Members) {
+      Each->Links.restore();
+      Each->Asking.reset();
+    }
+  }
+
+  FleetMember &addMember() {
+    return *this->Members.emplace_back(
+        std::make_unique<FleetMember>(this->Servers));
+  }
+
+  /// Cuts the first Count members off.
+  void cut(size_t Count, Partition How) {
+    for (size_t I = 0; I < Count; ++I)
+      this->Members[I]->Links.cut(How);
+  }
+
+  /// Counts requests at the first Count members and at the others for a while.
+  void count(size_t Count, CallerCounts &Cut, CallerCounts &Others) {
+    for (size_t I = 0; I < this->Members.size(); ++I)
+      this->Members[I]->Asking->countIn(I < Count ? &Cut : &Others);
+    std::this_thread::sleep_for(CountTime);
+    for (const std::unique_ptr<FleetMember> &Each : this->Members)
+      Each->Asking->countIn(nullptr);
+    // The requests that were counted as sent have ended by then.
+    std::this_thread::sleep_for(std::chrono::milliseconds(CallerDeadlineMs));
+  }
+
+  /// Cuts the first Count members off and compares what their callers get with
+  /// what callers of the others get.
+  void checkServed(size_t Count, Partition How) {
+    this->cut(Count, How);
+    std::this_thread::sleep_for(NoticeTime);
+    CallerCounts Cut;
+    CallerCounts Others;
+    this->count(Count, Cut, Others);
+    MESSAGE("served ", Cut.Served.load(), " of ", Cut.Sent.load(),
+            " at cut daemons, ", Others.Served.load(), " of ",
+            Others.Sent.load(), " at the others");
+    CHECK(Cut.getServedShare() >= MinServedRatio * Others.getServedShare());
+    CHECK(Others.getServedShare() >= MinServedRatio);
+    CHECK(this->Ledger.countMost() <= 1);
+  }
+
+  RunLedger Ledger;
+  std::vector<std::unique_ptr<CountingServer>> Servers;
+  std::vector<std::unique_ptr<FleetMember>> Members;
+};
+
 } // namespace canvaswick
 
 #endif // CANVASWICK_UNITTESTS_SERVERPARTITION_PARTITIONFIXTURE_H
