--- a/include/canvaswick/Daemon/OperatorApi.h
+++ b/include/canvaswick/Daemon/OperatorApi.h
@@ -20,6 +20,7 @@
 #include "canvaswick/Daemon/MembershipAgent.h"
 #include "canvaswick/Proxy/OrganisationQuotas.h"
 #include "canvaswick/Proxy/RequestQuarantine.h"
+#include "canvaswick/Proxy/ServerPaths.h"
 
 namespace canvaswick {
 
@@ -28,7 +29,7 @@
 public:
   OperatorApi(const ControlContext &Context, MembershipAgent &Members,
               ConfigAgent &Config, const RequestQuarantine &Quarantine,
-              OrganisationQuotas &Organisations);
+              OrganisationQuotas &Organisations, const ServerPaths &Paths);
 
   void addMethods(JsonRpcDispatcher &Dispatcher);
 
@@ -48,6 +49,7 @@
   ConfigAgent &Config;
   const RequestQuarantine &Quarantine;
   OrganisationQuotas &Organisations;
+  const ServerPaths &Paths;
 };
 
 } // namespace canvaswick
--- a/include/canvaswick/Proxy/RequestProxy.h
+++ b/include/canvaswick/Proxy/RequestProxy.h
@@ -176,6 +176,8 @@
                                 const ResponseRelay &Relay,
                                 const ServerConfig &Server,
                                 const std::string &RequestId) const;
+  void setDeadlineHeader(const RequestContext &Request,
+                         OutgoingRequest &Outgoing) const;
   void addServerHeaders(RequestContext &Request, const ServerConfig &Server,
                         const std::string &RequestId,
                         OutgoingRequest &Outgoing) const;
--- a/lib/Daemon/Daemon.cpp
+++ b/lib/Daemon/Daemon.cpp
@@ -150,7 +150,8 @@
                                               this->Proxy->getOrganisations());
   this->Operators = std::make_unique<OperatorApi>(
       *this->Context, *this->Members, *this->Configs,
-      this->Proxy->getQuarantine(), this->Proxy->getOrganisations());
+      this->Proxy->getQuarantine(), this->Proxy->getOrganisations(),
+      this->Proxy->getPaths());
   this->Members->setVersionHooks(
       [this](Json::Value &Message) {
         this->Configs->writeVersions(Message);
--- a/lib/Daemon/OperatorApi.cpp
+++ b/lib/Daemon/OperatorApi.cpp
@@ -24,9 +24,10 @@
 OperatorApi::OperatorApi(const ControlContext &Context,
                          MembershipAgent &Members, ConfigAgent &Config,
                          const RequestQuarantine &Quarantine,
-                         OrganisationQuotas &Organisations)
+                         OrganisationQuotas &Organisations,
+                         const ServerPaths &Paths)
     : Context(Context), Members(Members), Config(Config),
-      Quarantine(Quarantine), Organisations(Organisations) {}
+      Quarantine(Quarantine), Organisations(Organisations), Paths(Paths) {}
 
 void OperatorApi::addMethods(JsonRpcDispatcher &Dispatcher) {
   Dispatcher.add("operator.status",
@@ -84,6 +85,7 @@
     Json::Value Entry;
     Entry["name"] = Service->getConfig().Name;
     Entry["floor-percent"] = Service->getConfig().FloorPercent;
+    Entry["out-of-reach"] = this->Paths.getState(Service->getId()).IsCutOff;
     Entry["servers"] = Json::arrayValue;
     for (const ServerStatus &Status : Service->describe(Now))
       Entry["servers"].append(describeServer(Status, Now));
@@ -195,6 +197,8 @@
       formatNotices(this->Context.Notices.with([](const ServerNotices &Known) {
         return Known.count(readSteadyClock());
       }));
+  Text += fmt::format("canvaswick_services_out_of_reach {}\n",
+                      this->Paths.countCutOff());
   const FleetRuntimeRef Fleet = this->Context.Fleet.get();
   if (!Fleet)
     return Text;
--- a/lib/Operator/FleetCommands.cpp
+++ b/lib/Operator/FleetCommands.cpp
@@ -79,6 +79,20 @@
   return Answers;
 }
 
+/// Formats what an operator should know of a service at one daemon.
+static std::string formatService(const Json::Value &Service) {
+  const std::string Name = Service["name"].asString();
+  std::string Text;
+  if (Service["out-of-reach"].asBool())
+    Text += fmt::format("  {} out of reach, used through peers\n", Name);
+  for (const Json::Value &Server : Service["servers"])
+    if (Server["reason"].asString() != "healthy")
+      Text += fmt::format("  {}/{} share {:.2f} {}\n", Name,
+                          Server["name"].asString(), Server["share"].asDouble(),
+                          Server["reason"].asString());
+  return Text;
+}
+
 Result<std::string> runStatus(const OperatorOptions &Options) {
   BOOST_OUTCOME_TRY(
       std::vector<MemberAnswer> Answers,
@@ -94,14 +108,7 @@
                         Each.Answer["version"].asUInt64(),
                         Each.Answer["members"].size());
     for (const Json::Value &Service : Each.Answer["services"])
-      for (const Json::Value &Server : Service["servers"]) {
-        if (Server["reason"].asString() == "healthy")
-          continue;
-        Text +=
-            fmt::format("  {}/{} share {:.2f} {}\n", Service["name"].asString(),
-                        Server["name"].asString(), Server["share"].asDouble(),
-                        Server["reason"].asString());
-      }
+      Text += formatService(Service);
   }
   return Text;
 }
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -172,15 +172,23 @@
          ::strcasecmp(Name.c_str(), "Expect") == 0;
 }
 
+/// Sets the header with the time that is left for the request.
+void RequestProxy::setDeadlineHeader(const RequestContext &Request,
+                                     OutgoingRequest &Outgoing) const {
+  const std::string &Name = this->Options.Headers.Deadline;
+  const Duration Left = Request.Deadline - readSteadyClock();
+  Outgoing.Headers.erase(Name);
+  Outgoing.Headers.emplace(
+      Name, fmt::format("{}", std::max<int64_t>(1, toMillis(Left))));
+}
+
 /// Adds the headers by which the proxy informs the server about the request.
 void RequestProxy::addServerHeaders(RequestContext &Request,
                                     const ServerConfig &Server,
                                     const std::string &RequestId,
                                     OutgoingRequest &Outgoing) const {
   const HeaderNames &Names = this->Options.Headers;
-  const Duration Left = Request.Deadline - readSteadyClock();
-  Outgoing.Headers.emplace(
-      Names.Deadline, fmt::format("{}", std::max<int64_t>(1, toMillis(Left))));
+  this->setDeadlineHeader(Request, Outgoing);
   if (!RequestId.empty())
     Outgoing.Headers.emplace(Names.RequestId, RequestId);
   if (!Names.ExpectedInstance.empty() && !Server.Instance.empty())
--- a/lib/Proxy/RequestPaths.cpp
+++ b/lib/Proxy/RequestPaths.cpp
@@ -101,6 +101,8 @@
     Asked.push_back(Peer->Name);
     Outgoing.Through = this->Paths.makeTarget(
         *Peer, Request.Service->getConfig().Name, Server.Name);
+    // The peers before may have taken a while to decline.
+    this->setDeadlineHeader(Request, Outgoing);
     Result = this->Upstreams.exchange(Server.Address, Outgoing, Deadline,
                                       CallerSocket, &Sink);
     if (Result.End != ExchangeEnd::NotSent) {
