A daemon that is far behind asks a peer for the settings alone

Why nothing was asked: what such a daemon lacks is too much for the few peers that have it. That holds for its hundreds of items, not for the one that matters most.

A second case of FarBehind, with a peer that answers as daemons do: settings there, replica not further, one to three requests in two seconds, none of another kind. Not played on the fleet.

--- a/include/canvaswick/Daemon/DirectoryCalls.h
+++ b/include/canvaswick/Daemon/DirectoryCalls.h
@@ -48,6 +48,9 @@
   bool AcceptsPackedValues = true;
   /// Names the answer for confirmReceipt; 0 if the peer does not confirm.
   uint64_t Receipt = 0;
+  /// Whether the peer lacks so much that it wants only the operators' settings
+  /// now. The answer does not complete its replica.
+  bool WantsOnlySettings = false;
 };
 
 /// Returns the changes that the peer lacks.
--- a/lib/Bench/SpreadModel.cpp
+++ b/lib/Bench/SpreadModel.cpp
@@ -17,6 +17,7 @@
 
 #include "CapacityTables.h"
 #include "canvaswick/Daemon/DirectoryCalls.h"
+#include "canvaswick/Support/EnumNames.h"
 
 #include <algorithm>
 #include <random>
@@ -25,9 +26,11 @@
 
 namespace {
 
-/// Whom a daemon may ask: watchers that answer everybody at once, or anybody
-/// who has the value and sends it to few at a time.
-enum class SpreadWay : uint8_t { FromWatchers, PassedOn };
+/// Whom a daemon may ask: watchers that answer everybody at once, anybody who
+/// has the value and sends it to few at a time, or watchers that send it to few
+/// at a time, because all others are far behind and nobody knows that they have
+/// it.
+enum class SpreadWay : uint8_t { FromWatchers, PassedOn, FarBehind };
 
 /// One case of the model.
 struct SpreadCase {
@@ -52,9 +55,11 @@
 
 } // namespace
 
-static constexpr const char *getName(SpreadWay Way) {
-  return Way == SpreadWay::PassedOn ? "passed-on" : "from-watchers";
-}
+static constexpr EnumNames<SpreadWay, 3> SpreadWayNames = {{
+    {SpreadWay::FromWatchers, "from-watchers"},
+    {SpreadWay::PassedOn, "passed-on"},
+    {SpreadWay::FarBehind, "far-behind"},
+}};
 
 /// Size of a route in bytes, the factors by which base64 and packing change it,
 /// and the times in milliseconds that packing and taking a route need on a
@@ -129,7 +134,7 @@
   void askOne(size_t Asker, size_t Giver, int Now) {
     SpreadDaemon &Daemon = this->Daemons[Asker];
     const TimePoint At = TimePoint{} + fromMillis(Now);
-    if (this->Case.Way == SpreadWay::PassedOn &&
+    if (this->Case.Way != SpreadWay::FromWatchers &&
         !this->Daemons[Giver].Given.tryBegin(Asker, At)) {
       Daemon.AskAtMs =
           Now + MinWaitMs +
@@ -172,12 +177,14 @@
     for (const size_t Daemons : {36, 72, 200, 400})
       for (const double Routes : {1400.0, 2800.0, 6700.0})
         for (const SpreadWay Way :
-             {SpreadWay::FromWatchers, SpreadWay::PassedOn}) {
+             {SpreadWay::FromWatchers, SpreadWay::PassedOn,
+              SpreadWay::FarBehind}) {
           const std::vector<int> Times =
               SpreadRun({Daemons, Routes, Megabits * 125, Way}).run();
-          Csv += fmt::format("{},{},{},{},{},{},{}\n", Daemons, Routes,
-                             getName(Way), Megabits, Times.front(),
-                             Times[Times.size() / 2], Times.back());
+          Csv +=
+              fmt::format("{},{},{},{},{},{},{}\n", Daemons, Routes,
+                          getEnumName(SpreadWayNames, Way), Megabits,
+                          Times.front(), Times[Times.size() / 2], Times.back());
         }
   return Csv;
 }
--- a/lib/Daemon/DirectoryCalls.cpp
+++ b/lib/Daemon/DirectoryCalls.cpp
@@ -256,6 +256,9 @@
     return makeCallError({ErrorKind::Unavailable, "no room for a whole copy"});
   const bool HasLarge =
       std::any_of(Changes.Items.begin(), Changes.Items.end(), isLarge);
+  // Neither cached nor complete.
+  if (Request.WantsOnlySettings)
+    return this->encodeLarge(std::move(Changes));
   if (HasLarge && !(Request.WantsLarge && HasRoom)) {
     std::erase_if(Changes.Items, isLarge);
     Changes.OmitsLarge = true;
@@ -336,6 +339,8 @@
   Params["epoch"] = static_cast<Json::UInt64>(Request.After.Epoch);
   Params["large"] = Request.WantsLarge;
   Params["packed-values"] = Request.AcceptsPackedValues;
+  if (Request.WantsOnlySettings)
+    Params["only-settings"] = true;
   if (Request.Receipt != 0)
     Params["receipt"] = static_cast<Json::UInt64>(Request.Receipt);
   Params["held"] = Json::objectValue;
@@ -352,6 +357,7 @@
       (Params.isMember("large") && !Params["large"].isBool()) ||
       (Params.isMember("receipt") && !Params["receipt"].isUInt64()) ||
       (Params.isMember("packed-values") && !Params["packed-values"].isBool()) ||
+      (Params.isMember("only-settings") && !Params["only-settings"].isBool()) ||
       (Params.isMember("held") && !Params["held"].isObject()))
     return makeError(ErrorKind::InvalidArgument, "not a request for changes");
   Request.HasEpoch = Params.isMember("epoch");
@@ -359,6 +365,7 @@
   Request.WantsLarge = !Params.isMember("large") || Params["large"].asBool();
   Request.AcceptsPackedValues = Params["packed-values"].asBool();
   Request.Receipt = Params["receipt"].asUInt64();
+  Request.WantsOnlySettings = Params["only-settings"].asBool();
   const Json::Value &Held = Params["held"];
   for (const std::string &Key : Held.getMemberNames()) {
     if (!Held[Key].isUInt64())
--- a/unittests/FarBehind/FarBehindTest.cpp
+++ b/unittests/FarBehind/FarBehindTest.cpp
@@ -16,6 +16,8 @@
 #include "platform/PeerFollower.h"
 
 #include <doctest/doctest.h>
+
+#include <atomic>
 #include <fmt/format.h>
 
 using namespace canvaswick;
@@ -64,3 +66,72 @@
   }
   CHECK(View.findItem(ConfigKey).has_value());
 }
+
+namespace {
+
+/// A peer that answers as a daemon does, and counts what it is asked for.
+struct CountingPeer {
+  CountingPeer()
+      : Responder(
+            [this](const ChangesRequest &Request) {
+              ++(Request.WantsOnlySettings ? this->SettingsAsked
+                                           : this->OthersAsked);
+              return Request.WantsOnlySettings
+                         ? this->View.getSettingsAfter(Request.After,
+                                                       Request.Held)
+                         : this->View.getChangesAfter(Request.After,
+                                                      Request.Held);
+            },
+            [] { return true; }),
+        Server(HttpServerLimits{}, [this](HttpExchange &Exchange) {
+          serveUnsignedCall(Exchange, this->Dispatcher);
+        }) {
+    addDirectoryMethod(this->Dispatcher, this->Responder);
+    REQUIRE(this->Server.start({"127.0.0.1", 0}));
+    this->View.replaceAll({}, {0, 1}, readSteadyClock());
+  }
+
+  std::atomic<int> SettingsAsked{0};
+  std::atomic<int> OthersAsked{0};
+  FleetView View{{70}, fromSeconds(2)};
+  JsonRpcDispatcher Dispatcher;
+  ChangesResponder Responder;
+  HttpServer Server;
+};
+
+} // namespace
+
+TEST_CASE(
+    "a daemon that is far behind asks a peer for the settings alone, once "
+    "a second") {
+  CountingPeer Peer;
+  const StorePosition ConfigAt{0, ManyChanges};
+  Peer.View.applyEvents({{ConfigKey, std::string(5000, ' '), ConfigAt, false},
+                         {"servers/i-1", "{}", {0, ManyChanges - 1}, false}},
+                        {0, ManyChanges + 1}, readSteadyClock());
+  CounterTable Counters;
+  FleetView View{{70}, fromSeconds(2)};
+  View.replaceAll({}, {0, 1}, readSteadyClock());
+  PeerFollower Follower({"a", "h", {}, {}}, {}, {}, View, Counters, [] {});
+  Follower.setDaemons({{"peer", "h", {"127.0.0.1", Peer.Server.getPort()}, {}}},
+                      readSteadyClock());
+  PeerMessage Message;
+  Message.Source = "peer";
+  Message.Hall = "h";
+  Message.AsOf = Peer.View.getAsOf();
+  const TimePoint Began = readSteadyClock();
+  while (readSteadyClock() < Began + SettingsTime) {
+    Follower.handleMessage(Message, readSteadyClock());
+    Follower.runRound(readSteadyClock());
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  REQUIRE(View.findItem(ConfigKey).has_value());
+  CHECK(View.findItem(ConfigKey)->At == ConfigAt);
+  // The rest comes with the snapshot, which its replica is not complete
+  // without.
+  CHECK(!View.findItem("servers/i-1").has_value());
+  CHECK(View.getAsOf() == StorePosition{0, 1});
+  CHECK(Peer.OthersAsked == 0);
+  CHECK(Peer.SettingsAsked >= 1);
+  CHECK(Peer.SettingsAsked <= 3);
+}
