Requests that find servers gone do not lose their tries to peers

- Tried servers are forgotten only if the service is known to be out of reach.
- A peer that can't reach a server is asked again by later requests, and the request goes on directly unless the service is out of reach.
- Without a peer nothing was tried: no server counts as tried.
Six peers are asked for one request at most.
- A retry that was granted and not sent yet is not taken from the budget again: an attempt that was given up, whose next connection failed, was answered 502.
- A connection of a request that succeeds counts as a good probe.

--- a/include/canvaswick/Proxy/RequestProxy.h
+++ b/include/canvaswick/Proxy/RequestProxy.h
@@ -152,6 +152,7 @@
                                bool &IsSoftDeadline);
   bool takeRetry(ServiceRuntime &Service, bool IsNotRun, TimePoint Now);
   bool mayRetry(RequestContext &Request, const ResponseRelay &Relay);
+  bool takeNextRetry(RequestContext &Request);
 
   // RequestPaths.cpp: direct attempts and those through peers.
   bool choosePath(RequestContext &Request) const;
--- a/include/canvaswick/Proxy/ServerPaths.h
+++ b/include/canvaswick/Proxy/ServerPaths.h
@@ -65,8 +65,9 @@
   void recordPeerMessage(const std::string &Peer, bool IsCutOff,
                          bool WasAnswered, TimePoint Now);
 
-  /// Records that a server accepted a connection of this daemon.
-  void recordConnected(ServerId Service, TimePoint Now);
+  /// Records that a server accepted a connection of this daemon, and logs if
+  /// the service is in reach again.
+  void recordConnected(const ServiceRuntime &Service, TimePoint Now);
 
   /// Records that an attempt to connect that began at Began failed, or that a
   /// connection broke then before a server answered.
--- a/include/canvaswick/Routing/PathMonitor.h
+++ b/include/canvaswick/Routing/PathMonitor.h
@@ -46,8 +46,9 @@
 /// identified by their ids in messages. Not thread-safe.
 class PathMonitor {
 public:
-  /// Records that a server of the service accepted a connection.
-  void recordConnected(ServerId Service, TimePoint Now);
+  /// Records that a server of the service accepted a connection. Returns
+  /// whether the service was cut off before and no longer is.
+  bool recordConnected(ServerId Service, TimePoint Now);
 
   /// Records that a server of the service answered a request.
   void recordAnswer(ServerId Service, TimePoint Now);
@@ -93,14 +94,15 @@
     /// When the service was last found to be in reach again.
     TimePoint RestoredAt{};
     TimePoint NextProbeAt{};
-    /// Probes in a row that reached servers, and how many are needed until the
-    /// daemon relies on its own connections again.
+    /// Probes and requests in a row that reached servers, and how many are
+    /// needed until the daemon relies on its own connections again.
     int GoodProbes = 0;
     int NeededProbes = 1;
   };
 
   const Service *find(ServerId Id) const;
   void cutOff(Service &Changed, TimePoint Now);
+  static bool recordReached(Service &Changed, TimePoint Now);
 
   std::map<ServerId, Service> Services;
 };
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -140,11 +140,16 @@
         Current, this->reportToQuarantine(Request, Current, Outcome, End), End);
     this->notifyAttemptListener(End);
     addToTrail(Request, Current, Outcome, End - Now);
-    Needs.Tried.push_back(Current.Server);
-    if (Outcome == RequestOutcome::Unreachable)
-      ++Unreachable;
-    else
+    // If no peer helped, the server was not tried.
+    const bool WasTried = !Current.HadNoTunnel || !Request.HasNoPeer;
+    if (WasTried)
+      Needs.Tried.push_back(Current.Server);
+    if (Outcome == RequestOutcome::Unreachable) {
+      Unreachable += WasTried ? 1 : 0;
+    } else {
       ++Request.AttemptCount;
+      Request.HasUnsentRetry = false;
+    }
     // A retry is taken from the budget only if an attempt is left to use it.
     if (Request.IsAnswered || Request.WasCanceled ||
         !this->hasAttemptLeft(Request, Relay, Unreachable, End) ||
--- a/lib/Proxy/RequestContext.h
+++ b/lib/Proxy/RequestContext.h
@@ -20,6 +20,8 @@
 
 #include <cstdlib>
 #include <optional>
+#include <string>
+#include <vector>
 
 namespace canvaswick {
 
@@ -60,6 +62,10 @@
   /// When the last direct connection to a server broke, or the attempt to
   /// establish it began, if it failed.
   std::optional<TimePoint> LinkFailedAt;
+  /// The peers that did not connect to a server for this request.
+  std::vector<std::string> AskedPeers;
+  /// Whether a retry was taken from the budget and has not been sent yet.
+  bool HasUnsentRetry = false;
   /// Whether the attempt in flight is compared with a retry elsewhere.
   bool IsWeighed = false;
   /// Whether no peer connects to a server for this request.
--- a/lib/Proxy/RequestPaths.cpp
+++ b/lib/Proxy/RequestPaths.cpp
@@ -20,8 +20,8 @@
 
 namespace canvaswick {
 
-/// Peers that are asked for one attempt. Those that decline do so at once.
-static constexpr size_t MaxPeersPerAttempt = 4;
+/// Peers that are asked for one request. Those that decline do so at once.
+static constexpr size_t MaxPeersPerRequest = 6;
 
 /// Time limits for connecting to a peer, and then for its connection to the
 /// server. Both take a few milliseconds, or one more with a lost packet.
@@ -32,16 +32,17 @@
 /// daemon is cut off from the servers, and so is every peer that answered.
 bool RequestProxy::choosePath(RequestContext &Request) const {
   const ServerId Service = Request.Service->getId();
-  if (Request.HasNoPeer) {
-    const PathState State = this->Paths.getState(Service);
-    Request.Needs.IsThroughPeer = false;
+  const PathState State = this->Paths.getState(Service);
+  const bool WasThroughPeer = Request.Needs.IsThroughPeer;
+  Request.Needs.IsThroughPeer = false;
+  if (Request.HasNoPeer)
     return !State.IsCutOff || !State.IsSilent;
-  }
-  const bool NeedsPeer = this->Paths.needsPeer(Service, Request.LinkFailedAt);
+  Request.Needs.IsThroughPeer =
+      this->Paths.needsPeer(Service, Request.LinkFailedAt);
   // The servers that this daemon did not reach may be fine.
-  if (NeedsPeer && !Request.Needs.IsThroughPeer && !Request.WasSent)
+  if (State.IsCutOff && Request.Needs.IsThroughPeer && !WasThroughPeer &&
+      !Request.WasSent)
     Request.Needs.Tried.clear();
-  Request.Needs.IsThroughPeer = NeedsPeer;
   return true;
 }
 
@@ -60,7 +61,7 @@
                                                  bool IsConnected) {
     Request.LinkFailedAt.reset();
     if (IsConnected) {
-      this->Paths.recordConnected(Service, readSteadyClock());
+      this->Paths.recordConnected(*Request.Service, readSteadyClock());
       return;
     }
     Request.LinkFailedAt = Began;
@@ -90,15 +91,11 @@
   Outgoing.ConnectLimit = PeerConnectLimit;
   Outgoing.TunnelLimit = TunnelOpenLimit;
   Outgoing.TunnelDeadline = Request.Deadline;
-  std::vector<std::string> Asked;
-  while (Asked.size() < MaxPeersPerAttempt) {
+  while (Request.AskedPeers.size() < MaxPeersPerRequest) {
     const std::optional<TunnelPeer> Peer =
-        this->Paths.choosePeer(Asked, readSteadyClock());
-    if (!Peer) {
-      Request.HasNoPeer = true;
-      return Result;
-    }
-    Asked.push_back(Peer->Name);
+        this->Paths.choosePeer(Request.AskedPeers, readSteadyClock());
+    if (!Peer)
+      break;
     Outgoing.Through = this->Paths.makeTarget(
         *Peer, Request.Service->getConfig().Name, Server.Name);
     // The peers before may have taken a while to decline.
@@ -110,11 +107,16 @@
       return Result;
     }
     this->Counters.add(Counter::TunnelsDeclined);
-    // Either the server is gone or the peer is cut off too.
-    this->Paths.recordDeclined(*Peer, readSteadyClock());
-    if (Result.Tunnel == TunnelAnswer::NoServer)
+    Request.AskedPeers.push_back(Peer->Name);
+    if (Result.Tunnel == TunnelAnswer::NoServer) {
+      // Unless the links of both are cut, which the next probe of each shows,
+      // the server is gone, and the next one may be reached directly.
+      Request.LinkFailedAt.reset();
       return Result;
+    }
+    this->Paths.recordDeclined(*Peer, readSteadyClock());
   }
+  Request.HasNoPeer = true;
   return Result;
 }
 
--- a/lib/Proxy/RequestRetries.cpp
+++ b/lib/Proxy/RequestRetries.cpp
@@ -99,7 +99,8 @@
                      this->BorrowRetry(Service, Now));
 }
 
-/// Decides whether a failed request may be retried at another server.
+/// Decides whether a failed request may be retried at another server, and takes
+/// the retry from the budget.
 bool RequestProxy::mayRetry(RequestContext &Request,
                             const ResponseRelay &Relay) {
   if (Relay.hasBegun())
@@ -107,6 +108,14 @@
            this->takeRetry(*Request.Service, false, readSteadyClock());
   if (Request.WasBodySent || !this->isKeyInForce(Request))
     return false;
+  if (!Request.HasUnsentRetry)
+    Request.HasUnsentRetry = this->takeNextRetry(Request);
+  return Request.HasUnsentRetry;
+}
+
+/// Returns whether a request to which no server has responded may be sent once
+/// more.
+bool RequestProxy::takeNextRetry(RequestContext &Request) {
   if (std::exchange(Request.HasRetryPermit, false))
     return true;
   // A request that was not run may be sent to another server, whatever its
--- a/lib/Proxy/ServerPaths.cpp
+++ b/lib/Proxy/ServerPaths.cpp
@@ -47,10 +47,16 @@
   this->Peers.recordMessage(Peer, IsCutOff, WasAnswered, Now);
 }
 
-void ServerPaths::recordConnected(ServerId Service, TimePoint Now) {
-  std::lock_guard<std::mutex> Lock(this->Mutex);
-  this->Monitor.recordConnected(Service, Now);
-  this->FailingSince = TimePoint{};
+void ServerPaths::recordConnected(const ServiceRuntime &Service,
+                                  TimePoint Now) {
+  {
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    this->FailingSince = TimePoint{};
+    if (!this->Monitor.recordConnected(Service.getId(), Now))
+      return;
+  }
+  logWarning("servers-in-reach", "service={} by=request",
+             Service.getConfig().Name);
 }
 
 void ServerPaths::recordFailure(ServerId Service, TimePoint Began) {
--- a/lib/Proxy/TunnelResponder.cpp
+++ b/lib/Proxy/TunnelResponder.cpp
@@ -61,7 +61,8 @@
   const ServerConfig *Server = this->findServer(*Current, Exchange);
   if (!Server)
     return 404;
-  const ServerId Id = Current->findService(Service)->getId();
+  const ServiceRuntimeRef Found = Current->findService(Service);
+  const ServerId Id = Found->getId();
   if (this->Paths.getState(Id).IsCutOff)
     return 503;
   const TimePoint Began = readSteadyClock();
@@ -71,7 +72,7 @@
     this->Paths.recordFailure(Id, Began);
     return 502;
   }
-  this->Paths.recordConnected(Id, readSteadyClock());
+  this->Paths.recordConnected(*Found, readSteadyClock());
   return Opened;
 }
 
--- a/lib/Routing/PathMonitor.cpp
+++ b/lib/Routing/PathMonitor.cpp
@@ -34,9 +34,20 @@
   return Found == this->Services.end() ? nullptr : &Found->second;
 }
 
-void PathMonitor::recordConnected(ServerId Id, TimePoint Now) {
-  Service &Changed = this->Services[Id];
+bool PathMonitor::recordConnected(ServerId Id, TimePoint Now) {
+  return recordReached(this->Services[Id], Now);
+}
+
+/// Records that a server was reached. Returns whether the service was cut off
+/// before and no longer is.
+bool PathMonitor::recordReached(Service &Changed, TimePoint Now) {
   Changed.ConnectedAt = std::max(Changed.ConnectedAt, Now);
+  if (!Changed.State.IsCutOff || ++Changed.GoodProbes < Changed.NeededProbes)
+    return false;
+  Changed.GoodProbes = 0;
+  Changed.State = {};
+  Changed.RestoredAt = Now;
+  return true;
 }
 
 void PathMonitor::recordAnswer(ServerId Id, TimePoint Now) {
@@ -89,13 +100,7 @@
       this->cutOff(Changed, Now);
     return !WasCutOff;
   }
-  Changed.ConnectedAt = Now;
-  if (!Changed.State.IsCutOff || ++Changed.GoodProbes < Changed.NeededProbes)
-    return false;
-  Changed.GoodProbes = 0;
-  Changed.State = {};
-  Changed.RestoredAt = Now;
-  return true;
+  return recordReached(Changed, Now);
 }
 
 PathState PathMonitor::getState(ServerId Id) const {
--- a/unittests/ServerPartition/PartitionFixture.h
+++ b/unittests/ServerPartition/PartitionFixture.h
@@ -159,6 +159,9 @@
     return Text;
   }
 
+  /// Refuses connections to one server, as if it had ended.
+  void end(size_t Server) { cutOne(*this->Relays[Server], Partition::Reset); }
+
   void cut(Partition How) {
     for (const std::unique_ptr<RelayStandIn> &Each : this->Relays)
       cutOne(*Each, How);
--- a/unittests/ServerPartition/ServerPartitionTest.cpp
+++ b/unittests/ServerPartition/ServerPartitionTest.cpp
@@ -115,3 +115,20 @@
   std::this_thread::sleep_for(NoticeTime);
   CHECK(Fleet.Members[0]->Links.countBytesBackward() >= Before + MinBytes);
 }
+
+TEST_CASE(
+    "a request that finds servers gone is served by the one that is left") {
+  GatewayFleet Fleet({"a", "a"});
+  // All but one server of each service have ended, for all daemons.
+  for (const std::unique_ptr<FleetMember> &Each : Fleet.Members)
+    for (size_t I = 0; I < Fleet.Servers.size(); ++I)
+      if (I % ServersPerService != 0)
+        Each->Links.end(I);
+  CallerCounts First;
+  CallerCounts Second;
+  Fleet.count(1, First, Second);
+  MESSAGE("served ", First.Served.load(), " of ", First.Sent.load(), " and ",
+          Second.Served.load(), " of ", Second.Sent.load());
+  CHECK(First.getServedShare() >= MinServedRatio);
+  CHECK(Second.getServedShare() >= MinServedRatio);
+}
