Sight of who is believed: the owner of a pool logs sources that are disbelieved

session-gray failed once (two of three unhealthy servers kept their traffic at one daemon) and its logs could not tell whether a source was disbelieved, late or silent: three daemons, three sources needed. The owner's log says now when a source ceases to be credible and on how many servers, and the session prints these lines if a wait fails.

--- a/lib/Daemon/EvidenceAgent.cpp
+++ b/lib/Daemon/EvidenceAgent.cpp
@@ -15,6 +15,7 @@
 
 #include "canvaswick/Daemon/EvidenceAgent.h"
 #include "canvaswick/Support/Hash.h"
+#include "canvaswick/Support/Log.h"
 
 #include <algorithm>
 #include <cmath>
@@ -214,6 +215,23 @@
   return Pool.get();
 }
 
+/// Merges a report, and logs if its source begins or ceases to be credible.
+static void mergeAndLog(EvidencePool &Pool, const EvidenceReport &Report,
+                        TimePoint Now) {
+  const bool WasCredible = Pool.isCredible(Report.Source, Now);
+  Pool.mergeReport(Report, Now);
+  const bool IsCredible = Pool.isCredible(Report.Source, Now);
+  if (IsCredible == WasCredible)
+    return;
+  size_t Failing = 0;
+  for (const ServerEvidence &Each : Report.Servers)
+    Failing += Each.Counts.countBad() > 0 ? 1 : 0;
+  logInfo(IsCredible ? "source-believed" : "source-disbelieved",
+          "service={} source={} hall={} servers={} failing-now={}",
+          Report.Service, Report.Source, Report.Hall, Report.UsedServers,
+          Failing);
+}
+
 EvidenceAgent::Summaries
 EvidenceAgent::mergeReports(const std::vector<EvidenceReport> &Reports,
                             TimePoint Now) {
@@ -224,7 +242,7 @@
     if (!Pool)
       continue;
     this->Context.Counters.add(Counter::ReportsMerged);
-    Pool->mergeReport(Report, Now);
+    mergeAndLog(*Pool, Report, Now);
     Pool->advance(Now);
     if (Pool->hasSuspects())
       Built.push_back(Pool->buildSummary(Report.Hall));
--- a/test/session-lib.sh
+++ b/test/session-lib.sh
@@ -41,6 +41,7 @@
     sleep 0.1
   done
   say "$What: no"
+  grep -H ' source-\(dis\)\?believed ' "$Work"/*.log >&2
   tail -n 40 "$Work"/*.log >&2
   return 1
 }
