Probes of paths: a silent server hides no other, three servers a service

Probes of several servers shared one deadline, and those that were looked at after a silent one counted as silent too, though they had accepted: a daemon then took a service for out of reach because of one server. Found in reading; the test of a silent, a listening and a closed address failed on two of three before. finishConnect looks at a connection once more when its time is over.

Three servers of a service are probed instead of two: with a third of the servers gone, 1 in 27 probes meets only such, 1 in 9 before. A stopping daemon of the own interface waits for tunnels as long as for its callers.

--- a/lib/Daemon/Daemon.cpp
+++ b/lib/Daemon/Daemon.cpp
@@ -29,6 +29,8 @@
 #include "canvaswick/Support/PauseDetector.h"
 #include "canvaswick/Support/PeriodicThread.h"
 
+#include <algorithm>
+
 namespace canvaswick {
 
 static constexpr size_t CallThreads = 6;
@@ -348,7 +350,9 @@
   this->Calls->stop();
   this->Quotas->stop();
   this->Claims->runRound();
-  this->Control->stopGracefully(readSteadyClock() + fromSeconds(1));
+  // Tunnels of peers may last longer than calls.
+  this->Control->stopGracefully(
+      std::max(Deadline, readSteadyClock() + fromSeconds(1)));
   logInfo("daemon-stopped", "all-ended={}", AllEnded);
   return AllEnded;
 }
--- a/lib/Http/SocketStream.cpp
+++ b/lib/Http/SocketStream.cpp
@@ -349,23 +349,27 @@
 
 socket_t SocketStream::socket() const { return this->Descriptor; }
 
-/// Waits for a connection in progress. Returns whether it was established.
-static bool finishConnect(int Descriptor, TimePoint Deadline) {
+/// Waits for a connection in progress, and looks at it once if Deadline has
+/// passed.
+static ConnectionProbe finishConnect(int Descriptor, TimePoint Deadline) {
   while (true) {
-    const Duration Left = Deadline - readSteadyClock();
-    if (Left <= Duration::zero())
-      return false;
+    const Duration Left =
+        std::max(Duration::zero(), Deadline - readSteadyClock());
+    const auto Millis = static_cast<int>(toMillis(Left));
     pollfd Poll{Descriptor, POLLOUT, 0};
-    const int Count = ::poll(&Poll, 1, static_cast<int>(toMillis(Left) + 1));
+    const int Count =
+        ::poll(&Poll, 1, Left > Duration::zero() ? Millis + 1 : 0);
     if (Count < 0 && errno != EINTR)
-      return false;
-    if (Count <= 0)
-      continue;
-    int Code = 0;
-    socklen_t Length = sizeof(Code);
-    ::getsockopt(Descriptor, SOL_SOCKET, SO_ERROR, &Code, &Length);
-    return Code == 0;
+      return ConnectionProbe::Refused;
+    if (Count > 0)
+      break;
+    if (Left == Duration::zero())
+      return ConnectionProbe::TimedOut;
   }
+  int Code = 0;
+  socklen_t Length = sizeof(Code);
+  ::getsockopt(Descriptor, SOL_SOCKET, SO_ERROR, &Code, &Length);
+  return Code == 0 ? ConnectionProbe::Connected : ConnectionProbe::Refused;
 }
 
 /// Begins to connect. Returns the descriptor, or -1 if the address is malformed
@@ -394,7 +398,8 @@
 int connectTcp(const std::string &Host, uint16_t Port, TimePoint Deadline) {
   bool IsConnected = false;
   const int Descriptor = beginConnect(Host, Port, IsConnected);
-  if (Descriptor < 0 || IsConnected || finishConnect(Descriptor, Deadline))
+  if (Descriptor < 0 || IsConnected ||
+      finishConnect(Descriptor, Deadline) == ConnectionProbe::Connected)
     return Descriptor;
   ::close(Descriptor);
   return -1;
@@ -409,14 +414,8 @@
   }
   std::vector<ConnectionProbe> Results;
   for (const int Descriptor : Descriptors) {
-    if (Descriptor < 0)
-      Results.push_back(ConnectionProbe::Refused);
-    else if (finishConnect(Descriptor, Deadline))
-      Results.push_back(ConnectionProbe::Connected);
-    else
-      Results.push_back(readSteadyClock() < Deadline
-                            ? ConnectionProbe::Refused
-                            : ConnectionProbe::TimedOut);
+    Results.push_back(Descriptor < 0 ? ConnectionProbe::Refused
+                                     : finishConnect(Descriptor, Deadline));
     if (Descriptor >= 0)
       ::close(Descriptor);
   }
--- a/lib/Http/Tunnel.cpp
+++ b/lib/Http/Tunnel.cpp
@@ -13,7 +13,6 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Http/Tunnel.h"
-#include "canvaswick/Support/Text.h"
 
 #include <fmt/format.h>
 
--- a/lib/Proxy/PathProber.cpp
+++ b/lib/Proxy/PathProber.cpp
@@ -20,8 +20,8 @@
 
 namespace canvaswick {
 
-/// Servers of one service that are probed at once. One may have ended.
-static constexpr size_t ProbesPerService = 2;
+/// Servers of one service that are probed at once. Some may have ended.
+static constexpr size_t ProbesPerService = 3;
 
 /// Servers that are probed at once, whatever the number of services.
 static constexpr size_t MaxProbes = 16;
