--- a/include/canvaswick/Http/SocketStream.h
+++ b/include/canvaswick/Http/SocketStream.h
@@ -15,14 +15,12 @@
 #ifndef CANVASWICK_HTTP_SOCKETSTREAM_H
 #define CANVASWICK_HTTP_SOCKETSTREAM_H
 
-#include "canvaswick/Settings/FleetConfig.h"
 #include "canvaswick/Support/Time.h"
 
 #include <httplib.h>
 
 #include <functional>
 #include <string>
-#include <vector>
 
 namespace canvaswick {
 
@@ -105,8 +103,7 @@
   /// does not take what it has received for complete.
   void resetOnClose();
 
-  /// Detects within about three seconds that the peer disappeared without
-  /// closing the connection. connectTcp does that for its connections.
+  /// Calls setDeadPeerDetection for an accepted connection.
   void detectDeadPeer();
 
   /// Returns whether beginLinger was called.
@@ -157,18 +154,6 @@
   StreamFailure Failure = StreamFailure::None;
 };
 
-/// Connects to an IPv4 address and port before Deadline. Returns the
-/// descriptor, or -1 if no connection was established.
-int connectTcp(const std::string &Host, uint16_t Port, TimePoint Deadline);
-
-/// The outcome of a connection attempt whose connection is not used.
-enum class ConnectionProbe : uint8_t { Connected, Refused, TimedOut };
-
-/// Tries to connect to all addresses at once before Deadline, and closes the
-/// connections.
-std::vector<ConnectionProbe> probeConnections(const std::vector<Endpoint> &All,
-                                              TimePoint Deadline);
-
 } // namespace canvaswick
 
 #endif // CANVASWICK_HTTP_SOCKETSTREAM_H
--- a/include/canvaswick/Proxy/PathProber.h
+++ b/include/canvaswick/Proxy/PathProber.h
@@ -15,6 +15,7 @@
 #ifndef CANVASWICK_PROXY_PATHPROBER_H
 #define CANVASWICK_PROXY_PATHPROBER_H
 
+#include "canvaswick/Http/TcpConnect.h"
 #include "canvaswick/Proxy/FleetRuntime.h"
 #include "canvaswick/Proxy/ServerPaths.h"
 
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -13,6 +13,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Http/HttpClient.h"
+#include "canvaswick/Http/TcpConnect.h"
 #include "canvaswick/Support/EnumNames.h"
 #include "canvaswick/Support/Text.h"
 
--- a/lib/Http/SocketStream.cpp
+++ b/lib/Http/SocketStream.cpp
@@ -12,6 +12,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Http/SocketStream.h"
+#include "canvaswick/Http/TcpConnect.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -276,25 +277,6 @@
   ::shutdown(this->Descriptor, SHUT_WR);
 }
 
-/// TCP options that detect a peer that disappeared without closing the
-/// connection. It is detected after about three seconds, both while data is
-/// unacknowledged and while the connection is idle.
-static constexpr int KeepAliveIdleSeconds = 1;
-static constexpr int KeepAliveIntervalSeconds = 1;
-static constexpr int KeepAliveProbes = 2;
-static constexpr unsigned UnacknowledgedMillis = 3000;
-
-static void setDeadPeerDetection(int Descriptor) {
-  const auto Set = [Descriptor](int Level, int Option, auto Value) {
-    ::setsockopt(Descriptor, Level, Option, &Value, sizeof(Value));
-  };
-  Set(SOL_SOCKET, SO_KEEPALIVE, 1);
-  Set(IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
-  Set(IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
-  Set(IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
-  Set(IPPROTO_TCP, TCP_USER_TIMEOUT, UnacknowledgedMillis);
-}
-
 void SocketStream::detectDeadPeer() { setDeadPeerDetection(this->Descriptor); }
 
 void SocketStream::resetOnClose() {
@@ -349,77 +331,4 @@
 
 socket_t SocketStream::socket() const { return this->Descriptor; }
 
-/// Waits for a connection in progress, and looks at it once if Deadline has
-/// passed.
-static ConnectionProbe finishConnect(int Descriptor, TimePoint Deadline) {
-  while (true) {
-    const Duration Left =
-        std::max(Duration::zero(), Deadline - readSteadyClock());
-    const auto Millis = static_cast<int>(toMillis(Left));
-    pollfd Poll{Descriptor, POLLOUT, 0};
-    const int Count =
-        ::poll(&Poll, 1, Left > Duration::zero() ? Millis + 1 : 0);
-    if (Count < 0 && errno != EINTR)
-      return ConnectionProbe::Refused;
-    if (Count > 0)
-      break;
-    if (Left == Duration::zero())
-      return ConnectionProbe::TimedOut;
-  }
-  int Code = 0;
-  socklen_t Length = sizeof(Code);
-  ::getsockopt(Descriptor, SOL_SOCKET, SO_ERROR, &Code, &Length);
-  return Code == 0 ? ConnectionProbe::Connected : ConnectionProbe::Refused;
-}
-
-/// Begins to connect. Returns the descriptor, or -1 if the address is malformed
-/// or the attempt failed at once. Sets IsConnected if the connection is there.
-static int beginConnect(const std::string &Host, uint16_t Port,
-                        bool &IsConnected) {
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_port = htons(Port);
-  if (::inet_pton(AF_INET, Host.c_str(), &Address.sin_addr) != 1)
-    return -1;
-  const int Descriptor =
-      ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (Descriptor < 0)
-    return -1;
-  setDeadPeerDetection(Descriptor);
-  IsConnected =
-      ::connect(Descriptor, reinterpret_cast<const sockaddr *>(&Address),
-                sizeof(Address)) == 0;
-  if (IsConnected || errno == EINPROGRESS)
-    return Descriptor;
-  ::close(Descriptor);
-  return -1;
-}
-
-int connectTcp(const std::string &Host, uint16_t Port, TimePoint Deadline) {
-  bool IsConnected = false;
-  const int Descriptor = beginConnect(Host, Port, IsConnected);
-  if (Descriptor < 0 || IsConnected ||
-      finishConnect(Descriptor, Deadline) == ConnectionProbe::Connected)
-    return Descriptor;
-  ::close(Descriptor);
-  return -1;
-}
-
-std::vector<ConnectionProbe> probeConnections(const std::vector<Endpoint> &All,
-                                              TimePoint Deadline) {
-  std::vector<int> Descriptors;
-  for (const Endpoint &Each : All) {
-    bool IsConnected = false;
-    Descriptors.push_back(beginConnect(Each.Host, Each.Port, IsConnected));
-  }
-  std::vector<ConnectionProbe> Results;
-  for (const int Descriptor : Descriptors) {
-    Results.push_back(Descriptor < 0 ? ConnectionProbe::Refused
-                                     : finishConnect(Descriptor, Deadline));
-    if (Descriptor >= 0)
-      ::close(Descriptor);
-  }
-  return Results;
-}
-
 } // namespace canvaswick
--- a/lib/Proxy/TunnelResponder.cpp
+++ b/lib/Proxy/TunnelResponder.cpp
@@ -13,6 +13,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Proxy/TunnelResponder.h"
+#include "canvaswick/Http/TcpConnect.h"
 #include "canvaswick/Http/Tunnel.h"
 
 namespace canvaswick {
--- a/lib/StandIn/RelayStandIn.cpp
+++ b/lib/StandIn/RelayStandIn.cpp
@@ -13,7 +13,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/StandIn/RelayStandIn.h"
-#include "canvaswick/Http/SocketStream.h"
+#include "canvaswick/Http/TcpConnect.h"
 
 #include <arpa/inet.h>
 #include <poll.h>
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -13,6 +13,7 @@
 
 #include "canvaswick/Http/HttpServer.h"
 #include "canvaswick/Http/HttpClient.h"
+#include "canvaswick/Http/TcpConnect.h"
 #include "canvaswick/StandIn/RelayStandIn.h"
 
 #include <doctest/doctest.h>
--- a/unittests/Lifetimes/LifetimesTest.cpp
+++ b/unittests/Lifetimes/LifetimesTest.cpp
@@ -135,7 +135,7 @@
           "ones are") {
   DaemonFixture Fixture;
   Fixture.writeConfig(2);
-  const uint16_t Port = PlatformFixture::findFreePort();
+  const uint16_t Port = findFreePort();
   auto First = std::make_unique<ServerInstance>(1000, Port);
   Fixture.Store.put("servers/i-1", First->makeEntry());
   Fixture.waitFor(
--- a/unittests/PlatformAdapter/FleetAtSizeTest.cpp
+++ b/unittests/PlatformAdapter/FleetAtSizeTest.cpp
@@ -119,8 +119,8 @@
     Config.Name = "d-1";
     Config.Hall = "h1";
     Config.Source = SettingsSource::Platform;
-    Config.Callers = {"127.0.0.1", PlatformFixture::findFreePort()};
-    Config.Ready = {"127.0.0.1", PlatformFixture::findFreePort()};
+    Config.Callers = {"127.0.0.1", findFreePort()};
+    Config.Ready = {"127.0.0.1", findFreePort()};
     Config.ExpectedDaemons = 1;
     Config.RetryLimit = {0.2, fromSeconds(10), 630};
     return Config;
--- a/unittests/PlatformAdapter/HallFixture.h
+++ b/unittests/PlatformAdapter/HallFixture.h
@@ -29,8 +29,8 @@
   Member(const DaemonConfig &Given, const Endpoint &Store)
       : Config(Given), StoreRelay(Store) {
     REQUIRE(this->StoreRelay.start({"127.0.0.1", 0}));
-    this->Config.Control = {"127.0.0.1", PlatformFixture::findFreePort()};
-    this->Config.PeerPort = PlatformFixture::findFreePort();
+    this->Config.Control = {"127.0.0.1", findFreePort()};
+    this->Config.PeerPort = findFreePort();
     this->Config.Platform = {"127.0.0.1", this->StoreRelay.getPort()};
     this->start();
   }
--- a/unittests/PlatformAdapter/PlatformDaemonTest.cpp
+++ b/unittests/PlatformAdapter/PlatformDaemonTest.cpp
@@ -325,10 +325,10 @@
   Fixture.startServing();
   DaemonConfig Config = Fixture.Config;
   Config.Name = "d2";
-  Config.Callers.Port = DaemonFixture::findFreePort();
-  Config.Ready.Port = DaemonFixture::findFreePort();
+  Config.Callers.Port = findFreePort();
+  Config.Ready.Port = findFreePort();
   SUBCASE("the address is free") {
-    Config.Metrics = {"127.0.0.1", DaemonFixture::findFreePort()};
+    Config.Metrics = {"127.0.0.1", findFreePort()};
     PlatformDaemon Daemon(Config);
     REQUIRE(Daemon.start());
     const ExchangeResult Page = Fixture.get(Config.Metrics, "/metrics");
@@ -377,12 +377,11 @@
   Fixture.startServing();
   DaemonConfig ShortLivedConfig = Fixture.Config;
   ShortLivedConfig.Name = "d2";
-  ShortLivedConfig.Callers.Port = DaemonFixture::findFreePort();
-  ShortLivedConfig.Ready.Port = DaemonFixture::findFreePort();
-  ShortLivedConfig.Control = {"127.0.0.1", DaemonFixture::findFreePort()};
-  ShortLivedConfig.PeerPort = DaemonFixture::findFreePort();
-  DaemonRecord Sender{
-      "d3", "h", {}, {"127.0.0.1", DaemonFixture::findFreePort()}};
+  ShortLivedConfig.Callers.Port = findFreePort();
+  ShortLivedConfig.Ready.Port = findFreePort();
+  ShortLivedConfig.Control = {"127.0.0.1", findFreePort()};
+  ShortLivedConfig.PeerPort = findFreePort();
+  DaemonRecord Sender{"d3", "h", {}, {"127.0.0.1", findFreePort()}};
   const DaemonRecord Receiver{"d2",
                               "h",
                               ShortLivedConfig.Control,
--- a/unittests/PlatformAdapter/PlatformFixture.h
+++ b/unittests/PlatformAdapter/PlatformFixture.h
@@ -15,6 +15,7 @@
 #ifndef CANVASWICK_UNITTESTS_PLATFORMADAPTER_PLATFORMFIXTURE_H
 #define CANVASWICK_UNITTESTS_PLATFORMADAPTER_PLATFORMFIXTURE_H
 
+#include "TestMain/FreePort.h"
 #include "canvaswick/Rpc/PeerCaller.h"
 #include "platform/PlatformDaemon.h"
 #include "platform/standin/StoreStandIn.h"
@@ -22,9 +23,6 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
-#include <netinet/in.h>
-#include <sys/socket.h>
-
 #include <atomic>
 #include <mutex>
 #include <thread>
@@ -166,25 +164,6 @@
 public:
   PlatformFixture() { REQUIRE(this->Store.start()); }
 
-  /// Returns a port that stays free for a server of this process until the
-  /// process ends, since a bound socket that does not listen holds it.
-  /// Otherwise an outgoing connection may take the port before the server does,
-  /// which happened to some of 160 ports.
-  static uint16_t findFreePort() {
-    const int Holder = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    REQUIRE(Holder >= 0);
-    const int On = 1;
-    ::setsockopt(Holder, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
-    sockaddr_in Address{};
-    Address.sin_family = AF_INET;
-    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t Length = sizeof(Address);
-    auto *Generic = reinterpret_cast<sockaddr *>(&Address);
-    REQUIRE(::bind(Holder, Generic, Length) == 0);
-    REQUIRE(::getsockname(Holder, Generic, &Length) == 0);
-    return ntohs(Address.sin_port);
-  }
-
   /// Returns the configuration of a daemon of hall h that has no peers.
   DaemonConfig makeDaemonConfig(const std::string &Name) const {
     DaemonConfig Config;
--- a/unittests/Proxy/ProxyFixture.h
+++ b/unittests/Proxy/ProxyFixture.h
@@ -15,6 +15,7 @@
 #ifndef CANVASWICK_UNITTESTS_PROXY_PROXYFIXTURE_H
 #define CANVASWICK_UNITTESTS_PROXY_PROXYFIXTURE_H
 
+#include "canvaswick/Http/TcpConnect.h"
 #include "canvaswick/Proxy/RequestProxy.h"
 #include "canvaswick/StandIn/BackendStandIn.h"
 
--- a/unittests/ServerPartition/PartitionFixture.h
+++ b/unittests/ServerPartition/PartitionFixture.h
@@ -15,17 +15,16 @@
 #ifndef CANVASWICK_UNITTESTS_SERVERPARTITION_PARTITIONFIXTURE_H
 #define CANVASWICK_UNITTESTS_SERVERPARTITION_PARTITIONFIXTURE_H
 
+#include "TestMain/FreePort.h"
 #include "canvaswick/Http/HttpClient.h"
 #include "canvaswick/Http/HttpServer.h"
+#include "canvaswick/Http/TcpConnect.h"
 #include "canvaswick/Rpc/PeerCaller.h"
 #include "canvaswick/StandIn/RelayStandIn.h"
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
-#include <netinet/in.h>
-#include <sys/socket.h>
-
 #include <atomic>
 #include <map>
 #include <memory>
@@ -56,21 +55,6 @@
 /// The deadline of a caller's request.
 constexpr int CallerDeadlineMs = 2000;
 
-/// Returns a port that stays free for a server of this process.
-inline uint16_t findFreePort() {
-  const int Holder = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const int On = 1;
-  ::setsockopt(Holder, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t Length = sizeof(Address);
-  auto *Generic = reinterpret_cast<sockaddr *>(&Address);
-  REQUIRE(::bind(Holder, Generic, Length) == 0);
-  REQUIRE(::getsockname(Holder, Generic, &Length) == 0);
-  return ntohs(Address.sin_port);
-}
-
 /// Counts how often each target was run. Thread-safe.
 class RunLedger {
 public:
