Log and metrics tell a misdirected attempt from an unreachable one, and paid retries

An answer of 421 was logged as 'unreachable', as a refused connection is, though the request had arrived at a server. No line told whether a retry had been taken from the budget, and no metric what arrived beyond the first beside what is allowed, so the three hypotheses could not be told apart.

The outcome 'misdirected' has the same weight as evidence as 'unreachable' had; tries carry ':paid'; new are canvaswick_arrivals, _repeats_allowed and _repeats_used. The stand-in server can answer 421 and counts arrivals.

--- a/include/canvaswick/Admission/FleetRetryBudget.h
+++ b/include/canvaswick/Admission/FleetRetryBudget.h
@@ -40,6 +40,14 @@
   Duration Window{};
 };
 
+/// What a daemon may send and has sent in the window that ends now.
+struct RetryUse {
+  /// Retries, before rounding to whole ones.
+  double Allowed = 0;
+  /// Includes those lent to peers, but not those lent by peers.
+  size_t Used = 0;
+};
+
 /// The retries of one service that one daemon may send. Not thread-safe: the
 /// service's mutex guards it. It is kept across changes of the settings, which
 /// must not refill it.
@@ -68,6 +76,10 @@
   /// and above 1 after it has borrowed.
   double getUsedPart(TimePoint Now);
 
+  RetryUse getUse(TimePoint Now) {
+    return {this->getAllowed(Now), this->Retries.size()};
+  }
+
   /// Lends one retry to a peer. Returns false if there is none left. The daemon
   /// may still borrow in its turn. The retry counts here as sent at the end of
   /// LoanTimeout, so that the fleet's sum holds whenever the peer uses it, or
--- a/include/canvaswick/Health/Outcome.h
+++ b/include/canvaswick/Health/Outcome.h
@@ -41,11 +41,14 @@
   /// The request failed at about the time at which requests of its kind usually
   /// end, or later.
   FailedAfterWork,
+  /// The request arrived, but the answer says that the server it was meant for
+  /// is no longer at this address.
+  Misdirected,
 };
 
 /// Number of outcomes.
 inline constexpr int OutcomeCount =
-    static_cast<int>(RequestOutcome::FailedAfterWork) + 1;
+    static_cast<int>(RequestOutcome::Misdirected) + 1;
 
 /// Returns whether a request was sent and failed, whatever the time of the
 /// failure.
@@ -55,6 +58,12 @@
          Outcome == RequestOutcome::FailedAfterWork;
 }
 
+/// Returns whether the server was not found at its address.
+constexpr bool isServerMissing(RequestOutcome Outcome) {
+  return Outcome == RequestOutcome::Unreachable ||
+         Outcome == RequestOutcome::Misdirected;
+}
+
 /// Returns the name of an outcome as it appears in reports.
 const char *getName(RequestOutcome Outcome);
 
@@ -74,7 +83,7 @@
       ++this->Good;
     if (Outcome == RequestOutcome::Slow || Outcome == RequestOutcome::Overdue)
       ++this->Slow;
-    if (isFailure(Outcome) || Outcome == RequestOutcome::Unreachable)
+    if (isFailure(Outcome) || isServerMissing(Outcome))
       ++this->Failed;
   }
 };
--- a/include/canvaswick/Metrics/ServiceMetrics.h
+++ b/include/canvaswick/Metrics/ServiceMetrics.h
@@ -24,6 +24,7 @@
 #include <boost/histogram/storage_adaptor.hpp>
 
 #include <array>
+#include <atomic>
 #include <cstdint>
 #include <mutex>
 #include <string>
@@ -62,6 +63,13 @@
   uint64_t Good = 0;
 };
 
+/// How many requests arrived at the servers of a service: first attempts, and
+/// arrivals of a request that had arrived at a server before.
+struct ArrivalCounts {
+  uint64_t First = 0;
+  uint64_t Repeated = 0;
+};
+
 /// The metrics of one service at one daemon. Thread-safe.
 class ServiceMetrics {
 public:
@@ -76,6 +84,16 @@
   /// most 6 hours in all.
   ServiceTotals getTotals(int Minutes, TimePoint Now) const;
 
+  /// Records that a request was sent to a server. IsRepeated tells whether the
+  /// request had been sent to one before.
+  void recordArrival(bool IsRepeated) {
+    ++(IsRepeated ? this->RepeatedArrivals : this->FirstArrivals);
+  }
+
+  ArrivalCounts getArrivals() const {
+    return {this->FirstArrivals, this->RepeatedArrivals};
+  }
+
   const LatencyHistogram &getHistogram() const { return this->Histogram; }
 
 private:
@@ -88,6 +106,8 @@
   static constexpr size_t MinutesKept = 361;
 
   LatencyHistogram Histogram;
+  std::atomic<uint64_t> FirstArrivals{0};
+  std::atomic<uint64_t> RepeatedArrivals{0};
   mutable std::mutex Mutex;
   std::vector<Minute> Minutes;
 };
--- a/include/canvaswick/Proxy/ServiceRuntime.h
+++ b/include/canvaswick/Proxy/ServiceRuntime.h
@@ -200,6 +200,10 @@
   /// Returns whether retries are counted on the fleet's budget.
   bool hasFleetRetryBudget() const { return this->FleetRetries != nullptr; }
 
+  /// Returns how many retries of the fleet's budget this daemon may send and
+  /// has sent. Must not be called without such a budget.
+  RetryUse getRetryUse(TimePoint Now) const;
+
   /// Returns whether a request of this route may wait for a retry: the route's
   /// timeout leaves clearly more time than its objective.
   bool mayWait(const RouteConfig &Route) const;
@@ -320,6 +324,7 @@
   const ServiceConfig &getConfig() const { return this->Config; }
   const ServerSubset &getSubset() const { return this->Subset; }
   ServiceMetrics &getMetrics() { return *this->Metrics; }
+  const ServiceMetrics &getMetrics() const { return *this->Metrics; }
   const ServerConfig &getServer(size_t Index) const;
 
   /// Returns the number of servers that this daemon uses.
--- a/include/canvaswick/StandIn/BackendStandIn.h
+++ b/include/canvaswick/StandIn/BackendStandIn.h
@@ -61,6 +61,9 @@
   bool Unframed = false;
   /// Refuses requests with status 503 without executing them.
   bool Shed = false;
+  /// Answers with status 421, as the successor of a server does at its address,
+  /// without executing the request.
+  bool Misdirect = false;
   /// Value of the Canvaswick-Request-Limit header. Empty: not sent.
   std::string Limit;
   /// Sends the Canvaswick-Leaving header.
@@ -113,6 +116,10 @@
   /// Returns the number of requests that were executed.
   uint64_t countRuns() const;
 
+  /// Returns the number of requests that arrived, executed or not. Health
+  /// checks do not count.
+  uint64_t countArrivals() const;
+
   /// Returns the headers of the request that was executed last.
   httplib::Headers getLastHeaders() const;
 
@@ -142,6 +149,7 @@
   bool Stopping = false;
   std::map<std::string, int> Ledger;
   uint64_t Runs = 0;
+  uint64_t Arrivals = 0;
   httplib::Headers LastHeaders;
   uint64_t Canceled = 0;
   std::mt19937 Random{1};
--- a/lib/Daemon/HealthEndpoints.cpp
+++ b/lib/Daemon/HealthEndpoints.cpp
@@ -42,6 +42,24 @@
   return Text;
 }
 
+/// Formats what operators compare with the servers' own counts: arrivals, and
+/// the retries that this daemon may send and has sent in the current window.
+static std::string formatRetries(const ServiceRuntime &Service, TimePoint Now) {
+  const std::string &Name = Service.getConfig().Name;
+  const ArrivalCounts Arrivals = Service.getMetrics().getArrivals();
+  std::string Text = fmt::format(
+      "canvaswick_arrivals{{service=\"{}\",kind=\"first\"}} {}\n"
+      "canvaswick_arrivals{{service=\"{}\",kind=\"repeated\"}} {}\n",
+      Name, Arrivals.First, Name, Arrivals.Repeated);
+  if (!Service.hasFleetRetryBudget())
+    return Text;
+  const RetryUse Use = Service.getRetryUse(Now);
+  return Text + fmt::format("canvaswick_repeats_allowed{{service=\"{}\"}} "
+                            "{:.2f}\n"
+                            "canvaswick_repeats_used{{service=\"{}\"}} {}\n",
+                            Name, Use.Allowed, Name, Use.Used);
+}
+
 /// Only the time since the last answer reveals that a watched store no longer
 /// answers: the replica does not change then, as when nothing changes.
 static std::string formatStoreState(const StoreState &Store, TimePoint Now) {
@@ -132,8 +150,10 @@
     return Text;
   Text += fmt::format("canvaswick_config_version {}\n",
                       Current->getConfig().Version);
-  for (const ServiceRuntimeRef &Service : Current->getServices())
+  for (const ServiceRuntimeRef &Service : Current->getServices()) {
     Text += formatServiceMetrics(*Service, readSteadyClock());
+    Text += formatRetries(*Service, readSteadyClock());
+  }
   return Text;
 }
 
--- a/lib/Health/HealthPolicy.cpp
+++ b/lib/Health/HealthPolicy.cpp
@@ -118,8 +118,7 @@
   ServerState &State = this->Servers[Server];
   if (Outcome == RequestOutcome::Good)
     State.FailuresInRow = 0;
-  const bool IsFailed =
-      isFailure(Outcome) || Outcome == RequestOutcome::Unreachable;
+  const bool IsFailed = isFailure(Outcome) || isServerMissing(Outcome);
   if (!IsFailed || State.IsRemoved)
     return;
   if (++State.FailuresInRow < BaselineFailuresInRow)
--- a/lib/Health/MarkovPolicy.cpp
+++ b/lib/Health/MarkovPolicy.cpp
@@ -240,7 +240,7 @@
 /// whether other daemons can.
 void MarkovPolicy::recordReachability(ServerState &State,
                                       RequestOutcome Outcome, TimePoint Now) {
-  if (Outcome != RequestOutcome::Unreachable) {
+  if (!isServerMissing(Outcome)) {
     State.UnreachableInRow = 0;
     State.UnreachableUntil = TimePoint{};
     return;
@@ -265,7 +265,7 @@
     this->HasUnsentFailure = true;
   this->update(Server, Outcome, LatencyRatioPercent, Age, Now);
   // Other daemons may be able to reach the server.
-  if (Outcome != RequestOutcome::Unreachable)
+  if (!isServerMissing(Outcome))
     this->UnsentObservations.push_back(
         {{State.Config.Id, Outcome, Load, LatencyRatioPercent}, Now - Age});
 }
--- a/lib/Health/Outcome.cpp
+++ b/lib/Health/Outcome.cpp
@@ -27,6 +27,7 @@
         {RequestOutcome::Overdue, "overdue"},
         {RequestOutcome::FailedEarly, "failed-early"},
         {RequestOutcome::FailedAfterWork, "failed-after-work"},
+        {RequestOutcome::Misdirected, "misdirected"},
     }};
 
 const char *getName(RequestOutcome Outcome) {
--- a/lib/Health/OutcomeLikelihood.cpp
+++ b/lib/Health/OutcomeLikelihood.cpp
@@ -38,6 +38,7 @@
   case RequestOutcome::Shed:
     return {0.20, 0.04};
   case RequestOutcome::Unreachable:
+  case RequestOutcome::Misdirected:
     return {0.10, 0.05};
   case RequestOutcome::Canceled:
     return {1, 1};
--- a/lib/Health/OutcomeRates.cpp
+++ b/lib/Health/OutcomeRates.cpp
@@ -58,6 +58,7 @@
     return true;
   case RequestOutcome::Shed:
   case RequestOutcome::Unreachable:
+  case RequestOutcome::Misdirected:
   case RequestOutcome::Canceled:
     return false;
   }
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -21,6 +21,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace canvaswick {
 
@@ -37,7 +38,7 @@
 void RequestProxy::addToTrail(RequestContext &Request, const Attempt &Ended,
                               RequestOutcome Outcome, Duration Took) {
   Request.AttemptTrail += fmt::format(
-      "{}{}:{}:{}ms:share={:.3f}:sick={:.3f}:load={:.1f}{}{}{}{}",
+      "{}{}:{}:{}ms:share={:.3f}:sick={:.3f}:load={:.1f}{}{}{}{}{}",
       Request.AttemptTrail.empty() ? "" : ",",
       Request.Service->getServer(Ended.Server).Name,
       Ended.WasCutOff ? "cut-off" : getName(Outcome), toMillis(Took),
@@ -45,7 +46,8 @@
       Ended.IsTest ? ":test" : "",
       Ended.Placed ? fmt::format(":{}", getName(*Ended.Placed)) : "",
       Ended.IsThroughPeer ? ":peer" : "",
-      Ended.WasConnectionKept ? ":kept" : "");
+      Ended.WasConnectionKept ? ":kept" : "",
+      std::exchange(Request.IsRetryPaid, false) ? ":paid" : "");
 }
 
 /// Returns whether another attempt may begin, given the route's maximum number
@@ -94,7 +96,7 @@
                                                 const Attempt &Ended,
                                                 RequestOutcome Outcome,
                                                 TimePoint Now) {
-  if (Outcome != RequestOutcome::Unreachable)
+  if (!isServerMissing(Outcome))
     Request.HasProbe = false;
   if (Request.IsAnswered && !Request.WasFailed)
     this->Quarantine.recordAnswer(Request.Fingerprint, Now);
@@ -154,7 +156,7 @@
     const bool WasTried = !Current.HadNoTunnel || !Request.HasNoPeer;
     if (WasTried)
       Needs.Tried.push_back(Current.Server);
-    if (Outcome == RequestOutcome::Unreachable) {
+    if (isServerMissing(Outcome)) {
       Unreachable += WasTried ? 1 : 0;
     } else {
       ++Request.AttemptCount;
@@ -369,9 +371,7 @@
   switch (Relay.getVerdict()) {
   case ResponseVerdict::NotRun:
     this->Counters.add(Counter::UpstreamSheds);
-    // Another server has taken over the address, so that this one is
-    // unreachable.
-    return Relay.getStatus() == MisdirectedStatus ? RequestOutcome::Unreachable
+    return Relay.getStatus() == MisdirectedStatus ? RequestOutcome::Misdirected
                                                   : RequestOutcome::Shed;
   case ResponseVerdict::Relayed:
     Request.IsAnswered = true;
@@ -400,8 +400,10 @@
   Request.WasFailed = true;
   Request.WasTimeout = Result.End == ExchangeEnd::Timeout;
   if (Result.End != ExchangeEnd::NoConnection &&
-      Result.End != ExchangeEnd::NotSent)
+      Result.End != ExchangeEnd::NotSent) {
+    Request.Service->getMetrics().recordArrival(Request.WasSent);
     Request.WasSent = true;
+  }
   switch (Result.End) {
   case ExchangeEnd::NoConnection:
     return RequestOutcome::Canceled;
--- a/lib/Proxy/RequestContext.h
+++ b/lib/Proxy/RequestContext.h
@@ -68,6 +68,8 @@
   std::vector<std::string> AskedPeers;
   /// Whether a retry was taken from the budget and has not been sent yet.
   bool HasUnsentRetry = false;
+  /// Whether a retry was taken from the budget for the next attempt.
+  bool IsRetryPaid = false;
   /// Whether the attempt in flight is compared with a retry elsewhere.
   bool IsWeighed = false;
   /// Whether no peer connects to a server for this request.
--- a/lib/Proxy/RequestRetries.cpp
+++ b/lib/Proxy/RequestRetries.cpp
@@ -108,8 +108,10 @@
            this->takeRetry(*Request.Service, false, readSteadyClock());
   if (Request.WasBodySent || !this->isKeyInForce(Request))
     return false;
-  if (!Request.HasUnsentRetry)
+  if (!Request.HasUnsentRetry) {
     Request.HasUnsentRetry = this->takeNextRetry(Request);
+    Request.IsRetryPaid = Request.HasUnsentRetry && Request.WasSent;
+  }
   return Request.HasUnsentRetry;
 }
 
--- a/lib/Proxy/ServiceRetries.cpp
+++ b/lib/Proxy/ServiceRetries.cpp
@@ -69,6 +69,11 @@
              [Now](FleetRetryBudget &Budget) { return Budget.hasRoom(Now); });
 }
 
+RetryUse ServiceRuntime::getRetryUse(TimePoint Now) const {
+  return this->withFleetRetries(
+      [Now](FleetRetryBudget &Budget) { return Budget.getUse(Now); });
+}
+
 void ServiceRuntime::setRetryLimit(const FleetRetryLimit &Limit, size_t Daemons,
                                    size_t Rank) {
   if (this->FleetRetries)
--- a/lib/Proxy/ServiceRuntime.cpp
+++ b/lib/Proxy/ServiceRuntime.cpp
@@ -327,8 +327,8 @@
   // treated as unhealthy.
   if (Ended.HasBackoffRequest && Outcome == RequestOutcome::Shed)
     Outcome = RequestOutcome::Canceled;
-  const bool IsFailed = isFailure(Outcome) || Ended.WasTimedOut ||
-                        Outcome == RequestOutcome::Unreachable;
+  const bool IsFailed =
+      isFailure(Outcome) || Ended.WasTimedOut || isServerMissing(Outcome);
   if (Ended.HadNoTunnel || (Ended.IsDisregarded && IsFailed))
     Outcome = RequestOutcome::Canceled;
   this->Selector.end(Ended.Server, Outcome, Now);
--- a/lib/StandIn/BackendStandIn.cpp
+++ b/lib/StandIn/BackendStandIn.cpp
@@ -28,6 +28,7 @@
 namespace canvaswick {
 
 static constexpr size_t StandInWorkers = 96;
+static constexpr int MisdirectedStatus = 421;
 static constexpr size_t PieceBytes = 64 * 1024;
 
 /// Exit code of the process after a request that matches ExitTargetPrefix.
@@ -80,6 +81,11 @@
   return this->Runs;
 }
 
+uint64_t BackendStandIn::countArrivals() const {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  return this->Arrivals;
+}
+
 uint64_t BackendStandIn::countCanceled() const {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   return this->Canceled;
@@ -119,12 +125,16 @@
     this->handleHealth(Exchange);
     return;
   }
+  BackendFaults Active;
+  {
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    ++this->Arrivals;
+  }
   std::string Body;
   if (!readBody(Exchange, Body)) {
     Exchange.MustClose = true;
     return;
   }
-  BackendFaults Active;
   {
     std::lock_guard<std::mutex> Lock(this->Mutex);
     if (this->isHit(Exchange.Request))
@@ -212,6 +222,10 @@
                          const BackendFaults &Active) {
   static constexpr Duration HangTime = fromSeconds(300);
   setServerNotices(Exchange, Active);
+  if (Active.Misdirect) {
+    Exchange.Response.status = MisdirectedStatus;
+    return;
+  }
   if (Active.Shed || Active.Drain) {
     refuseAsNotRun(Exchange, Active.RetryAfter);
     return;
@@ -360,6 +374,7 @@
     Set.LoseAnswer = Wanted.get("lose-answer", false).asBool();
     Set.Unframed = Wanted.get("unframed", false).asBool();
     Set.Shed = Wanted.get("shed", false).asBool();
+    Set.Misdirect = Wanted.get("misdirect", false).asBool();
     Set.Limit = Wanted.get("limit", "").asString();
     Set.SendsLeaving = Wanted.get("says-leaving", false).asBool();
     Set.RetryAfter = Wanted.get("rest", "1").asString();
