A good answer is never evidence against a server, whatever was learned

Cause: the learned likelihoods of both states have priors of different weight, and a service that answers well throughout outweighs that of unhealthy servers first. The bound MaxFactor does not prevent it: 0.45 times 4 is above 0.94.

Now the likelihood at an unhealthy server is at most that at a healthy one. The new test failed at 9 or more percentages before, and passes; the property and its bound are as they were.

--- a/lib/Health/OutcomeRates.cpp
+++ b/lib/Health/OutcomeRates.cpp
@@ -25,8 +25,7 @@
 static constexpr double HealthyPriorWeight = 200;
 
 /// The greatest factor by which a learned likelihood differs from the general
-/// one. It keeps each outcome on its side: a good answer never becomes evidence
-/// against a server.
+/// one, so that most outcomes stay on their side.
 static constexpr double MaxFactor = 4;
 
 /// Above this number of requests the counts are halved, so that they follow the
@@ -77,10 +76,14 @@
   if (!isLearned(Outcome) || Outcome == RequestOutcome::Failed)
     return General;
   const auto Index = static_cast<size_t>(Outcome);
-  return {combine(General.Unhealthy, UnhealthyPriorWeight,
-                  this->Unhealthy.ByOutcome[Index], this->Unhealthy.All),
-          combine(General.Healthy, HealthyPriorWeight,
-                  this->Healthy.ByOutcome[Index], this->Healthy.All)};
+  Likelihood Learned{
+      combine(General.Unhealthy, UnhealthyPriorWeight,
+              this->Unhealthy.ByOutcome[Index], this->Unhealthy.All),
+      combine(General.Healthy, HealthyPriorWeight,
+              this->Healthy.ByOutcome[Index], this->Healthy.All)};
+  if (Outcome == RequestOutcome::Good)
+    Learned.Unhealthy = std::min(Learned.Unhealthy, Learned.Healthy);
+  return Learned;
 }
 
 double OutcomeRates::getNoAnswerFraction() const {
--- a/unittests/Health/OutcomeRatesTest.cpp
+++ b/unittests/Health/OutcomeRatesTest.cpp
@@ -69,3 +69,13 @@
     RC_ASSERT(getRatio(Rates.getLikelihood(RequestOutcome::FailedEarly)) > 10);
   }));
 }
+
+TEST_CASE("good answers alone never speak against a server, however unhealthy "
+          "it seems") {
+  for (int Percent = 0; Percent <= 100; ++Percent) {
+    OutcomeRates Rates;
+    for (int I = 0; I < 3000; ++I)
+      Rates.learn(RequestOutcome::Good, Percent / 100.0);
+    CHECK(getRatio(Rates.getLikelihood(RequestOutcome::Good)) <= 1);
+  }
+}
