--- a/unittests/Proxy/ProxyFixture.h
+++ b/unittests/Proxy/ProxyFixture.h
@@ -24,6 +24,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace canvaswick {
 
@@ -40,16 +41,17 @@
   explicit ProxyFixture(std::string ServiceSettings = "", int Slots = 3,
                         const std::string &OrganisationSettings = "",
                         const ProxyOptions &Options = {},
-                        const FleetRetryLimit &FleetRetries = {})
+                        const FleetRetryLimit &FleetRetries = {},
+                        size_t Servers = 2)
       : ServiceSettings(std::move(ServiceSettings)), FleetRetries(FleetRetries),
         Upstreams(0), Client(0) {
-    for (int I = 0; I < 2; ++I) {
+    for (size_t I = 0; I < Servers; ++I) {
       BackendSetup Setup;
       Setup.Name = fmt::format("b{}", I);
       Setup.ServiceMs = 1;
       Setup.Slots = Slots;
-      this->Backends[I] = std::make_unique<BackendStandIn>(Setup);
-      REQUIRE(this->Backends[I]->start({"127.0.0.1", 0}));
+      this->Backends.push_back(std::make_unique<BackendStandIn>(Setup));
+      REQUIRE(this->Backends.back()->start({"127.0.0.1", 0}));
     }
     this->Proxy = std::make_unique<RequestProxy>(
         "d1", this->Fleet, this->Upstreams, this->Counters, nullptr, Options);
@@ -63,17 +65,15 @@
   /// Applies a new version of the settings with these sections on
   /// organisations.
   void setOrganisations(const std::string &OrganisationSettings) {
-    const std::string Text =
-        fmt::format("[region r]\n"
-                    "[service s]\nregion = r\nfloor-percent = 0\n{}\n"
-                    "[server s/b0]\naddress = 127.0.0.1:{}\nhall = a\n"
-                    "[server s/b1]\naddress = 127.0.0.1:{}\nhall = a\n"
-                    "[route read]\nprefix = /read\nservice = s\n"
-                    "[route open]\nprefix = /open\nservice = s\npublic = yes\n"
-                    "[route pay]\nprefix = /pay\nservice = s\nclass = once\n"
-                    "{}",
-                    this->ServiceSettings, this->Backends[0]->getPort(),
-                    this->Backends[1]->getPort(), OrganisationSettings);
+    const std::string Text = fmt::format(
+        "[region r]\n"
+        "[service s]\nregion = r\nfloor-percent = 0\n{}\n"
+        "{}"
+        "[route read]\nprefix = /read\nservice = s\n"
+        "[route open]\nprefix = /open\nservice = s\npublic = yes\n"
+        "[route pay]\nprefix = /pay\nservice = s\nclass = once\n"
+        "{}",
+        this->ServiceSettings, this->formatServers(), OrganisationSettings);
     Result<SettingsTree> Tree = SettingsTree::parse(Text, "bench.ini");
     REQUIRE(Tree);
     DaemonIdentity Identity;
@@ -85,7 +85,7 @@
     if (this->FleetRetries.Window > Duration::zero()) {
       Identity.Source = SettingsSource::Platform;
       Identity.RetryLimit = this->FleetRetries;
-      Config = setRouteTimes(*Config);
+      Config = addPlatformFields(*Config);
     }
     const FleetRuntimeRef Previous = this->Fleet.get();
     this->Fleet.set(FleetRuntimeRef(
@@ -93,14 +93,27 @@
     this->Proxy->configure(*Config);
   }
 
-  /// Returns a copy of settings in which routes have an objective and a timeout
-  /// that leaves time to wait.
-  static FleetConfigRef setRouteTimes(const FleetConfig &Given) {
+  std::string formatServers() const {
+    std::string Text;
+    for (size_t I = 0; I < this->Backends.size(); ++I)
+      Text += fmt::format("[server s/b{}]\naddress = 127.0.0.1:{}\n"
+                          "hall = a\n",
+                          I, this->Backends[I]->getPort());
+    return Text;
+  }
+
+  /// Returns a copy of settings with what the users' platform adds: routes with
+  /// an objective and a timeout that leaves time to wait, and servers with an
+  /// instance.
+  static FleetConfigRef addPlatformFields(const FleetConfig &Given) {
     auto *Config = new FleetConfig(Given);
     for (RouteConfig &Each : Config->Routes) {
       Each.ObjectiveMs = 800;
       Each.TimeoutMs = 3000;
     }
+    for (ServiceConfig &Service : Config->Services)
+      for (ServerConfig &Each : Service.Servers)
+        Each.Instance = Each.Name;
     return FleetConfigRef(Config);
   }
 
@@ -123,7 +136,17 @@
   }
 
   uint64_t countRuns() const {
-    return this->Backends[0]->countRuns() + this->Backends[1]->countRuns();
+    uint64_t Runs = 0;
+    for (const std::unique_ptr<BackendStandIn> &Each : this->Backends)
+      Runs += Each->countRuns();
+    return Runs;
+  }
+
+  uint64_t countArrivals() const {
+    uint64_t Arrivals = 0;
+    for (const std::unique_ptr<BackendStandIn> &Each : this->Backends)
+      Arrivals += Each->countArrivals();
+    return Arrivals;
   }
 
   /// Sends raw bytes and returns everything that the proxy sends until it
@@ -149,7 +172,7 @@
   /// the fleet's retry budget.
   const FleetRetryLimit FleetRetries;
   uint64_t Version = 0;
-  std::unique_ptr<BackendStandIn> Backends[2];
+  std::vector<std::unique_ptr<BackendStandIn>> Backends;
   FleetRuntimeSlot Fleet;
   ConnectionPool Upstreams;
   ConnectionPool Client;
