Each arrival at a server is charged in one place, with a permit that sending uses up

Cause: a retry that was taken and met 421 stayed 'taken and not sent', as after a connection that failed, so that the next ones were free. Class: a right that outlives its use, kept as a flag beside three others.

Now a retry is a RetryPermit, which cannot be copied. The connection pool asks before the first byte, on a direct connection, a kept one or a tunnel: the first arrival is free, each further one uses up the permit, and without one nothing is sent. A permit that is not used goes back to the budget, and counts from when it was sent; a lent one that is sent after its loan has expired counts at the borrower.

--- a/include/canvaswick/Admission/FleetRetryBudget.h
+++ b/include/canvaswick/Admission/FleetRetryBudget.h
@@ -22,6 +22,7 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include <deque>
+#include <optional>
 #include <vector>
 
 namespace canvaswick {
@@ -40,6 +41,15 @@
   Duration Window{};
 };
 
+/// A retry that was taken from a budget.
+struct TakenRetry {
+  /// When it counts as sent in this daemon's budget; nothing if a peer counts
+  /// it, or nobody does.
+  std::optional<TimePoint> CountedAt;
+  /// Until when the peer that lent it counts it.
+  std::optional<TimePoint> LentUntil;
+};
+
 /// What a daemon may send and has sent in the window that ends now.
 struct RetryUse {
   /// Retries, before rounding to whole ones.
@@ -66,8 +76,15 @@
   /// Records the first attempt of a request.
   void recordRequest(TimePoint Now);
 
-  /// Takes one retry. Returns false if there is none left.
-  bool tryTake(TimePoint Now);
+  /// Takes one retry. Returns nothing if there is none left.
+  std::optional<TakenRetry> tryTake(TimePoint Now);
+
+  /// Gives back a retry that was not sent.
+  void giveBack(const TakenRetry &Taken);
+
+  /// Records that a retry was sent, which may be a while after it was taken: it
+  /// counts from then on, here if its loan has expired.
+  void recordSent(const TakenRetry &Taken, TimePoint SentAt);
 
   /// Returns whether tryTake would succeed.
   bool hasRoom(TimePoint Now);
@@ -100,6 +117,7 @@
 private:
   void forgetOld(TimePoint Now);
   bool hasLocalRoom(TimePoint Now);
+  void count(TimePoint SentAt);
 
   FleetRetryLimit FleetLimit;
   const TimePoint Started;
@@ -107,6 +125,7 @@
   /// How much of one retry this daemon may round up, from 0 to 1.
   double Rounding = 0;
   std::deque<TimePoint> Requests;
+  /// In ascending order.
   std::deque<TimePoint> Retries;
   /// When each borrowed retry expires, in no order.
   std::deque<TimePoint> Borrowed;
--- a/include/canvaswick/Admission/WaitingRoom.h
+++ b/include/canvaswick/Admission/WaitingRoom.h
@@ -66,6 +66,8 @@
   TimePoint Entered{};
   /// Set once, when the wait has ended.
   std::optional<WaitEnd> End;
+  /// If served: the retry that was taken for it.
+  TakenRetry Retry;
   /// If refused: when a retry is expected to be left for a further request.
   Duration RetryAfter{};
 };
@@ -93,7 +95,7 @@
 
   /// Gives a retry that a peer has lent to the first request. Returns false if
   /// no request waits.
-  bool serveLent(TimePoint Now);
+  bool serveLent(const TakenRetry &Lent, TimePoint Now);
 
   /// Records that peers lend no retry. Requests that have entered before no
   /// longer count on a loan.
--- a/include/canvaswick/Daemon/RetryBorrower.h
+++ b/include/canvaswick/Daemon/RetryBorrower.h
@@ -46,9 +46,9 @@
   RetryBorrower(uint64_t FirstNumber, CounterTable &Counters,
                 Sender SendRequest);
 
-  /// Borrows one retry of a service from a peer and uses it. Returns false if
-  /// no peer grants one within some tens of milliseconds.
-  bool borrow(ServiceRuntime &Service, TimePoint Now);
+  /// Borrows one retry of a service from a peer and takes it. Returns nothing
+  /// if no peer grants one within some tens of milliseconds.
+  std::optional<TakenRetry> borrow(ServiceRuntime &Service, TimePoint Now);
 
   /// Handles a peer's grant. A grant that no request waits for any more is
   /// dropped.
--- a/include/canvaswick/Http/HttpClient.h
+++ b/include/canvaswick/Http/HttpClient.h
@@ -105,6 +105,9 @@
   /// Called with the time at which an attempt to connect directly began, and
   /// whether it succeeded, unless empty.
   std::function<void(TimePoint, bool)> OnConnect;
+  /// Called once there is a connection, before the first byte of the request is
+  /// sent, unless empty. Nothing is sent if it returns false.
+  std::function<bool()> BeforeSend;
   /// Whether a response without a length may be delimited by the end of its
   /// connection.
   bool MayEndWithConnection = false;
--- a/include/canvaswick/Proxy/RequestProxy.h
+++ b/include/canvaswick/Proxy/RequestProxy.h
@@ -61,8 +61,9 @@
   void configure(const FleetConfig &Config);
 
   /// Asks peers to lend one retry of a service's fleet budget, and waits for a
-  /// short time. Returns whether a retry was lent.
-  using RetrySource = std::function<bool(ServiceRuntime &, TimePoint)>;
+  /// short time. Returns the retry that was lent, if any.
+  using RetrySource =
+      std::function<std::optional<TakenRetry>(ServiceRuntime &, TimePoint)>;
 
   /// Sets the source of retries for when the daemon's own share of the fleet's
   /// retry budget is used up. Must be called before the first request.
@@ -153,7 +154,7 @@
                                   bool &IsSoftDeadline) const;
   TimePoint extendSoftDeadline(RequestContext &Request, const Attempt &Current,
                                bool &IsSoftDeadline);
-  bool takeRetry(ServiceRuntime &Service, bool IsNotRun, TimePoint Now);
+  bool takeRetry(RequestContext &Request, bool IsNotRun, TimePoint Now);
   bool mayRetry(RequestContext &Request, const ResponseRelay &Relay);
   bool takeNextRetry(RequestContext &Request);
 
@@ -165,6 +166,7 @@
   void refuseAfterWait(RequestContext &Request);
 
   // RequestPaths.cpp: direct attempts and those through peers.
+  bool chargeArrival(RequestContext &Request) const;
   bool choosePath(RequestContext &Request) const;
   ExchangeResult sendAttempt(RequestContext &Request, const Attempt &Current,
                              OutgoingRequest &Outgoing, TimePoint Deadline,
--- a/include/canvaswick/Proxy/ServiceRuntime.h
+++ b/include/canvaswick/Proxy/ServiceRuntime.h
@@ -183,12 +183,18 @@
   /// through a peer and has taken far longer than usual.
   std::optional<TimePoint> findSilence(TimePoint Now) const;
 
-  /// Takes one retry from the budget. Returns false if none is left.
-  bool tryTakeRetry(TimePoint Now);
+  /// Takes one retry from the budget. Returns nothing if none is left.
+  std::optional<TakenRetry> tryTakeRetry(TimePoint Now);
 
   /// Takes one retry of a request that a server declined to run. Such retries
   /// count only on the fleet's budget.
-  bool tryTakeNotRunRetry(TimePoint Now);
+  std::optional<TakenRetry> tryTakeNotRunRetry(TimePoint Now);
+
+  /// Gives back a retry that was not sent.
+  void giveBackRetry(const TakenRetry &Taken);
+
+  /// Records that a retry was sent.
+  void recordRetrySent(const TakenRetry &Taken, TimePoint SentAt);
 
   /// Lends a peer one retry of the fleet's budget. Returns false if none is
   /// left.
--- a/include/canvaswick/Proxy/ServiceWaitingRoom.h
+++ b/include/canvaswick/Proxy/ServiceWaitingRoom.h
@@ -35,7 +35,7 @@
 struct WaitWatch {
   /// Asks peers for a retry, and waits for a short time; no lock is held. Null
   /// if no peer lends.
-  std::function<bool()> BorrowRetry;
+  std::function<std::optional<TakenRetry>()> BorrowRetry;
   /// Returns how the wait ends for a reason outside the room, if it does. Must
   /// not wait.
   std::function<std::optional<WaitEnd>()> CheckEnd;
@@ -72,8 +72,8 @@
 private:
   using LockT = std::unique_lock<std::mutex>;
 
-  void borrow(const WaitingRequest &Request, const WaitWatch &Watch,
-              LockT &Lock);
+  void borrow(const WaitingRequest &Request, ServiceRuntime &Service,
+              const WaitWatch &Watch, LockT &Lock);
   void advance(ServiceRuntime &Service);
 
   std::mutex BudgetMutex;
--- a/lib/Admission/FleetRetryBudget.cpp
+++ b/lib/Admission/FleetRetryBudget.cpp
@@ -81,22 +81,47 @@
   return Allowed <= 0 ? 1 : static_cast<double>(this->Retries.size()) / Allowed;
 }
 
-bool FleetRetryBudget::tryTake(TimePoint Now) {
+void FleetRetryBudget::count(TimePoint SentAt) {
+  this->Retries.insert(
+      std::upper_bound(this->Retries.begin(), this->Retries.end(), SentAt),
+      SentAt);
+}
+
+std::optional<TakenRetry> FleetRetryBudget::tryTake(TimePoint Now) {
   if (this->hasLocalRoom(Now)) {
-    this->Retries.push_back(Now);
-    return true;
+    this->count(Now);
+    return TakenRetry{Now, std::nullopt};
   }
   if (this->Borrowed.empty())
-    return false;
-  // The lender counts this retry.
+    return std::nullopt;
+  TakenRetry Lent;
+  Lent.LentUntil = this->Borrowed.front();
   this->Borrowed.pop_front();
-  return true;
+  return Lent;
+}
+
+void FleetRetryBudget::giveBack(const TakenRetry &Taken) {
+  if (Taken.LentUntil)
+    this->Borrowed.push_back(*Taken.LentUntil);
+  if (!Taken.CountedAt)
+    return;
+  const auto Found = std::lower_bound(this->Retries.begin(),
+                                      this->Retries.end(), *Taken.CountedAt);
+  if (Found != this->Retries.end() && *Found == *Taken.CountedAt)
+    this->Retries.erase(Found);
+}
+
+void FleetRetryBudget::recordSent(const TakenRetry &Taken, TimePoint SentAt) {
+  if (Taken.CountedAt)
+    this->giveBack(Taken);
+  if (Taken.CountedAt || (Taken.LentUntil && SentAt > *Taken.LentUntil))
+    this->count(SentAt);
 }
 
 bool FleetRetryBudget::tryLend(TimePoint Now) {
   if (!this->hasLocalRoom(Now))
     return false;
-  this->Retries.push_back(Now + LoanTimeout);
+  this->count(Now + LoanTimeout);
   return true;
 }
 
--- a/lib/Admission/WaitingRoom.cpp
+++ b/lib/Admission/WaitingRoom.cpp
@@ -312,8 +312,10 @@
 
 void WaitingRoom::serve(FleetRetryBudget &Budget, TimePoint Now) {
   while (WaitingRequest *Next = this->findNext(Budget.forecast(Now), Now)) {
-    if (!Budget.tryTake(Now))
+    const std::optional<TakenRetry> Taken = Budget.tryTake(Now);
+    if (!Taken)
       return;
+    Next->Retry = *Taken;
     this->end(*Next, WaitEnd::Served, Now);
   }
 }
@@ -323,11 +325,12 @@
          !this->hasDemandBefore(getRank(Request), Now);
 }
 
-bool WaitingRoom::serveLent(TimePoint Now) {
+bool WaitingRoom::serveLent(const TakenRetry &Retry, TimePoint Now) {
   this->Lent.add(1, Now);
   WaitingRequest *First = this->getFirst(Now);
   if (!First)
     return false;
+  First->Retry = Retry;
   this->end(*First, WaitEnd::Served, Now);
   return true;
 }
--- a/lib/Daemon/PeerExchange.cpp
+++ b/lib/Daemon/PeerExchange.cpp
@@ -313,9 +313,11 @@
   this->Link.sendLocalEstimates(std::move(Estimates));
 }
 
-bool PeerExchange::borrowRetry(ServiceRuntime &Service, TimePoint Now) {
-  return this->Switches.isOn(Mechanism::RetryLoans) &&
-         this->Borrower.borrow(Service, Now);
+std::optional<TakenRetry> PeerExchange::borrowRetry(ServiceRuntime &Service,
+                                                    TimePoint Now) {
+  if (!this->Switches.isOn(Mechanism::RetryLoans))
+    return std::nullopt;
+  return this->Borrower.borrow(Service, Now);
 }
 
 /// Grants requested loans if a retry is left, and passes on the grants that
--- a/lib/Daemon/PeerExchange.h
+++ b/lib/Daemon/PeerExchange.h
@@ -69,9 +69,9 @@
   /// suspected request was answered.
   void reportPoisonRequests(const PoisonRequestUpdate &Update, TimePoint Now);
 
-  /// Borrows one retry of a service from peers. Returns whether one was
-  /// granted.
-  bool borrowRetry(ServiceRuntime &Service, TimePoint Now);
+  /// Borrows one retry of a service from peers. Returns nothing if none
+  /// was granted.
+  std::optional<TakenRetry> borrowRetry(ServiceRuntime &Service, TimePoint Now);
 
 private:
   bool takeSendToken(const FleetRuntime &Current, TimePoint Now);
--- a/lib/Daemon/RetryBorrower.cpp
+++ b/lib/Daemon/RetryBorrower.cpp
@@ -55,13 +55,14 @@
   return false;
 }
 
-bool RetryBorrower::borrow(ServiceRuntime &Service, TimePoint Now) {
+std::optional<TakenRetry> RetryBorrower::borrow(ServiceRuntime &Service,
+                                                TimePoint Now) {
   RetryLoan Loan;
   Loan.Service = Service.getId();
   {
     std::lock_guard<std::mutex> Lock(this->Mutex);
     if (!this->canAskPeers(Loan, Now))
-      return false;
+      return std::nullopt;
     Loan.Number = this->NextNumber++;
     this->Pending[Loan.Number] = {ServiceRuntimeRef(&Service), Now};
   }
@@ -72,11 +73,12 @@
     if (!IsGranted)
       this->BackoffUntil[Loan.Service] = Now + BackoffTime;
   }
-  const bool IsUsed =
-      IsGranted && Service.tryTakeNotRunRetry(readSteadyClock());
-  this->Counters.add(IsUsed ? Counter::RetriesBorrowed
-                            : Counter::RetryLoansFailed);
-  return IsUsed;
+  std::optional<TakenRetry> Taken;
+  if (IsGranted)
+    Taken = Service.tryTakeNotRunRetry(readSteadyClock());
+  this->Counters.add(Taken ? Counter::RetriesBorrowed
+                           : Counter::RetryLoansFailed);
+  return Taken;
 }
 
 void RetryBorrower::handleGrant(const RetryLoan &Loan) {
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -356,6 +356,11 @@
       this->acquire(Endpoint, Outgoing, Deadline, Result);
   if (!Stream)
     return Result;
+  if (Outgoing.BeforeSend && !Outgoing.BeforeSend()) {
+    Result.End = ExchangeEnd::NotSent;
+    this->drop(Endpoint, std::move(Stream));
+    return Result;
+  }
   Stream->beginHead(MaxResponseHeadBytes);
   Stream->setDeadline(Deadline);
   Stream->setDeadlineExtension(Outgoing.ExtendDeadline);
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -156,12 +156,10 @@
     const bool WasTried = !Current.HadNoTunnel || !Request.HasNoPeer;
     if (WasTried)
       Needs.Tried.push_back(Current.Server);
-    if (isServerMissing(Outcome)) {
+    if (isServerMissing(Outcome))
       Unreachable += WasTried ? 1 : 0;
-    } else {
+    else
       ++Request.AttemptCount;
-      Request.HasUnsentRetry = false;
-    }
     // A retry is taken from the budget only if an attempt is left to use it.
     if (Request.IsAnswered || Request.WasCanceled ||
         !this->hasAttemptLeft(Request, Relay, Unreachable, End) ||
@@ -399,11 +397,6 @@
                                               const ExchangeResult &Result) {
   Request.WasFailed = true;
   Request.WasTimeout = Result.End == ExchangeEnd::Timeout;
-  if (Result.End != ExchangeEnd::NoConnection &&
-      Result.End != ExchangeEnd::NotSent) {
-    Request.Service->getMetrics().recordArrival(Request.WasSent);
-    Request.WasSent = true;
-  }
   switch (Result.End) {
   case ExchangeEnd::NoConnection:
     return RequestOutcome::Canceled;
--- a/lib/Proxy/RequestContext.h
+++ b/lib/Proxy/RequestContext.h
@@ -17,6 +17,7 @@
 
 #include "canvaswick/Admission/RequestFingerprint.h"
 #include "canvaswick/Proxy/RequestProxy.h"
+#include "canvaswick/Proxy/RetryPermit.h"
 
 #include <cstdlib>
 #include <optional>
@@ -66,9 +67,9 @@
   std::optional<TimePoint> LinkFailedAt;
   /// The peers that did not connect to a server for this request.
   std::vector<std::string> AskedPeers;
-  /// Whether a retry was taken from the budget and has not been sent yet.
-  bool HasUnsentRetry = false;
-  /// Whether a retry was taken from the budget for the next attempt.
+  /// The retry that the next arrival at a server uses up.
+  RetryPermit Permit;
+  /// Whether the attempt in flight has used up a retry.
   bool IsRetryPaid = false;
   /// Whether the attempt in flight is compared with a retry elsewhere.
   bool IsWeighed = false;
@@ -80,9 +81,6 @@
   bool WasCanceled = false;
   bool HasNoServer = false;
   bool IsAnswered = false;
-  /// Whether a retry has already been taken from the budget for the next
-  /// attempt.
-  bool HasRetryPermit = false;
   /// How its last wait for a retry ended, the time it has waited in all, and
   /// when a retry may be left for a request like this.
   std::optional<WaitEnd> LastWait;
--- a/lib/Proxy/RequestPaths.cpp
+++ b/lib/Proxy/RequestPaths.cpp
@@ -13,9 +13,11 @@
 //===----------------------------------------------------------------------===//
 
 #include "RequestContext.h"
+#include "canvaswick/Support/Log.h"
 
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace canvaswick {
@@ -46,6 +48,23 @@
   return true;
 }
 
+/// Charges an arrival at a server, right before the request is sent there. The
+/// first one is free, each further one uses up a retry. Returns whether the
+/// request may be sent.
+bool RequestProxy::chargeArrival(RequestContext &Request) const {
+  const bool IsRepeated = Request.WasSent;
+  if (IsRepeated && !Request.Permit.isHeld()) {
+    logError("retry-without-permit", "id={}", Request.CallerId);
+    return false;
+  }
+  if (IsRepeated)
+    std::move(Request.Permit).consume(readSteadyClock());
+  Request.IsRetryPaid = IsRepeated;
+  Request.WasSent = true;
+  Request.Service->getMetrics().recordArrival(IsRepeated);
+  return true;
+}
+
 /// Sends an attempt on its path.
 ExchangeResult RequestProxy::sendAttempt(RequestContext &Request,
                                          const Attempt &Current,
@@ -53,6 +72,9 @@
                                          TimePoint Deadline, int CallerSocket,
                                          const AnswerSink &Sink) {
   const ServerConfig &Server = Request.Service->getServer(Current.Server);
+  Outgoing.BeforeSend = [this, &Request] {
+    return this->chargeArrival(Request);
+  };
   if (Current.IsThroughPeer)
     return this->sendThroughPeers(Request, Server, Outgoing, Deadline,
                                   CallerSocket, Sink);
--- a/lib/Proxy/RequestRetries.cpp
+++ b/lib/Proxy/RequestRetries.cpp
@@ -15,7 +15,6 @@
 #include "RequestContext.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace canvaswick {
 
@@ -79,8 +78,7 @@
         !(Request.IsWeighed &&
           Request.Service->shouldAbandonAttempt(Current, Request.Needs, Now)))
       return Next;
-    Request.HasRetryPermit = this->takeRetry(*Request.Service, false, Now);
-    if (Request.HasRetryPermit)
+    if (this->takeRetry(Request, false, Now))
       return TimePoint{};
     if (IsCutOff)
       return Next;
@@ -89,14 +87,19 @@
   return Request.Deadline;
 }
 
-/// Takes a retry from this daemon's budget, or borrows one from a peer.
-/// IsNotRun: the server declined to run the request.
-bool RequestProxy::takeRetry(ServiceRuntime &Service, bool IsNotRun,
+/// Takes a retry for the request from this daemon's budget, or borrows one from
+/// a peer. Returns whether the request holds one. IsNotRun: the server declined
+/// to run the request.
+bool RequestProxy::takeRetry(RequestContext &Request, bool IsNotRun,
                              TimePoint Now) {
-  const bool IsLocal =
+  ServiceRuntime &Service = *Request.Service;
+  std::optional<TakenRetry> Taken =
       IsNotRun ? Service.tryTakeNotRunRetry(Now) : Service.tryTakeRetry(Now);
-  return IsLocal || (this->BorrowRetry && Service.hasFleetRetryBudget() &&
-                     this->BorrowRetry(Service, Now));
+  if (!Taken && this->BorrowRetry && Service.hasFleetRetryBudget())
+    Taken = this->BorrowRetry(Service, Now);
+  if (Taken)
+    Request.Permit = RetryPermit(Service, *Taken);
+  return Taken.has_value();
 }
 
 /// Decides whether a failed request may be retried at another server, and takes
@@ -105,28 +108,24 @@
                             const ResponseRelay &Relay) {
   if (Relay.hasBegun())
     return Relay.canResume() && this->isKeyInForce(Request) &&
-           this->takeRetry(*Request.Service, false, readSteadyClock());
-  if (Request.WasBodySent || !this->isKeyInForce(Request))
-    return false;
-  if (!Request.HasUnsentRetry) {
-    Request.HasUnsentRetry = this->takeNextRetry(Request);
-    Request.IsRetryPaid = Request.HasUnsentRetry && Request.WasSent;
-  }
-  return Request.HasUnsentRetry;
+           this->takeRetry(Request, false, readSteadyClock());
+  return !Request.WasBodySent && this->isKeyInForce(Request) &&
+         this->takeNextRetry(Request);
 }
 
 /// Returns whether a request to which no server has responded may be sent once
 /// more.
 bool RequestProxy::takeNextRetry(RequestContext &Request) {
-  if (std::exchange(Request.HasRetryPermit, false))
+  // What arrived nowhere has used up nothing.
+  if (Request.Permit.isHeld() || !Request.WasSent)
     return true;
   // A request that was not run may be sent to another server, whatever its
-  // class. If it was never sent, this does not count as a retry.
+  // class.
   if (Request.Outcome == RunOutcome::NotRun)
-    return !Request.WasSent || this->takeNotRunRetry(Request);
+    return this->takeNotRunRetry(Request);
   if (!isRetryable(*Request.Route) || !Request.IsBodyBuffered)
     return false;
-  return this->takeRetry(*Request.Service, false, readSteadyClock());
+  return this->takeRetry(Request, false, readSteadyClock());
 }
 
 } // namespace canvaswick
--- a/lib/Proxy/RequestWaits.cpp
+++ b/lib/Proxy/RequestWaits.cpp
@@ -49,7 +49,7 @@
 bool RequestProxy::takeNotRunRetry(RequestContext &Request) {
   ServiceRuntime &Service = *Request.Service;
   if (this->IsStopping || !Service.mayWait(*Request.Route))
-    return this->takeRetry(Service, true, readSteadyClock());
+    return this->takeRetry(Request, true, readSteadyClock());
   this->waitForRetry(Request);
   // The key may have been revoked meanwhile.
   return Request.LastWait == WaitEnd::Served && this->isKeyInForce(Request);
@@ -109,6 +109,8 @@
     this->Counters.add(getCounter(End));
     Request.Waited += readSteadyClock() - Began;
   }
+  if (End == WaitEnd::Served)
+    Request.Permit = RetryPermit(Service, Waiting.Retry);
   Request.LastWait = End;
   Request.RoomRetryAfter = Waiting.RetryAfter;
   Request.WasCanceled = End == WaitEnd::CallerLeft;
--- a/lib/Proxy/ServiceRetries.cpp
+++ b/lib/Proxy/ServiceRetries.cpp
@@ -38,17 +38,32 @@
   return Budget;
 }
 
-bool ServiceRuntime::tryTakeRetry(TimePoint Now) {
+std::optional<TakenRetry> ServiceRuntime::tryTakeRetry(TimePoint Now) {
   if (this->FleetRetries)
     return this->tryTakeNotRunRetry(Now);
   std::lock_guard<std::mutex> Lock(this->Mutex);
-  return this->Retries.tryTake(Now);
+  return this->Retries.tryTake(Now) ? std::make_optional<TakenRetry>()
+                                    : std::nullopt;
 }
 
-bool ServiceRuntime::tryTakeNotRunRetry(TimePoint Now) {
-  return !this->FleetRetries ||
-         this->withFleetRetries(
-             [Now](FleetRetryBudget &Budget) { return Budget.tryTake(Now); });
+std::optional<TakenRetry> ServiceRuntime::tryTakeNotRunRetry(TimePoint Now) {
+  if (!this->FleetRetries)
+    return TakenRetry{};
+  return this->withFleetRetries(
+      [Now](FleetRetryBudget &Budget) { return Budget.tryTake(Now); });
+}
+
+void ServiceRuntime::giveBackRetry(const TakenRetry &Taken) {
+  if (this->FleetRetries)
+    this->withFleetRetries(
+        [&Taken](FleetRetryBudget &Budget) { Budget.giveBack(Taken); });
+}
+
+void ServiceRuntime::recordRetrySent(const TakenRetry &Taken,
+                                     TimePoint SentAt) {
+  if (this->FleetRetries)
+    this->withFleetRetries(
+        [&](FleetRetryBudget &Budget) { Budget.recordSent(Taken, SentAt); });
 }
 
 bool ServiceRuntime::tryLendRetry(TimePoint Now) {
--- a/lib/Proxy/ServiceWaitingRoom.cpp
+++ b/lib/Proxy/ServiceWaitingRoom.cpp
@@ -40,22 +40,25 @@
 /// Asks peers for a retry if it is the turn of Request, and gives the retry to
 /// the request that is first when it arrives.
 void ServiceWaitingRoom::borrow(const WaitingRequest &Request,
-                                const WaitWatch &Watch, LockT &Lock) {
+                                ServiceRuntime &Service, const WaitWatch &Watch,
+                                LockT &Lock) {
   const TimePoint Asked = readSteadyClock();
   if (this->IsBorrowing || !this->Room.mayBorrow(Request, Asked))
     return;
-  bool IsLent = false;
+  std::optional<TakenRetry> Lent;
   if (Watch.BorrowRetry) {
     this->IsBorrowing = true;
     Lock.unlock();
-    IsLent = Watch.BorrowRetry();
+    Lent = Watch.BorrowRetry();
     Lock.lock();
     this->IsBorrowing = false;
   }
-  if (!IsLent)
+  if (!Lent)
     this->Room.recordLoanRefused(Asked);
-  else if (this->Room.serveLent(readSteadyClock()))
+  else if (this->Room.serveLent(*Lent, readSteadyClock()))
     this->Changed.notify_all();
+  else
+    Service.giveBackRetry(*Lent);
 }
 
 /// Ends the waits of all requests whose time has come.
@@ -88,7 +91,7 @@
       this->Changed.notify_all();
       break;
     }
-    this->borrow(Request, Watch, Lock);
+    this->borrow(Request, Service, Watch, Lock);
     this->advance(Service);
     if (Request.End)
       break;
--- a/unittests/Admission/WaitingRoomTest.cpp
+++ b/unittests/Admission/WaitingRoomTest.cpp
@@ -214,7 +214,7 @@
   CHECK(Room.getLength() == 2);
   CHECK(Room.mayBorrow(First, Start));
   CHECK_FALSE(Room.mayBorrow(Second, Start));
-  CHECK(Room.serveLent(Start + Step));
+  CHECK(Room.serveLent({}, Start + Step));
   CHECK(First.End == WaitEnd::Served);
   Room.recordLoanRefused(Start + Step);
   Room.refuseHopeless(Budget, Start + fromSeconds(1.2));
@@ -269,7 +269,7 @@
         break;
       case 3:
         // Nobody goes before the first one.
-        if (Room.serveLent(Now))
+        if (Room.serveLent({}, Now))
           RC_ASSERT(First->End.value() == WaitEnd::Served);
         else
           RC_ASSERT(First == nullptr);
--- a/unittests/Proxy/RequestWaitTest.cpp
+++ b/unittests/Proxy/RequestWaitTest.cpp
@@ -135,7 +135,7 @@
   WaitFixture Fixture;
   Fixture.Proxy->setRetrySource([&](ServiceRuntime &, TimePoint) {
     Fixture.setShedding(false);
-    return true;
+    return std::make_optional<TakenRetry>();
   });
   CHECK(Fixture.send("POST", "/pay/1").Status == 200);
   CHECK(Fixture.Counters.get(Counter::WaitsBegun) == 0);
