A server that proved to be gone gets nothing more, from any daemon, while it is listed

What callers lost: an answer of 421 proves that the server's process has ended, but it was taken as a connection that failed, which a daemon forgets within a second and tells nobody.

Now such an answer, if the request had named the server, is kept for 5 to 7.5 s, by daemon, and told at once to the hall and through one daemon of each other hall to all; each hall repeats it twice a second for newcomers. It is kept by instance, so the next one under the same name is used at once; if all of a service are gone, callers are refused at once. One wrong answer takes a server out for as long, and the first daemon to ask again tells the others only if it is misdirected again.

Ruled out: a shorter wait (2 s) would ask each dead server again before most leases lapse.

--- a/include/canvaswick/Daemon/PeerLink.h
+++ b/include/canvaswick/Daemon/PeerLink.h
@@ -91,6 +91,11 @@
   /// each other hall to all daemons.
   void sendPoisonReport(const PoisonRequestReport &Report);
 
+  /// Sends to this hall, and through one daemon of each other hall to all
+  /// daemons, which servers are gone. At most MaxGoneServers are allowed.
+  void sendGoneServers(std::vector<GoneReport> Reports);
+  static constexpr size_t MaxGoneServers = 30;
+
   /// Requests a retry loan from some peers, chosen at random each time.
   /// AsksRemoteHall includes one of another hall.
   void sendLoanRequest(const RetryLoan &Loan, bool AsksRemoteHall);
@@ -118,6 +123,7 @@
   bool isNew(const PeerMessage &Message);
   void sendTo(const Endpoint &Peer, const std::string &Text);
   void sendWithinHall(const std::string &Text);
+  void sendToAll(const PeerMessage &Message);
   void sendToOtherHalls(const std::string &Text);
   std::vector<DaemonRecord> chooseLenders(bool AsksRemoteHall);
 
--- a/include/canvaswick/Daemon/PeerMessage.h
+++ b/include/canvaswick/Daemon/PeerMessage.h
@@ -71,6 +71,8 @@
   std::optional<std::vector<QuotaUsage>> HallUsages;
   /// Limits that servers have announced or withdrawn.
   std::vector<LimitReport> Limits;
+  /// Servers that have proved to be gone.
+  std::vector<GoneReport> GoneServers;
   /// Requests during which servers crashed, and answers that clear such
   /// requests.
   PoisonRequestReport PoisonRequests;
--- a/include/canvaswick/Health/HealthPolicy.h
+++ b/include/canvaswick/Health/HealthPolicy.h
@@ -71,6 +71,8 @@
   Cold,
   /// Operators have drained the server's hall.
   HallDrained,
+  /// Another process answers at the server's address.
+  Gone,
 };
 
 /// Returns the name of a reason as it appears in reports.
--- a/include/canvaswick/Metrics/Counters.h
+++ b/include/canvaswick/Metrics/Counters.h
@@ -46,6 +46,7 @@
   LeavingNoticesReceived,
   BackoffsReceived,
   MalformedNotices,
+  GoneServersFound,
   ServersExcluded,
   ReportsSent,
   ReportsMerged,
--- a/include/canvaswick/Proxy/RequestProxy.h
+++ b/include/canvaswick/Proxy/RequestProxy.h
@@ -182,6 +182,8 @@
   void handleServerNotice(const RequestContext &Request, Attempt &Current,
                           const std::string &RequestId,
                           const httplib::Response &Response);
+  void handleMisdirection(const RequestContext &Request, const Attempt &Current,
+                          const std::string &RequestId);
   RequestOutcome runAttempt(RequestContext &Request, ResponseRelay &Relay,
                             Attempt &Current);
   RelayOptions makeRelayOptions(const RequestContext &Request) const;
--- a/include/canvaswick/Proxy/ServiceRuntime.h
+++ b/include/canvaswick/Proxy/ServiceRuntime.h
@@ -313,6 +313,15 @@
   std::vector<NoticeChange> applyPeerLimit(const LimitReport &Given,
                                            TimePoint Now);
 
+  /// Records an answer at the server's address which says that the server is
+  /// gone. Returns what has changed.
+  std::vector<NoticeChange> recordGone(const Attempt &From, TimePoint Now);
+
+  /// Applies a peer's report of a server that is gone. Returns what has
+  /// changed; a report of a server of another service changes nothing.
+  std::vector<NoticeChange> applyPeerGone(const GoneReport &Given,
+                                          TimePoint Now);
+
   /// Records a load report of a server.
   void recordLoadReport(size_t Server, double Load, TimePoint Now);
 
@@ -394,6 +403,7 @@
                                         const ServiceRuntime *Previous);
   static ServerNoticeTableRef chooseNoticeTable(const DaemonIdentity &Identity,
                                                 const ServiceRuntime *Previous);
+  std::optional<size_t> findServerIndex(ServerId Id) const;
   NoticeSource makeNoticeSource(size_t Server) const;
   size_t applyNotices(std::vector<double> &Shares, TimePoint Now) const;
   bool isExcludedByNotice(size_t Server, TimePoint Now) const;
--- a/include/canvaswick/Routing/ServerNotices.h
+++ b/include/canvaswick/Routing/ServerNotices.h
@@ -19,6 +19,7 @@
 #define CANVASWICK_ROUTING_SERVERNOTICES_H
 
 #include "canvaswick/Health/Evidence.h"
+#include "canvaswick/Routing/GoneServers.h"
 #include "canvaswick/Routing/RateLimitShare.h"
 #include "canvaswick/Routing/WarmupShare.h"
 #include "canvaswick/Support/Time.h"
@@ -62,7 +63,15 @@
 };
 
 /// The kinds of notices.
-enum class NoticeKind : uint8_t { Limit, Leaving, Backoff, Malformed, Warmup };
+enum class NoticeKind : uint8_t {
+  Limit,
+  Leaving,
+  Backoff,
+  Malformed,
+  Warmup,
+  /// Another process says so: the server has ended.
+  Gone,
+};
 
 /// Returns the name of a kind in the log.
 const char *getName(NoticeKind Kind);
@@ -88,6 +97,7 @@
   size_t Leaving = 0;
   size_t InBackoff = 0;
   size_t Cold = 0;
+  size_t Gone = 0;
 };
 
 /// A server's limit as daemons report it to each other.
@@ -118,6 +128,29 @@
                                         const LimitReport &Given,
                                         TimePoint Now);
 
+  /// Records that a server proved to be gone at ProvedAt, by an answer to this
+  /// daemon. Returns what has changed.
+  std::vector<NoticeChange> recordGone(const NoticeSource &Server,
+                                       TimePoint ProvedAt, TimePoint Now);
+
+  /// Applies a peer's report of a server that is gone. Returns what has
+  /// changed.
+  std::vector<NoticeChange> applyGoneReport(const NoticeSource &Server,
+                                            const GoneReport &Given,
+                                            TimePoint Now);
+
+  /// Returns at most MaxReports reports of servers that have just proved to be
+  /// gone, and marks them as reported.
+  std::vector<GoneReport> drainGoneReports(size_t MaxReports, TimePoint Now) {
+    return this->Gone.drainReports(MaxReports, Now);
+  }
+
+  /// Returns at most MaxReports reports of all servers that are gone.
+  std::vector<GoneReport> listGoneReports(size_t MaxReports,
+                                          TimePoint Now) const {
+    return this->Gone.listReports(MaxReports, Now);
+  }
+
   /// Records that a server is cold until Until and bears PerSecond requests per
   /// second of all daemons together. An earlier end than a known one changes
   /// nothing. Not reported as a change: servers of a whole hall become cold at
@@ -144,8 +177,8 @@
   /// Records that a request is sent to a server.
   void recordRequestSent(ServerId Server, TimePoint Now);
 
-  /// Returns the active notice with the highest precedence (leaving, backoff,
-  /// limit, warm-up), or nothing.
+  /// Returns the active notice with the highest precedence (leaving, gone,
+  /// backoff, limit, warm-up), or nothing.
   std::optional<NoticeKind> getActiveKind(ServerId Server, TimePoint Now) const;
 
   /// Removes expired notices. Returns what has changed.
@@ -155,7 +188,7 @@
   NoticeCounts count(TimePoint Now) const;
 
   /// Returns whether no notice of any server is stored.
-  bool isEmpty() const { return this->Entries.empty(); }
+  bool isEmpty() const { return this->Entries.empty() && this->Gone.isEmpty(); }
 
 private:
   struct Entry {
@@ -192,6 +225,7 @@
 
   FleetDaemons Fleet;
   std::unordered_map<ServerId, Entry> Entries;
+  GoneServers Gone;
 };
 
 } // namespace canvaswick
--- a/include/canvaswick/Settings/PolicySwitches.h
+++ b/include/canvaswick/Settings/PolicySwitches.h
@@ -74,10 +74,13 @@
   LearnedOutcomes,
   /// The first sign of a failure is sent to the hall at once.
   UrgentFailures,
+  /// A server whose address another one has taken over gets no requests while
+  /// the directory still lists it.
+  GoneServers,
 };
 
 inline constexpr size_t MechanismCount =
-    static_cast<size_t>(Mechanism::UrgentFailures) + 1;
+    static_cast<size_t>(Mechanism::GoneServers) + 1;
 
 /// Returns the name of a mechanism as it is written in settings.
 const char *getName(Mechanism Which);
--- a/lib/Daemon/HealthEndpoints.cpp
+++ b/lib/Daemon/HealthEndpoints.cpp
@@ -126,6 +126,7 @@
   Add(NoticeKind::Leaving, Notices.Leaving);
   Add(NoticeKind::Backoff, Notices.InBackoff);
   Add(NoticeKind::Warmup, Notices.Cold);
+  Add(NoticeKind::Gone, Notices.Gone);
   return Text;
 }
 
--- a/lib/Daemon/PeerExchange.cpp
+++ b/lib/Daemon/PeerExchange.cpp
@@ -45,6 +45,10 @@
 /// than 50 bytes, so they fit into a datagram.
 static constexpr size_t MaxPoisonRows = 20;
 
+/// How often a hall repeats which servers are gone, for daemons that missed it
+/// or have just started: several times while they are taken to be gone.
+static constexpr Duration GoneServersInterval = fromMillis(500);
+
 /// How often a daemon repeats its list of requests in flight. Otherwise the
 /// loss of the message that a request has ended would look like a server that
 /// does not answer.
@@ -154,6 +158,7 @@
 }
 
 void PeerExchange::notifyRequestChange(TimePoint Now) {
+  this->reportGoneServers(Now);
   const FleetRuntimeRef Current = this->Fleet.get();
   if (!Current)
     return;
@@ -238,6 +243,8 @@
   }
   if (this->drawTurn(PoisonReportInterval, Interval))
     this->resendPoisonRequests(Now);
+  if (this->drawTurn(GoneServersInterval, Interval))
+    this->resendGoneServers(Now);
   if (this->Switches.isOn(Mechanism::HallEstimates) &&
       this->drawTurn(EstimateInterval, Interval))
     this->sendEstimates(Current, Now);
@@ -260,6 +267,29 @@
     this->reportPoisonRequests(Update, Now);
 }
 
+/// Reports the servers that have just proved to be gone.
+void PeerExchange::reportGoneServers(TimePoint Now) {
+  if (this->Notices.isEmpty())
+    return;
+  std::vector<GoneReport> Reports =
+      this->Notices.with([Now](ServerNotices &Known) {
+        return Known.drainGoneReports(PeerLink::MaxGoneServers, Now);
+      });
+  if (!Reports.empty())
+    this->Link.sendGoneServers(std::move(Reports));
+}
+
+void PeerExchange::resendGoneServers(TimePoint Now) {
+  if (this->Notices.isEmpty())
+    return;
+  std::vector<GoneReport> Reports =
+      this->Notices.with([Now](const ServerNotices &Known) {
+        return Known.listGoneReports(PeerLink::MaxGoneServers, Now);
+      });
+  if (!Reports.empty())
+    this->Link.sendGoneServers(std::move(Reports));
+}
+
 /// Decides at random whether this daemon sends for its hall in this round, so
 /// that the hall sends about once per Wanted. It need not matter which daemon
 /// does: their knowledge is nearly the same.
@@ -351,6 +381,9 @@
   for (const LimitReport &Each : Message.Limits)
     for (const NoticeChange &Change : Service.applyPeerLimit(Each, Now))
       logNoticeChange(Change, "");
+  for (const GoneReport &Each : Message.GoneServers)
+    for (const NoticeChange &Change : Service.applyPeerGone(Each, Now))
+      logNoticeChange(Change, "");
 }
 
 /// Applies a peer's usage report. Any message from this hall shows that its
--- a/lib/Daemon/PeerExchange.h
+++ b/lib/Daemon/PeerExchange.h
@@ -81,6 +81,8 @@
   void sendEstimates(const FleetRuntime &Current, TimePoint Now);
   void sendUsedEstimates(const FleetRuntime &Current, TimePoint Now);
   void resendPoisonRequests(TimePoint Now);
+  void reportGoneServers(TimePoint Now);
+  void resendGoneServers(TimePoint Now);
   void reportPaths(TimePoint Now);
   std::optional<std::vector<QuotaUsage>> collectHallUsage(TimePoint Now);
   void reportQuotaUsage(const FleetRuntime &Current, TimePoint Now);
--- a/lib/Daemon/PeerLink.cpp
+++ b/lib/Daemon/PeerLink.cpp
@@ -224,14 +224,24 @@
   this->sendWithinHall(encodePeerMessage(Message));
 }
 
-void PeerLink::sendPoisonReport(const PoisonRequestReport &Report) {
-  PeerMessage Message = this->makeMessage();
-  Message.PoisonRequests = Report;
+void PeerLink::sendToAll(const PeerMessage &Message) {
   const std::string Text = encodePeerMessage(Message);
   this->sendWithinHall(Text);
   this->sendToOtherHalls(Text);
 }
 
+void PeerLink::sendPoisonReport(const PoisonRequestReport &Report) {
+  PeerMessage Message = this->makeMessage();
+  Message.PoisonRequests = Report;
+  this->sendToAll(Message);
+}
+
+void PeerLink::sendGoneServers(std::vector<GoneReport> Reports) {
+  PeerMessage Message = this->makeMessage();
+  Message.GoneServers = std::move(Reports);
+  this->sendToAll(Message);
+}
+
 /// Chooses the peers from which to request a loan. The caller holds the mutex.
 std::vector<DaemonRecord> PeerLink::chooseLenders(bool AsksRemoteHall) {
   const size_t RemoteCount =
--- a/lib/Daemon/PeerMessage.cpp
+++ b/lib/Daemon/PeerMessage.cpp
@@ -77,6 +77,18 @@
   return Rows;
 }
 
+/// Encodes servers and the ages of their reports in whole milliseconds.
+static Json::Value encodeGoneServers(const std::vector<GoneReport> &Reports) {
+  Json::Value Rows(Json::arrayValue);
+  for (const GoneReport &Each : Reports) {
+    Json::Value Row(Json::arrayValue);
+    Row.append(fmt::format("{:x}", Each.Server));
+    Row.append(static_cast<Json::Int64>(toMillis(Each.Age)));
+    Rows.append(Row);
+  }
+  return Rows;
+}
+
 std::string encodePeerMessage(const PeerMessage &Message) {
   Json::Value Value;
   Value["from"] = Message.Source;
@@ -131,6 +143,8 @@
     Value["hall-orgs"] = encodeUsages(*Message.HallUsages);
   if (!Message.Limits.empty())
     Value["limits"] = encodeLimits(Message.Limits);
+  if (!Message.GoneServers.empty())
+    Value["gone"] = encodeGoneServers(Message.GoneServers);
   encodePoisonReport(Message.PoisonRequests, Value);
   return writeJson(Value);
 }
@@ -153,6 +167,14 @@
   return decodeHex(Row[0], Limit.Server);
 }
 
+static bool decodeGoneServer(const Json::Value &Row, GoneReport &Report) {
+  if (!Row.isArray() || Row.size() != 2 || !Row[1].isInt() ||
+      Row[1].asInt() < 0)
+    return false;
+  Report.Age = fromMillis(Row[1].asInt());
+  return decodeHex(Row[0], Report.Server);
+}
+
 static bool decodeLoan(const Json::Value &Row, RetryLoan &Loan) {
   if (!Row.isArray() || Row.size() != 2 || !Row[1].isUInt64())
     return false;
@@ -309,6 +331,9 @@
       Value["orgs"], decodeUsage, "malformed quota usage", Message.Usages));
   BOOST_OUTCOME_TRY(decodeOptionalList(
       Value["limits"], decodeLimit, "malformed server limit", Message.Limits));
+  BOOST_OUTCOME_TRY(decodeOptionalList(Value["gone"], decodeGoneServer,
+                                       "malformed gone server",
+                                       Message.GoneServers));
   if (!Value["hall-orgs"].isNull()) {
     Message.HallUsages.emplace();
     BOOST_OUTCOME_TRY(decodeOptionalList(Value["hall-orgs"], decodeUsage,
--- a/lib/Health/HealthPolicy.cpp
+++ b/lib/Health/HealthPolicy.cpp
@@ -26,7 +26,7 @@
     {PolicyKind::Pooled, "pooled"},
 }};
 
-static constexpr EnumNames<ShareReason, 10> ShareReasonNames = {{
+static constexpr EnumNames<ShareReason, 11> ShareReasonNames = {{
     {ShareReason::Healthy, "healthy"},
     {ShareReason::LocalEvidence, "own-evidence"},
     {ShareReason::HallEvidence, "hall-evidence"},
@@ -37,6 +37,7 @@
     {ShareReason::Limited, "limited"},
     {ShareReason::Cold, "cold"},
     {ShareReason::HallDrained, "hall-drained"},
+    {ShareReason::Gone, "gone"},
 }};
 
 const char *getName(PolicyKind Kind) {
--- a/lib/Metrics/Counters.cpp
+++ b/lib/Metrics/Counters.cpp
@@ -40,6 +40,7 @@
     {Counter::LeavingNoticesReceived, "leavings_heard"},
     {Counter::BackoffsReceived, "rests_heard"},
     {Counter::MalformedNotices, "notices_misread"},
+    {Counter::GoneServersFound, "gone_servers_found"},
     {Counter::ServersExcluded, "servers_left_out"},
     {Counter::ReportsSent, "reports_sent"},
     {Counter::ReportsMerged, "reports_taken"},
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -287,6 +287,8 @@
     return Counter::BackoffsReceived;
   case NoticeKind::Malformed:
     return Counter::MalformedNotices;
+  case NoticeKind::Gone:
+    return Counter::GoneServersFound;
   case NoticeKind::Warmup:
     break;
   }
@@ -294,6 +296,20 @@
   return Counter::LimitsReceived;
 }
 
+/// Records that a server is gone, if the request said which one it was for.
+void RequestProxy::handleMisdirection(const RequestContext &Request,
+                                      const Attempt &Current,
+                                      const std::string &RequestId) {
+  if (this->Options.Headers.ExpectedInstance.empty() ||
+      Request.Service->getServer(Current.Server).Instance.empty())
+    return;
+  for (const NoticeChange &Each :
+       Request.Service->recordGone(Current, readSteadyClock())) {
+    this->Counters.add(getCounter(Each.Kind));
+    logNoticeChange(Each, RequestId);
+  }
+}
+
 /// Applies the server notice in a response before any of it is relayed. Ignores
 /// responses to other requests, which may be old, and responses from another
 /// server that now has the address.
@@ -303,9 +319,12 @@
                                       const httplib::Response &Response) {
   const HeaderNames &Names = this->Options.Headers;
   const std::string Echo = Response.get_header_value(Names.RequestId);
-  if ((!Echo.empty() && Echo != RequestId) ||
-      Response.status == MisdirectedStatus)
+  if (!Echo.empty() && Echo != RequestId)
     return;
+  if (Response.status == MisdirectedStatus) {
+    this->handleMisdirection(Request, Current, RequestId);
+    return;
+  }
   const ServerNotice Notice =
       parseServerNotice(Response, Names, readCalendarMillis());
   for (const NoticeChange &Each :
--- a/lib/Proxy/ServiceNotices.cpp
+++ b/lib/Proxy/ServiceNotices.cpp
@@ -117,15 +117,40 @@
   });
 }
 
+/// Returns the index of the server with this id, if this service has it.
+std::optional<size_t> ServiceRuntime::findServerIndex(ServerId Id) const {
+  const auto Found = std::find(this->Ids.begin(), this->Ids.end(), Id);
+  if (Found == this->Ids.end())
+    return std::nullopt;
+  return static_cast<size_t>(Found - this->Ids.begin());
+}
+
 std::vector<NoticeChange>
 ServiceRuntime::applyPeerLimit(const LimitReport &Given, TimePoint Now) {
-  const auto Found =
-      std::find(this->Ids.begin(), this->Ids.end(), Given.Server);
-  if (Found == this->Ids.end())
+  const std::optional<size_t> Server = this->findServerIndex(Given.Server);
+  if (!Server)
+    return {};
+  return this->Notices->with([&](ServerNotices &All) {
+    return All.applyReport(this->makeNoticeSource(*Server), Given, Now);
+  });
+}
+
+std::vector<NoticeChange> ServiceRuntime::recordGone(const Attempt &From,
+                                                     TimePoint Now) {
+  if (!this->isOn(Mechanism::GoneServers))
+    return {};
+  return this->Notices->with([&](ServerNotices &All) {
+    return All.recordGone(this->makeNoticeSource(From.Server), Now, Now);
+  });
+}
+
+std::vector<NoticeChange> ServiceRuntime::applyPeerGone(const GoneReport &Given,
+                                                        TimePoint Now) {
+  const std::optional<size_t> Server = this->findServerIndex(Given.Server);
+  if (!Server || !this->isOn(Mechanism::GoneServers))
     return {};
-  const auto Server = static_cast<size_t>(Found - this->Ids.begin());
   return this->Notices->with([&](ServerNotices &All) {
-    return All.applyReport(this->makeNoticeSource(Server), Given, Now);
+    return All.applyGoneReport(this->makeNoticeSource(*Server), Given, Now);
   });
 }
 
@@ -192,6 +217,8 @@
     return ShareReason::ServerBackoff;
   case NoticeKind::Warmup:
     return ShareReason::Cold;
+  case NoticeKind::Gone:
+    return ShareReason::Gone;
   case NoticeKind::Malformed:
     break;
   }
--- a/lib/Routing/ServerNotices.cpp
+++ b/lib/Routing/ServerNotices.cpp
@@ -17,6 +17,7 @@
 #include "canvaswick/Support/EnumNames.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace canvaswick {
 
@@ -51,12 +52,13 @@
 /// The upper bound of a backoff.
 static constexpr Duration MaxBackoff = fromSeconds(300);
 
-static constexpr EnumNames<NoticeKind, 5> NoticeKindNames = {{
+static constexpr EnumNames<NoticeKind, 6> NoticeKindNames = {{
     {NoticeKind::Limit, "limit"},
     {NoticeKind::Leaving, "leaving"},
     {NoticeKind::Backoff, "rest"},
     {NoticeKind::Malformed, "misread"},
     {NoticeKind::Warmup, "warm-up"},
+    {NoticeKind::Gone, "gone"},
 }};
 
 static constexpr EnumNames<NoticeStep, 3> NoticeStepNames = {{
@@ -82,6 +84,7 @@
   if (Given == this->Fleet)
     return;
   this->Fleet = Given;
+  this->Gone.setSelf(Given.Self);
   for (auto &[Id, State] : this->Entries) {
     if (State.Limit)
       State.Limit->setFleet(Given, Now);
@@ -201,6 +204,22 @@
   return All;
 }
 
+std::vector<NoticeChange> ServerNotices::recordGone(const NoticeSource &Server,
+                                                    TimePoint ProvedAt,
+                                                    TimePoint Now) {
+  if (!this->Gone.recordAnswer(Server.Id, Server.Key, ProvedAt, Now))
+    return {};
+  return {{Server.Key, NoticeKind::Gone, NoticeStep::Begun, 0}};
+}
+
+std::vector<NoticeChange>
+ServerNotices::applyGoneReport(const NoticeSource &Server,
+                               const GoneReport &Given, TimePoint Now) {
+  if (!this->Gone.applyReport(Given, Server.Key, Now))
+    return {};
+  return {{Server.Key, NoticeKind::Gone, NoticeStep::Begun, 0}};
+}
+
 void ServerNotices::recordWarmup(const NoticeSource &From, double PerSecond,
                                  TimePoint Until, TimePoint Now) {
   if (PerSecond <= 0 || Until <= Now)
@@ -254,6 +273,8 @@
 }
 
 double ServerNotices::getShareFactor(ServerId Server, TimePoint Now) const {
+  if (this->Gone.isGone(Server, Now))
+    return 0;
   const auto Found = this->Entries.find(Server);
   if (Found == this->Entries.end())
     return 1;
@@ -273,17 +294,20 @@
 }
 
 Duration ServerNotices::getWait(ServerId Server, TimePoint Now) const {
+  const Duration GoneLeft =
+      std::min(SuccessorWait, this->Gone.getTimeLeft(Server, Now));
   const auto Found = this->Entries.find(Server);
   if (Found == this->Entries.end())
-    return Duration::zero();
+    return GoneLeft;
   const Entry &State = Found->second;
   if (isFuture(State.LeavingUntil, Now))
     return SuccessorWait;
   const Duration Backoff = isFuture(State.BackoffUntil, Now)
                                ? *State.BackoffUntil - Now
                                : Duration::zero();
-  Duration Wait =
-      State.Limit ? std::max(Backoff, State.Limit->getWait(Now)) : Backoff;
+  Duration Wait = std::max(Backoff, GoneLeft);
+  if (State.Limit)
+    Wait = std::max(Wait, State.Limit->getWait(Now));
   if (State.Warmup)
     Wait = std::max(Wait, State.Warmup->getWait(Now));
   return Wait;
@@ -302,11 +326,14 @@
 std::optional<NoticeKind> ServerNotices::getActiveKind(ServerId Server,
                                                        TimePoint Now) const {
   const auto Found = this->Entries.find(Server);
-  if (Found == this->Entries.end())
+  const bool IsKnown = Found != this->Entries.end();
+  if (IsKnown && isFuture(Found->second.LeavingUntil, Now))
+    return NoticeKind::Leaving;
+  if (this->Gone.isGone(Server, Now))
+    return NoticeKind::Gone;
+  if (!IsKnown)
     return std::nullopt;
   const Entry &State = Found->second;
-  if (isFuture(State.LeavingUntil, Now))
-    return NoticeKind::Leaving;
   if (isFuture(State.BackoffUntil, Now))
     return NoticeKind::Backoff;
   if (State.Limit)
@@ -340,6 +367,8 @@
   Changes All;
   for (auto &[Id, State] : this->Entries)
     endExpired(State, Now, All);
+  for (std::string &Key : this->Gone.forgetOld(Now))
+    All.push_back({std::move(Key), NoticeKind::Gone, NoticeStep::Ended, 0});
   std::erase_if(this->Entries, [](const auto &Each) {
     const Entry &State = Each.second;
     return !State.Limit && !State.LimitEndedAt && !State.LeavingUntil &&
@@ -350,6 +379,7 @@
 
 NoticeCounts ServerNotices::count(TimePoint Now) const {
   NoticeCounts Counts;
+  Counts.Gone = this->Gone.count(Now);
   for (const auto &[Id, State] : this->Entries) {
     Counts.Limited += State.Limit ? 1 : 0;
     Counts.Leaving += isFuture(State.LeavingUntil, Now) ? 1 : 0;
--- a/lib/Settings/PolicySwitches.cpp
+++ b/lib/Settings/PolicySwitches.cpp
@@ -43,6 +43,7 @@
     {Mechanism::EvidenceAtArrival, "evidence-at-arrival"},
     {Mechanism::LearnedOutcomes, "learned-outcomes"},
     {Mechanism::UrgentFailures, "failures-first"},
+    {Mechanism::GoneServers, "gone-servers"},
 }};
 
 const char *getName(Mechanism Which) {
--- a/unittests/Admission/FleetRetryBudgetTest.cpp
+++ b/unittests/Admission/FleetRetryBudgetTest.cpp
@@ -175,3 +175,121 @@
   CHECK(Taken >= 84);
   CHECK(Taken <= 88);
 }
+
+namespace {
+
+/// A retry that was taken, and is sent or given back later.
+struct HeldRetry {
+  size_t Daemon = 0;
+  TakenRetry Taken;
+  TimePoint SentAt{};
+  bool IsGivenBack = false;
+};
+
+/// A fleet whose retries are sent a while after they were taken: connections to
+/// servers fail meanwhile.
+struct SlowFleet : Fleet {
+  std::vector<HeldRetry> Held;
+
+  /// Lets the retries that are due by Now arrive.
+  void sendDue(TimePoint Now) {
+    std::erase_if(this->Held, [&](const HeldRetry &Each) {
+      if (Each.SentAt > Now)
+        return false;
+      if (Each.IsGivenBack) {
+        this->Daemons[Each.Daemon]->giveBack(Each.Taken);
+      } else {
+        this->Daemons[Each.Daemon]->recordSent(Each.Taken, Each.SentAt);
+        this->Retries.push_back(Each.SentAt);
+      }
+      return true;
+    });
+  }
+
+  /// Ends a daemon's process, with what it holds.
+  void restart(size_t Daemon, TimePoint Now) {
+    std::erase_if(this->Held, [Daemon](const HeldRetry &Each) {
+      return Each.Daemon == Daemon;
+    });
+    const size_t Count = this->Daemons.size();
+    this->Daemons[Daemon] = std::make_unique<FleetRetryBudget>(Limit, Now);
+    this->Daemons[Daemon]->configure(Limit, Count, Daemon);
+  }
+};
+
+} // namespace
+
+TEST_CASE("a fleet stays within its limit while retries are sent late or given "
+          "back, and demand falls") {
+  CHECK(rc::check([] {
+    SlowFleet Under;
+    static constexpr size_t Count = 12;
+    for (size_t I = 0; I < Count; ++I) {
+      Under.Daemons.push_back(std::make_unique<FleetRetryBudget>(Limit, Start));
+      Under.Daemons[I]->configure(Limit, Count, I);
+    }
+    TimePoint Now = Start + fromSeconds(30);
+    const auto Steps =
+        *rc::gen::container<std::vector<int>>(600, rc::gen::inRange(0, 100000));
+    for (size_t I = 0; I < Steps.size(); ++I) {
+      const auto Step = static_cast<size_t>(Steps[I]);
+      const size_t Which = Step % Count;
+      const size_t Kind = Step / Count % 40;
+      // Demand falls to a quarter in the second half.
+      const size_t LastRequestKind = I < Steps.size() / 2 ? 16 : 4;
+      Now += fromMillis(static_cast<int64_t>(Step % 70));
+      Under.sendDue(Now);
+      if (Kind == 0) {
+        Under.restart(Which, Now);
+      } else if (Kind == 39) {
+        const size_t Lender = (Which + 1) % Count;
+        if (Under.Daemons[Lender]->tryLend(Now))
+          Under.Daemons[Which]->borrow(Now + LoanTimeout);
+      } else if (Kind <= LastRequestKind) {
+        Under.Daemons[Which]->recordRequest(Now);
+        Under.Requests.push_back(Now);
+      } else {
+        const Duration Wait = fromMillis(static_cast<int64_t>(Step / 7 % 1400));
+        while (const auto Taken = Under.Daemons[Which]->tryTake(Now))
+          Under.Held.push_back({Which, *Taken, Now + Wait, Step % 5 == 0});
+      }
+      RC_ASSERT(Under.isWithinLimit(Now));
+    }
+  }));
+}
+
+TEST_CASE("a retry that was given back may be taken again") {
+  FleetRetryBudget Budget(Limit, Start);
+  Budget.configure(Limit, 40, 0);
+  const TimePoint Later = Start + fromSeconds(20);
+  const std::optional<TakenRetry> Taken = Budget.tryTake(Later);
+  REQUIRE(Taken);
+  CHECK_FALSE(Budget.hasRoom(Later));
+  Budget.giveBack(*Taken);
+  CHECK(Budget.tryTake(Later));
+}
+
+TEST_CASE("a retry counts from when it was sent") {
+  FleetRetryBudget Budget(Limit, Start);
+  Budget.configure(Limit, 40, 0);
+  const TimePoint Later = Start + fromSeconds(20);
+  const std::optional<TakenRetry> Taken = Budget.tryTake(Later);
+  REQUIRE(Taken);
+  Budget.recordSent(*Taken, Later + fromSeconds(1));
+  CHECK_FALSE(Budget.tryTake(Later + fromMillis(10500)));
+  CHECK(Budget.tryTake(Later + fromMillis(11500)));
+}
+
+TEST_CASE("a lent retry that is sent after its loan has expired counts here") {
+  FleetRetryBudget Budget(Limit, Start);
+  Budget.configure(Limit, 40, 0);
+  const TimePoint Later = Start + fromSeconds(20);
+  REQUIRE(Budget.tryTake(Later));
+  Budget.borrow(Later + LoanTimeout);
+  const std::optional<TakenRetry> Lent = Budget.tryTake(Later);
+  REQUIRE(Lent);
+  CHECK(Lent->LentUntil);
+  const TimePoint SentAt = Later + fromSeconds(1);
+  Budget.recordSent(*Lent, SentAt);
+  CHECK(Budget.getUse(SentAt).Used == 2);
+}
--- a/unittests/Daemon/PeerMessageTest.cpp
+++ b/unittests/Daemon/PeerMessageTest.cpp
@@ -40,6 +40,7 @@
   Message.Usages = {{0xffffffffffff, 12.25, 7}, {3, 0, -2}};
   Message.HallUsages = {{5, 1, 1234567}};
   Message.Limits = {{6, 1.8, fromMillis(250)}, {7, 0, fromMillis(0)}};
+  Message.GoneServers = {{0xfffffffe, fromMillis(250)}, {7, fromMillis(0)}};
   Message.PoisonRequests.Ends = {
       {0xfedcba9876543210, 0xfffffffe, 20, 300, 0xfffffffd}};
   Message.PoisonRequests.Answers = {{0xfedcba9876543210, 0}};
--- a/unittests/Proxy/ProxyFixture.h
+++ b/unittests/Proxy/ProxyFixture.h
@@ -76,16 +76,25 @@
         this->ServiceSettings, this->formatServers(), OrganisationSettings);
     Result<SettingsTree> Tree = SettingsTree::parse(Text, "bench.ini");
     REQUIRE(Tree);
+    const FleetConfigRef Config =
+        compileFleetConfig(Tree.value(), ++this->Version);
+    this->setConfig(this->isOnPlatform() ? addPlatformFields(*Config) : Config);
+  }
+
+  bool isOnPlatform() const {
+    return this->FleetRetries.Window > Duration::zero();
+  }
+
+  /// Puts settings in force.
+  void setConfig(const FleetConfigRef &Config) {
     DaemonIdentity Identity;
     Identity.Name = "d1";
     Identity.Hall = "a";
     Identity.Daemons = {"d1"};
     Identity.Switches.setManyServers(1);
-    FleetConfigRef Config = compileFleetConfig(Tree.value(), ++this->Version);
-    if (this->FleetRetries.Window > Duration::zero()) {
+    if (this->isOnPlatform()) {
       Identity.Source = SettingsSource::Platform;
       Identity.RetryLimit = this->FleetRetries;
-      Config = addPlatformFields(*Config);
     }
     const FleetRuntimeRef Previous = this->Fleet.get();
     this->Fleet.set(FleetRuntimeRef(
--- a/unittests/RetryArrivals/RetryArrivalsTest.cpp
+++ b/unittests/RetryArrivals/RetryArrivalsTest.cpp
@@ -41,6 +41,15 @@
     return Options;
   }
 
+  /// Applies settings in which no server has an instance.
+  void forgetInstances() {
+    auto *Config = new FleetConfig(this->Fleet.get()->getConfig());
+    for (ServiceConfig &Service : Config->Services)
+      for (ServerConfig &Each : Service.Servers)
+        Each.Instance.clear();
+    this->setConfig(FleetConfigRef(Config));
+  }
+
   /// Sends requests one after the other. Returns the arrivals beyond the first
   /// of each.
   int64_t countRepeatedArrivals(const std::string &Method,
@@ -62,6 +71,10 @@
     ArrivalFixture Fixture;
     Fixture.setFaults(Misdirecting);
     CHECK(Fixture.countRepeatedArrivals(Method, Target) <= AllowedRetries);
+    ArrivalFixture Unnamed;
+    Unnamed.setFaults(Misdirecting);
+    Unnamed.forgetInstances();
+    CHECK(Unnamed.countRepeatedArrivals(Method, Target) <= AllowedRetries);
   }
 }
 
@@ -100,6 +113,8 @@
     ArrivalFixture Fixture;
     if (drawFaults(Fixture) == ServerCount)
       return;
+    if (*rc::gen::arbitrary<bool>())
+      Fixture.forgetInstances();
     const std::string Method = *rc::gen::element<std::string>("GET", "POST");
     RC_ASSERT(Fixture.countRepeatedArrivals(
                   Method, Method == "GET" ? "/read/1" : "/pay/1") <=
@@ -107,3 +122,41 @@
   });
   CHECK(Holds);
 }
+
+TEST_CASE("a server that is gone gets one request, and callers are served") {
+  ArrivalFixture Fixture;
+  BackendFaults Misdirecting;
+  Misdirecting.Misdirect = true;
+  for (size_t I = 0; I < ServerCount / 2; ++I)
+    Fixture.Backends[I]->setFaults(Misdirecting);
+  int Served = 0;
+  for (int I = 0; I < 2 * RequestCount; ++I)
+    Served += Fixture.send("GET", "/read/1").Status == 200 ? 1 : 0;
+  CHECK(Served == 2 * RequestCount);
+  for (size_t I = 0; I < ServerCount / 2; ++I)
+    CHECK(Fixture.Backends[I]->countArrivals() <= 1);
+}
+
+TEST_CASE("where all servers are gone, callers are refused at once") {
+  ArrivalFixture Fixture;
+  BackendFaults Misdirecting;
+  Misdirecting.Misdirect = true;
+  Fixture.setFaults(Misdirecting);
+  (void)Fixture.countRepeatedArrivals("GET", "/read/1");
+  CHECK(Fixture.countArrivals() <= ServerCount);
+  const ExchangeResult Refused = Fixture.send("POST", "/pay/1");
+  CHECK(Refused.Status == 503);
+  CHECK(getHeader(Refused, OutcomeHeader) == "not-run");
+  CHECK(getHeader(Refused, ReasonHeader) == getName(Refusal::NoServer));
+  CHECK(std::stoi(getHeader(Refused, "Retry-After")) >= 1);
+}
+
+TEST_CASE("a server is not taken to be gone if the request did not name it") {
+  ArrivalFixture Fixture;
+  BackendFaults Misdirecting;
+  Misdirecting.Misdirect = true;
+  Fixture.setFaults(Misdirecting);
+  Fixture.forgetInstances();
+  (void)Fixture.send("GET", "/read/1");
+  CHECK(Fixture.Counters.get(Counter::GoneServersFound) == 0);
+}
