--- a/include/canvaswick/Proxy/RequestProxy.h
+++ b/include/canvaswick/Proxy/RequestProxy.h
@@ -176,17 +176,7 @@
                                   OutgoingRequest &Outgoing, TimePoint Deadline,
                                   int CallerSocket, const AnswerSink &Sink);
 
-  // RequestAttempts.cpp: attempts at servers.
-  void runAttempts(RequestContext &Request, ResponseRelay &Relay);
-  void notifyAttemptListener(TimePoint Now) const;
-  void handleServerNotice(const RequestContext &Request, Attempt &Current,
-                          const std::string &RequestId,
-                          const httplib::Response &Response);
-  void handleMisdirection(const RequestContext &Request, const Attempt &Current,
-                          const std::string &RequestId);
-  RequestOutcome runAttempt(RequestContext &Request, ResponseRelay &Relay,
-                            Attempt &Current);
-  RelayOptions makeRelayOptions(const RequestContext &Request) const;
+  // RequestOutgoing.cpp: the request that goes to a server.
   void setConnectionRules(const RequestContext &Request,
                           const ServerConfig &Server,
                           OutgoingRequest &Outgoing) const;
@@ -199,6 +189,18 @@
   void addServerHeaders(RequestContext &Request, const ServerConfig &Server,
                         const std::string &RequestId,
                         OutgoingRequest &Outgoing) const;
+
+  // RequestAttempts.cpp: attempts at servers.
+  void runAttempts(RequestContext &Request, ResponseRelay &Relay);
+  void notifyAttemptListener(TimePoint Now) const;
+  void handleServerNotice(const RequestContext &Request, Attempt &Current,
+                          const std::string &RequestId,
+                          const httplib::Response &Response);
+  void handleMisdirection(const RequestContext &Request, const Attempt &Current,
+                          const std::string &RequestId);
+  RequestOutcome runAttempt(RequestContext &Request, ResponseRelay &Relay,
+                            Attempt &Current);
+  RelayOptions makeRelayOptions(const RequestContext &Request) const;
   bool recheckQuarantine(RequestContext &Request, TimePoint Now) const;
   RequestOutcome reportToQuarantine(RequestContext &Request,
                                     const Attempt &Ended,
