canvaswickctl repeats: what repeats were used for, and who went without

The last open point of sight: the log lines now tell which tries were paid, and nobody added them up.

--- a/include/canvaswick/Operator/Commands.h
+++ b/include/canvaswick/Operator/Commands.h
@@ -66,6 +66,7 @@
 // Queries of the daemons' log files.
 Result<std::string> runRequest(const OperatorOptions &Options);
 Result<std::string> runLosses(const OperatorOptions &Options);
+Result<std::string> runRepeats(const OperatorOptions &Options);
 Result<std::string> runEntries(const OperatorOptions &Options);
 Result<std::string> runCopies(const OperatorOptions &Options);
 Result<std::string> runSuspects(const OperatorOptions &Options);
--- a/include/canvaswick/Operator/RequestReport.h
+++ b/include/canvaswick/Operator/RequestReport.h
@@ -33,6 +33,8 @@
   double Load = -1;
   /// Whether the attempt was a probe of the server's health.
   bool IsTest = false;
+  /// Whether a retry was used up for it.
+  bool IsPaid = false;
   /// The calendar time at which the attempt ended, in seconds.
   double Ended = 0;
 };
--- a/lib/Operator/FleetCommands.cpp
+++ b/lib/Operator/FleetCommands.cpp
@@ -279,6 +279,8 @@
        "ID LOG...: what the daemons' logs tell of one request"},
       {"losses", runLosses,
        "LOG...: attempts that did not go well, by what was known"},
+      {"repeats", runRepeats,
+       "LOG...: what repeats were used for, and who went without"},
       {"suspects", runSuspects, "LOG...: requests under which servers ended"},
       {"entries", runEntries,
        "LOG...: entries at the platform that could not be read"},
--- a/lib/Operator/LogCommands.cpp
+++ b/lib/Operator/LogCommands.cpp
@@ -15,6 +15,7 @@
 #include "canvaswick/Operator/Commands.h"
 #include "canvaswick/Operator/LogTables.h"
 #include "canvaswick/Operator/LossTable.h"
+#include "canvaswick/Operator/RetryTable.h"
 
 namespace canvaswick {
 
@@ -42,6 +43,10 @@
   return buildTable(Options, makeLossTable);
 }
 
+Result<std::string> runRepeats(const OperatorOptions &Options) {
+  return buildTable(Options, makeRetryTable);
+}
+
 Result<std::string> runEntries(const OperatorOptions &Options) {
   return buildTable(Options, makeEntryTable);
 }
--- a/lib/Operator/RequestReport.cpp
+++ b/lib/Operator/RequestReport.cpp
@@ -49,7 +49,8 @@
 }
 
 /// Decodes SERVER:OUTCOME:TIMEms:share=SHARE[:sick=PROBABILITY:load=REQUESTS
-/// [:test][:peer][:kept]]. Returns false if Text doesn't match up to the share.
+/// [:test][:peer][:kept][:paid]]. Returns false if Text doesn't match up to the
+/// share.
 static bool decodeAttempt(std::string Text, LoggedAttempt &Attempt) {
   Attempt.Server = removeUntil(Text, ':');
   Attempt.Outcome = removeUntil(Text, ':');
@@ -62,9 +63,11 @@
         std::strtod(removeUntil(Text, ':').c_str(), nullptr);
   if (removeUntil(Text, '=') == "load")
     Attempt.Load = std::strtod(removeUntil(Text, ':').c_str(), nullptr);
-  while (!Text.empty())
-    if (removeUntil(Text, ':') == "test")
-      Attempt.IsTest = true;
+  while (!Text.empty()) {
+    const std::string Flag = removeUntil(Text, ':');
+    Attempt.IsTest |= Flag == "test";
+    Attempt.IsPaid |= Flag == "paid";
+  }
   return !Attempt.Server.empty() && !Attempt.Outcome.empty();
 }
 
