--- a/unittests/Proxy/ServiceGoneTest.cpp
+++ b/unittests/Proxy/ServiceGoneTest.cpp
@@ -16,6 +16,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace canvaswick;
 
 /// Longer than a server that cannot be connected to is left alone.
@@ -74,6 +76,42 @@
   CHECK(Fixture.send(400, Later)["b0@1f"] > 20);
 }
 
+/// Sends requests for two seconds. Those at the servers in Failing fail, and a
+/// quarter of the others, so that the floor is in force. Returns how many each
+/// server got in the second half.
+static std::map<std::string, int>
+sendWithFailures(ServiceFixture &Fixture,
+                 const std::vector<std::string> &Failing) {
+  std::map<std::string, int> Sent;
+  for (int Millis = 0; Millis < 2000; Millis += 5) {
+    const TimePoint Now = FixtureStart + fromMillis(Millis);
+    Fixture.Service->advance(Now);
+    Attempt Current;
+    REQUIRE(
+        Fixture.Service->begin(Current, ServiceFixture::makeNeeds(Now), Now));
+    const std::string Name = Fixture.Service->getServer(Current.Server).Name;
+    const bool IsFailing =
+        Millis % 20 == 0 ||
+        std::find(Failing.begin(), Failing.end(), Name) != Failing.end();
+    Fixture.Service->end(
+        Current, IsFailing ? RequestOutcome::Failed : RequestOutcome::Good,
+        Now + fromMillis(2));
+    Sent[Name] += Millis >= 1000 ? 1 : 0;
+  }
+  return Sent;
+}
+
+TEST_CASE("the floor is kept among the servers that are left") {
+  ServiceFixture Fixture(10);
+  for (const char *Name : {"b0", "b1", "b2", "b3", "b4", "b5"})
+    (void)Fixture.Service->applyPeerGone({getServerId("s", Name), Duration{}},
+                                         FixtureStart);
+  // Three of the four that are left must be reached within the second.
+  std::map<std::string, int> Sent = sendWithFailures(Fixture, {"b6", "b7"});
+  CHECK(Sent["b0"] == 0);
+  CHECK(Sent["b6"] + Sent["b7"] >= 1);
+}
+
 TEST_CASE("where all servers are gone, requests are refused at once") {
   ServiceFixture Fixture(2);
   findGone(Fixture, "b0");
