--- a/lib/Proxy/RequestOutgoing.cpp
+++ b/lib/Proxy/RequestOutgoing.cpp
@@ -7,8 +7,8 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// The part of RequestProxy that builds the request of one attempt: its headers,
-/// its time limits, and which connections may carry it.
+/// The part of RequestProxy that builds the request of one attempt: its
+/// headers, its time limits, and which connections may carry it.
 ///
 //===----------------------------------------------------------------------===//
 
