--- a/lib/Bench/CapacityBench.cpp
+++ b/lib/Bench/CapacityBench.cpp
@@ -266,6 +266,7 @@
        measureClaims},
       {"starts", "a whole fleet that starts at once (model)", measureStarts},
       {"spread", "a configuration goes round in a hall (model)", measureSpread},
+      {"gone", "servers that end while they stay listed (model)", measureGone},
       {"detection", "detection time against the rate seen", measureDetection},
   };
   return Tables;
--- a/lib/Bench/CapacityTables.h
+++ b/lib/Bench/CapacityTables.h
@@ -63,6 +63,10 @@
 /// model. Returns CSV.
 std::string measureSpread();
 
+/// Counts what arrives at servers that have ended while they stay listed, in a
+/// model of the fleet.
+std::string measureGone();
+
 } // namespace canvaswick
 
 #endif // CANVASWICK_LIB_BENCH_CAPACITYTABLES_H
