A tunnel says how the server's connection ended; a peer that ends is no end of an answer

Cause: an answer without a length ends with its connection, which on a tunnel is the peer's. The system closes the connections of a killed process as the peer does when the server has closed. Ruled out: the relay, which states the length of what arrived; answers with a length or chunks, which are seen cut.

Now the peer sends frames and a last one that says how the server's connection ended. Without it the tunnel is lost: the answer is incomplete, the server is not blamed (before, a killed peer counted as a failure of the server and as an end under the request), and the peer is asked no more. Through a peer of a build before, which has no frames, an answer without a length is not taken; one before that asks this one gets plain bytes as it did.

--- a/include/canvaswick/Http/HttpClient.h
+++ b/include/canvaswick/Http/HttpClient.h
@@ -109,7 +109,7 @@
   /// sent, unless empty. Nothing is sent if it returns false.
   std::function<bool()> BeforeSend;
   /// Whether a response without a length may be delimited by the end of its
-  /// connection.
+  /// connection, if that is known to be the server's.
   bool MayEndWithConnection = false;
 };
 
@@ -124,6 +124,12 @@
   size_t BytesReceived = 0;
   /// Whether the request was sent on a kept connection.
   bool WasKept = false;
+  /// Whether a tunnel ended before the server's connection did: the peer that
+  /// carried it ended, or the link to it.
+  bool WasTunnelLost = false;
+  /// Whether the response ends with its connection, and the peer that carries
+  /// the tunnel does not say when that is.
+  bool HasUnmarkedEnd = false;
   /// How a tunnel was answered, if one was asked for.
   TunnelAnswer Tunnel = TunnelAnswer::Opened;
 };
--- a/include/canvaswick/Http/SocketStream.h
+++ b/include/canvaswick/Http/SocketStream.h
@@ -15,17 +15,27 @@
 #ifndef CANVASWICK_HTTP_SOCKETSTREAM_H
 #define CANVASWICK_HTTP_SOCKETSTREAM_H
 
+#include "canvaswick/Http/TunnelFrames.h"
 #include "canvaswick/Support/Time.h"
 
 #include <httplib.h>
 
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace canvaswick {
 
 /// The reason why a read or write failed.
-enum class StreamFailure { None, Closed, Timeout, WatchedPeerGone, Io };
+enum class StreamFailure {
+  None,
+  Closed,
+  Timeout,
+  WatchedPeerGone,
+  Io,
+  /// The tunnel ended before the server's connection did.
+  TunnelLost,
+};
 
 /// A connected TCP socket with a read buffer. Closes the socket when destroyed.
 /// Not thread-safe.
@@ -57,6 +67,15 @@
   /// Stops counting head bytes: the body follows.
   void endHead();
 
+  /// Makes the stream a tunnel: what is read from now on are frames of the
+  /// server's bytes if HasFrames, otherwise these bytes alone. Returns false if
+  /// what has arrived already is not made of frames.
+  bool beginTunnel(bool HasFrames);
+
+  /// Returns whether the end of input is known to be the end of the server's
+  /// connection, and not that of a peer which passes its bytes on.
+  bool showsServerEnd() const { return !this->IsTunnel || this->Frames; }
+
   /// Sets whether writes are discarded. Used when the response has already been
   /// written.
   void muteWrites(bool Muted);
@@ -125,6 +144,8 @@
   bool waitFor(short Events);
   bool extendDeadline();
   ssize_t fill();
+  bool takeReceived(size_t Count);
+  ssize_t endInput(bool IsClosed);
   bool checkHeadByte(char Byte);
   void escapeHead();
 
@@ -137,6 +158,8 @@
   Duration StallLimit = Duration::zero();
   std::string Buffer;
   size_t BufferAt = 0;
+  bool IsTunnel = false;
+  std::optional<TunnelFrameDecoder> Frames;
   bool Muted = false;
   bool Lingering = false;
   bool InHead = false;
--- a/include/canvaswick/Http/Tunnel.h
+++ b/include/canvaswick/Http/Tunnel.h
@@ -28,6 +28,11 @@
 /// The protocol to which that request switches.
 inline constexpr const char *TunnelProtocol = "canvaswick-tunnel";
 
+/// Asks the peer for frames, and says that it sends them (TunnelFrames.h). A
+/// peer that does not know them leaves the header out.
+inline constexpr const char *TunnelFramesHeader = "Canvaswick-Tunnel-Frames";
+inline constexpr const char *TunnelFramesVersion = "1";
+
 /// Name the server to connect to.
 inline constexpr const char *TunnelServiceHeader = "Canvaswick-Service";
 inline constexpr const char *TunnelServerHeader = "Canvaswick-Server";
@@ -56,12 +61,13 @@
                         TimePoint Deadline);
 
 /// Writes the answer that opens a tunnel. Returns false if the peer is gone.
-bool acceptTunnel(SocketStream &Caller);
+bool acceptTunnel(SocketStream &Caller, bool HasFrames);
 
-/// Passes bytes on between two connections until one of them ends. Returns
-/// whether all that the server sent was passed on and the server closed its
-/// connection properly: if not, the caller's connection must be reset.
-bool relayTunnel(SocketStream &Caller, SocketStream &Server);
+/// Passes bytes on between two connections until one of them ends, the server's
+/// in frames if HasFrames. Returns whether the caller has all that the server
+/// sent and can tell how its connection ended: if not, the caller's connection
+/// must be reset.
+bool relayTunnel(SocketStream &Caller, SocketStream &Server, bool HasFrames);
 
 } // namespace canvaswick
 
--- a/include/canvaswick/Metrics/Counters.h
+++ b/include/canvaswick/Metrics/Counters.h
@@ -80,6 +80,7 @@
   /// Attempts that a peer connected to a server, and peers that did not.
   TunnelsOpened,
   TunnelsDeclined,
+  TunnelsLost,
   /// Connections to servers for peers, and those that were refused to them.
   TunnelsCarried,
   TunnelsRefused,
--- a/include/canvaswick/Proxy/RequestProxy.h
+++ b/include/canvaswick/Proxy/RequestProxy.h
@@ -171,6 +171,7 @@
   ExchangeResult sendAttempt(RequestContext &Request, const Attempt &Current,
                              OutgoingRequest &Outgoing, TimePoint Deadline,
                              int CallerSocket, const AnswerSink &Sink);
+  void leavePeer(RequestContext &Request, const TunnelPeer &Peer);
   ExchangeResult sendThroughPeers(RequestContext &Request,
                                   const ServerConfig &Server,
                                   OutgoingRequest &Outgoing, TimePoint Deadline,
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -275,8 +275,9 @@
                               Sink](const httplib::Response &Response) {
     Stream.endHead();
     State.IsBodyless = isBodyless(Response.status);
-    State.IsUnframed =
-        !State.IsBodyless && !isFramed(Response, Outgoing.MayEndWithConnection);
+    const bool MayEnd =
+        Outgoing.MayEndWithConnection && Stream.showsServerEnd();
+    State.IsUnframed = !State.IsBodyless && !isFramed(Response, MayEnd);
     if (State.IsUnframed)
       return false;
     State.HeadTaken = true;
@@ -377,6 +378,8 @@
   Stream->setDeadlineExtension(nullptr);
   Result.BytesSent = Stream->countBytesWritten();
   Result.BytesReceived = Stream->countBytesRead();
+  Result.WasTunnelLost = Stream->getFailure() == StreamFailure::TunnelLost;
+  Result.HasUnmarkedEnd = State.IsUnframed && !Stream->showsServerEnd();
   // cpp-httplib does not call the response handler if the method or status
   // implies that there is no body.
   const bool IsHeadOnly = IsDone && !State.HeadTaken;
--- a/lib/Http/SocketStream.cpp
+++ b/lib/Http/SocketStream.cpp
@@ -158,26 +158,64 @@
   }
 }
 
+bool SocketStream::beginTunnel(bool HasFrames) {
+  this->IsTunnel = true;
+  if (!HasFrames)
+    return true;
+  this->Frames.emplace();
+  const std::string Early = this->Buffer.substr(this->BufferAt);
+  this->Buffer.clear();
+  this->BufferAt = 0;
+  return this->Frames->decode(Early, this->Buffer);
+}
+
+/// Takes what was received into the buffer: Count bytes, of which some may be
+/// marks of a tunnel's frames. Returns false if they are malformed.
+bool SocketStream::takeReceived(size_t Count) {
+  this->Buffer.resize(Count);
+  if (this->Frames) {
+    std::string Payload;
+    if (!this->Frames->decode(this->Buffer, Payload))
+      return false;
+    this->Buffer = std::move(Payload);
+  }
+  this->BytesRead += this->Buffer.size();
+  return true;
+}
+
+/// Records why there is no more input, and returns what a read returns then.
+ssize_t SocketStream::endInput(bool IsClosed) {
+  this->Buffer.clear();
+  this->Failure = IsClosed ? StreamFailure::Closed : StreamFailure::Io;
+  if (this->Frames && this->Frames->getEnd() == TunnelServerEnd::None)
+    this->Failure = StreamFailure::TunnelLost;
+  return this->Failure == StreamFailure::Closed ? 0 : -1;
+}
+
 ssize_t SocketStream::fill() {
   this->Buffer.resize(BufferBytes);
   this->BufferAt = 0;
   while (true) {
+    if (this->Frames && this->Frames->getEnd() != TunnelServerEnd::None)
+      return this->endInput(this->Frames->getEnd() == TunnelServerEnd::Closed);
     const ssize_t Count =
         ::recv(this->Descriptor, this->Buffer.data(), BufferBytes, 0);
     if (Count > 0) {
-      this->Buffer.resize(static_cast<size_t>(Count));
-      this->BytesRead += static_cast<size_t>(Count);
+      if (!this->takeReceived(static_cast<size_t>(Count)))
+        return this->endInput(false);
+      // The bytes may have been marks only.
+      if (this->Buffer.empty()) {
+        this->Buffer.resize(BufferBytes);
+        continue;
+      }
       if (this->InHead && !this->IsHeadEscaped)
         this->escapeHead();
-      return Count;
+      return static_cast<ssize_t>(this->Buffer.size());
     }
     const bool IsRetry = Count < 0 && (errno == EAGAIN ||
                                        errno == EWOULDBLOCK || errno == EINTR);
-    if (!IsRetry) {
-      this->Buffer.clear();
-      this->Failure = Count == 0 ? StreamFailure::Closed : StreamFailure::Io;
-      return Count;
-    }
+    if (!IsRetry)
+      return this->endInput(Count == 0);
     if (!this->waitFor(POLLIN)) {
       this->Buffer.clear();
       return -1;
--- a/lib/Http/Tunnel.cpp
+++ b/lib/Http/Tunnel.cpp
@@ -19,6 +19,8 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <cctype>
 #include <cerrno>
 #include <charconv>
 
@@ -63,21 +65,36 @@
   return Status;
 }
 
+/// Returns whether a response head says that the tunnel has frames.
+static bool announcesFrames(std::string Head) {
+  const auto ToLower = [](unsigned char Byte) {
+    return static_cast<char>(std::tolower(Byte));
+  };
+  std::string Line =
+      fmt::format("\r\n{}: {}\r\n", TunnelFramesHeader, TunnelFramesVersion);
+  std::transform(Head.begin(), Head.end(), Head.begin(), ToLower);
+  std::transform(Line.begin(), Line.end(), Line.begin(), ToLower);
+  return Head.find(Line) != std::string::npos;
+}
+
 TunnelAnswer openTunnel(SocketStream &Stream, const TunnelTarget &Target,
                         TimePoint Deadline) {
   Stream.setDeadline(Deadline);
   std::string Request =
       fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\nConnection: Upgrade\r\n"
-                  "Upgrade: {}\r\n",
-                  TunnelPath, Target.Peer.format(), TunnelProtocol);
+                  "Upgrade: {}\r\n{}: {}\r\n",
+                  TunnelPath, Target.Peer.format(), TunnelProtocol,
+                  TunnelFramesHeader, TunnelFramesVersion);
   for (const auto &[Name, Value] : Target.Headers)
     Request += fmt::format("{}: {}\r\n", Name, Value);
   Request += "\r\n";
   if (static_cast<httplib::Stream &>(Stream).write(Request) < 0)
     return TunnelAnswer::NoPeer;
-  switch (parseStatus(readHead(Stream))) {
+  const std::string Head = readHead(Stream);
+  switch (parseStatus(Head)) {
   case SwitchingProtocols:
-    return TunnelAnswer::Opened;
+    return Stream.beginTunnel(announcesFrames(Head)) ? TunnelAnswer::Opened
+                                                     : TunnelAnswer::NoPeer;
   case BadGateway:
     return TunnelAnswer::NoServer;
   case 0:
@@ -87,11 +104,15 @@
   }
 }
 
-bool acceptTunnel(SocketStream &Caller) {
-  const std::string Answer =
+bool acceptTunnel(SocketStream &Caller, bool HasFrames) {
+  std::string Answer =
       fmt::format("HTTP/1.1 {} Switching Protocols\r\nConnection: Upgrade\r\n"
-                  "Upgrade: {}\r\n\r\n",
+                  "Upgrade: {}\r\n",
                   SwitchingProtocols, TunnelProtocol);
+  if (HasFrames)
+    Answer +=
+        fmt::format("{}: {}\r\n", TunnelFramesHeader, TunnelFramesVersion);
+  Answer += "\r\n";
   return static_cast<httplib::Stream &>(Caller).write(Answer) >= 0;
 }
 
@@ -100,7 +121,8 @@
 /// One direction of a tunnel.
 class TunnelDirection {
 public:
-  TunnelDirection(int From, int To) : From(From), To(To) {}
+  TunnelDirection(int From, int To, bool HasFrames)
+      : From(From), To(To), HasFrames(HasFrames) {}
 
   /// Returns whether it can read more.
   bool wantsInput() const { return !this->HasEnded && this->isEmpty(); }
@@ -111,8 +133,16 @@
   /// Returns whether all was passed on and nothing more will come.
   bool isDone() const { return this->HasEnded && this->isEmpty(); }
 
+  /// Returns whether nothing more will be read.
+  bool hasEnded() const { return this->HasEnded; }
+
+  /// Returns whether a connection failed, so that the other end can't be told.
   bool isBroken() const { return this->IsBroken; }
 
+  /// Ends the direction: nothing more is read, and the last frame says that the
+  /// server's connection has failed.
+  void fail() { this->end(TunnelServerEnd::Failed); }
+
   /// Reads and writes what is possible without waiting.
   void advance() {
     if (this->wantsInput())
@@ -134,9 +164,21 @@
     this->At = 0;
     const ssize_t Count =
         ::recv(this->From, this->Buffer.data(), this->Buffer.size(), 0);
+    const bool IsFailed = Count < 0 && !isTemporary();
     this->Buffer.resize(Count > 0 ? static_cast<size_t>(Count) : 0);
-    this->HasEnded = Count == 0;
-    this->IsBroken = Count < 0 && !isTemporary();
+    if (Count > 0 && this->HasFrames)
+      this->Buffer.insert(0, makeTunnelFrameHead(this->Buffer.size()));
+    if (Count == 0)
+      this->end(TunnelServerEnd::Closed);
+    if (IsFailed && this->HasFrames)
+      this->fail();
+    this->IsBroken = IsFailed && !this->HasFrames;
+  }
+
+  void end(TunnelServerEnd How) {
+    if (this->HasFrames && !this->HasEnded)
+      this->Buffer += makeTunnelEndFrame(How);
+    this->HasEnded = true;
   }
 
   void write() {
@@ -150,6 +192,7 @@
 
   const int From;
   const int To;
+  const bool HasFrames;
   std::string Buffer;
   size_t At = 0;
   bool HasEnded = false;
@@ -163,22 +206,26 @@
                             (Out.hasOutput() ? POLLOUT : 0));
 }
 
-bool relayTunnel(SocketStream &Caller, SocketStream &Server) {
-  TunnelDirection Requests(Caller.socket(), Server.socket());
-  TunnelDirection Answers(Server.socket(), Caller.socket());
+bool relayTunnel(SocketStream &Caller, SocketStream &Server, bool HasFrames) {
+  TunnelDirection Requests(Caller.socket(), Server.socket(), false);
+  TunnelDirection Answers(Server.socket(), Caller.socket(), HasFrames);
   while (true) {
     pollfd Polls[2] = {
         {Caller.socket(),
          static_cast<short>(getEvents(Requests, Answers) | POLLRDHUP), 0},
-        {Server.socket(), getEvents(Answers, Requests), 0}};
+        {Requests.isBroken() || Answers.hasEnded() ? -1 : Server.socket(),
+         getEvents(Answers, Requests), 0}};
     if (::poll(Polls, 2, PollMillis) < 0 && errno != EINTR)
       return false;
     // The caller never closes one direction only: it has given up.
     if ((Polls[0].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0)
       return false;
-    Requests.advance();
+    if (!Requests.isBroken())
+      Requests.advance();
+    if (Requests.isBroken() && HasFrames)
+      Answers.fail();
     Answers.advance();
-    if (Requests.isBroken() || Answers.isBroken())
+    if (Answers.isBroken() || (Requests.isBroken() && !HasFrames))
       return false;
     if (Answers.isDone())
       return true;
--- a/lib/Metrics/Counters.cpp
+++ b/lib/Metrics/Counters.cpp
@@ -73,6 +73,7 @@
     {Counter::RetryLoansFailed, "repeats_asked_in_vain"},
     {Counter::TunnelsOpened, "tunnels_opened"},
     {Counter::TunnelsDeclined, "tunnels_declined"},
+    {Counter::TunnelsLost, "tunnels_lost"},
     {Counter::TunnelsCarried, "tunnels_carried"},
     {Counter::TunnelsRefused, "tunnels_refused"},
     {Counter::WaitsBegun, "waits_begun"},
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -33,6 +33,13 @@
 static constexpr size_t MaxUnreachable = 4;
 static constexpr size_t MaxQuicklyUnreachable = 8;
 
+/// Returns how the trail shows that a peer connected to the server.
+static const char *getPathMark(const Attempt &Ended) {
+  if (!Ended.IsThroughPeer)
+    return "";
+  return Ended.WasPeerLost ? ":peer-lost" : ":peer";
+}
+
 /// Appends an attempt to the trail that is logged when the request ends.
 void RequestProxy::addToTrail(RequestContext &Request, const Attempt &Ended,
                               RequestOutcome Outcome, Duration Took) {
@@ -44,8 +51,7 @@
       Ended.Share, Ended.UnhealthyProbability, Ended.ServerLoad,
       Ended.IsTest ? ":test" : "",
       Ended.Placed ? fmt::format(":{}", getName(*Ended.Placed)) : "",
-      Ended.IsThroughPeer ? ":peer" : "",
-      Ended.WasConnectionKept ? ":kept" : "",
+      getPathMark(Ended), Ended.WasConnectionKept ? ":kept" : "",
       std::exchange(Request.IsRetryPaid, false) ? ":paid" : "");
 }
 
@@ -281,8 +287,9 @@
   const RequestOutcome Outcome = this->classifyExchange(Request, Relay, Result);
   Current.WasTimedOut = Result.End == ExchangeEnd::Timeout;
   Current.WasConnectionKept = Result.WasKept;
+  Current.WasPeerLost = Request.WasPeerLost;
   Current.WasCutOff = Result.End == ExchangeEnd::Broken &&
-                      Result.BytesReceived == 0 &&
+                      Result.BytesReceived == 0 && !Current.WasPeerLost &&
                       !Request.Service->isDisregarded(Current);
   Current.HadNoTunnel =
       Result.End == ExchangeEnd::NotSent && Current.IsThroughPeer;
@@ -326,6 +333,7 @@
                                               const ExchangeResult &Result) {
   Request.WasFailed = true;
   Request.WasTimeout = Result.End == ExchangeEnd::Timeout;
+  Request.WasPeerLost = Result.WasTunnelLost || Result.HasUnmarkedEnd;
   switch (Result.End) {
   case ExchangeEnd::NoConnection:
     return RequestOutcome::Canceled;
@@ -353,6 +361,10 @@
     this->Counters.add(Counter::CallerHangUps);
     return RequestOutcome::Canceled;
   }
+  if (Request.WasPeerLost) {
+    this->Counters.add(Counter::TunnelsLost);
+    return RequestOutcome::Canceled;
+  }
   if (Result.End != ExchangeEnd::Complete) {
     this->Counters.add(Counter::UpstreamFailures);
     return RequestOutcome::Failed;
--- a/lib/Proxy/RequestContext.h
+++ b/lib/Proxy/RequestContext.h
@@ -78,6 +78,8 @@
   RunOutcome Outcome = RunOutcome::NotRun;
   bool WasFailed = false;
   bool WasTimeout = false;
+  /// Whether the peer that passed the last answer on ended before it.
+  bool WasPeerLost = false;
   bool WasCanceled = false;
   bool HasNoServer = false;
   bool IsAnswered = false;
--- a/lib/Proxy/RequestPaths.cpp
+++ b/lib/Proxy/RequestPaths.cpp
@@ -107,6 +107,13 @@
   return Result;
 }
 
+/// Asks a peer no more for this request, and later than others for the next
+/// ones: it declined, or ended while it carried a tunnel.
+void RequestProxy::leavePeer(RequestContext &Request, const TunnelPeer &Peer) {
+  Request.AskedPeers.push_back(Peer.Name);
+  this->Paths.recordDeclined(Peer, readSteadyClock());
+}
+
 /// Sends an attempt through the first peer that connects to the server.
 ExchangeResult RequestProxy::sendThroughPeers(RequestContext &Request,
                                               const ServerConfig &Server,
@@ -132,17 +139,19 @@
                                       CallerSocket, &Sink);
     if (Result.End != ExchangeEnd::NotSent) {
       this->Counters.add(Counter::TunnelsOpened);
+      if (Result.WasTunnelLost || Result.HasUnmarkedEnd)
+        this->leavePeer(Request, *Peer);
       return Result;
     }
     this->Counters.add(Counter::TunnelsDeclined);
-    Request.AskedPeers.push_back(Peer->Name);
     if (Result.Tunnel == TunnelAnswer::NoServer) {
       // Unless the links of both are cut, which the next probe of each shows,
       // the server is gone, and the next one may be reached directly.
+      Request.AskedPeers.push_back(Peer->Name);
       Request.LinkFailedAt.reset();
       return Result;
     }
-    this->Paths.recordDeclined(*Peer, readSteadyClock());
+    this->leavePeer(Request, *Peer);
   }
   Request.HasNoPeer = true;
   return Result;
--- a/lib/Proxy/RequestProxy.cpp
+++ b/lib/Proxy/RequestProxy.cpp
@@ -294,6 +294,8 @@
     return;
   }
   Request.Reason = Request.WasTimeout ? "deadline" : "server-failed";
+  if (Request.WasPeerLost)
+    Request.Reason = "peer-lost";
   if (Request.HasNoPeer && Request.Outcome == RunOutcome::NotRun)
     Request.Reason = "servers-out-of-reach";
   int Status = Request.WasTimeout ? 504 : 502;
--- a/lib/Proxy/TunnelResponder.cpp
+++ b/lib/Proxy/TunnelResponder.cpp
@@ -80,8 +80,11 @@
 /// Carries an open tunnel until it ends.
 void TunnelResponder::carry(HttpExchange &Exchange, int Connection) {
   SocketStream Server(Connection);
+  const bool HasFrames = Exchange.Request.get_header_value(
+                             TunnelFramesHeader) == TunnelFramesVersion;
   Exchange.Stream.detectDeadPeer();
-  if (!acceptTunnel(Exchange.Stream) || !relayTunnel(Exchange.Stream, Server))
+  if (!acceptTunnel(Exchange.Stream, HasFrames) ||
+      !relayTunnel(Exchange.Stream, Server, HasFrames))
     Exchange.Stream.resetOnClose();
 }
 
