A resumed answer is as long as was promised, or is cut

A caller whose answer was cut and resumed from another server got less than the stated length if that server's rest was complete by itself but short, and then the next answer on its connection as the rest; if it was too long, surplus bytes came where the next answer was expected.

Cause: the head of the rest was checked, the number of its bytes was not. Now bytes beyond the length are not passed on, a short rest counts as a failure, and what an attempt left behind before anything reached the caller is not counted for the next one.

--- a/include/canvaswick/Proxy/ResponseRelay.h
+++ b/include/canvaswick/Proxy/ResponseRelay.h
@@ -91,6 +91,10 @@
   /// Handles a piece of the body. Returns false if the caller has disconnected.
   bool handleBody(const char *Data, size_t Size);
 
+  /// Returns whether the caller got as much of the body as its head states. A
+  /// resumed response may be complete by itself and still be too short.
+  bool hasWholeBody() const;
+
   /// Completes a relayed response. IsWhole tells whether all of it arrived; if
   /// not, the caller's connection is closed.
   void finish(bool IsWhole);
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -308,6 +308,11 @@
     return Relay.getStatus() == MisdirectedStatus ? RequestOutcome::Misdirected
                                                   : RequestOutcome::Shed;
   case ResponseVerdict::Relayed:
+    if (!Relay.hasWholeBody()) {
+      this->Counters.add(Counter::UpstreamFailures);
+      Request.Outcome = RunOutcome::NotKnown;
+      return RequestOutcome::Failed;
+    }
     Request.IsAnswered = true;
     Request.WasFailed = Relay.getStatus() >= 500;
     break;
--- a/lib/Proxy/ResponseRelay.cpp
+++ b/lib/Proxy/ResponseRelay.cpp
@@ -62,6 +62,11 @@
   this->IsBuffering = false;
   this->BufferedBody.clear();
   this->Load = -1;
+  if (this->HeadWritten)
+    return;
+  this->BytesRelayed = 0;
+  this->Copy.Body.clear();
+  this->IsCopyTruncated = false;
 }
 
 /// Returns whether a status tells the caller that its request was not run. Only
@@ -219,6 +224,12 @@
     this->Copy.Body.append(Data, Size);
   else
     this->IsCopyTruncated = true;
+  // The rest of a response that another server began is as long as was promised.
+  if (this->HeadWritten && this->HasLength &&
+      this->BytesRelayed + Size > this->Length) {
+    this->Verdict = ResponseVerdict::ResumeMismatch;
+    return false;
+  }
   this->BytesRelayed += Size;
   if (!this->IsBuffering)
     return this->writeBody(Data, Size);
@@ -236,6 +247,11 @@
   return this->writeToCaller(Chunk.data(), Chunk.size());
 }
 
+bool ResponseRelay::hasWholeBody() const {
+  return !this->HeadWritten || !this->HasLength || this->IsBodyless ||
+         this->BytesRelayed == this->Length;
+}
+
 void ResponseRelay::finish(bool IsWhole) {
   if (this->IsBuffering && IsWhole) {
     // The body is complete, so that its length is known even if the server did
