--- a/include/canvaswick/Http/HttpClient.h
+++ b/include/canvaswick/Http/HttpClient.h
@@ -7,14 +7,15 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// cpp-httplib writes the request and parses the response. ConnectionPool owns
-/// the connections, enforces deadlines, and classifies a failure by whether the
-/// server may have executed the request.
+/// ConnectionPool owns the connections, enforces deadlines, and classifies a
+/// failure by whether the server may have executed the request.
+///
 //===----------------------------------------------------------------------===//
 
 #ifndef CANVASWICK_HTTP_HTTPCLIENT_H
 #define CANVASWICK_HTTP_HTTPCLIENT_H
 
+#include "canvaswick/Http/BodyReader.h"
 #include "canvaswick/Http/SocketStream.h"
 #include "canvaswick/Http/Tunnel.h"
 #include "canvaswick/Settings/FleetConfig.h"
@@ -65,9 +66,10 @@
   std::string Target = "/";
   httplib::Headers Headers;
   std::string Body;
-  /// If set, the body is read from this function instead of Body.
-  httplib::ContentProvider BodyProvider;
-  size_t BodyLength = 0;
+  /// If set, it passes the body on instead of Body, piece by piece. Returns
+  /// false if the body is not whole.
+  std::function<bool(const BodyReceiver &)> BodyProvider;
+  uint64_t BodyLength = 0;
   bool BodyIsChunked = false;
   /// Limits that apply once the head of the response has arrived: the longest
   /// time without a byte, and the time by which the body must be complete.
@@ -120,6 +122,8 @@
   httplib::Headers Headers;
   std::string Body;
   bool HeadTaken = false;
+  /// What made the response unreadable, as it appears in logs, or null.
+  const char *Fault = nullptr;
   size_t BytesSent = 0;
   size_t BytesReceived = 0;
   /// Whether the request was sent on a kept connection.
--- a/include/canvaswick/Http/HttpServer.h
+++ b/include/canvaswick/Http/HttpServer.h
@@ -7,16 +7,18 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// cpp-httplib parses requests and writes responses. HttpServer accepts
-/// connections, assigns them to threads, refuses what exceeds its limits,
-/// validates the framing of a request before the handler runs, and stops
-/// without interrupting requests.
+/// HttpServer accepts connections, assigns them to threads, refuses what
+/// exceeds its limits, validates the framing of a request before the handler
+/// runs, and stops without interrupting requests.
+///
 //===----------------------------------------------------------------------===//
 
 #ifndef CANVASWICK_HTTP_HTTPSERVER_H
 #define CANVASWICK_HTTP_HTTPSERVER_H
 
+#include "canvaswick/Http/BodyReader.h"
 #include "canvaswick/Http/IdleParker.h"
+#include "canvaswick/Http/MessageHead.h"
 #include "canvaswick/Http/WorkerPool.h"
 #include "canvaswick/Settings/FleetConfig.h"
 
@@ -45,6 +47,8 @@
   std::atomic<uint64_t> RefusedBusy{0};
   std::atomic<uint64_t> RefusedConnections{0};
   std::atomic<uint64_t> Malformed{0};
+  /// Requests whose handler threw an exception.
+  std::atomic<uint64_t> HandlerFailures{0};
   std::atomic<uint64_t> BytesRead{0};
   std::atomic<uint64_t> BytesWritten{0};
 };
@@ -53,9 +57,9 @@
 struct HttpExchange {
   const httplib::Request &Request;
   httplib::Response &Response;
-  /// Reads the request body, which may not have arrived yet. Null if no body is
-  /// expected.
-  const httplib::ContentReader *Body;
+  /// Reads the request body, which may not have arrived yet. Null if there is
+  /// no body.
+  BodyReader *Body;
   /// The connection to the caller, used for streaming and to detect a
   /// disconnect.
   SocketStream &Stream;
@@ -64,24 +68,32 @@
   /// Set by the handler if the connection must be closed after the response.
   bool MustClose = false;
 
+  /// Returns whether a part of the request's body has not been read.
+  bool hasUnreadBody() const {
+    return this->Body && this->Body->getEnd() != BodyEnd::Whole;
+  }
+
   /// Decides whether the connection closes after this response. Called once, as
   /// the head of the response is written, so that the Connection header agrees
   /// with what happens. If the flag were read a second time, it could have
   /// changed in between, and the next request on a connection announced as kept
   /// would get no response (unit tests HttpClosing).
   bool decideClose() {
-    this->MustClose = this->MustClose || this->IsServerStopping;
+    this->MustClose =
+        this->MustClose || this->IsServerStopping || this->hasUnreadBody();
     return this->MustClose;
   }
 };
 
 /// An HTTP server on one address.
-class HttpServer final : public httplib::Server {
+class HttpServer final {
 public:
   using ExchangeHandler = std::function<void(HttpExchange &)>;
 
   HttpServer(HttpServerLimits Limits, ExchangeHandler Handler);
-  ~HttpServer() override;
+  ~HttpServer();
+  HttpServer(const HttpServer &) = delete;
+  HttpServer &operator=(const HttpServer &) = delete;
 
   /// Binds to Address and starts accepting connections. Fails with Io if the
   /// address is in use.
@@ -130,8 +142,9 @@
   void serveReady(std::unique_ptr<SocketStream> Stream);
   void serveRequests(std::unique_ptr<SocketStream> Stream);
   bool serveOne(SocketStream &Stream);
-  void handle(const httplib::Request &Request, httplib::Response &Response,
-              const httplib::ContentReader *Body);
+  bool serveRequest(SocketStream &Stream, httplib::Request &Request);
+  void runHandler(HttpExchange &Exchange);
+  void refuseHead(SocketStream &Stream, HeadEnd End);
   void refuse(SocketStream &Stream, const char *Reason);
   void release(std::unique_ptr<SocketStream> Stream);
 
@@ -144,16 +157,13 @@
   std::atomic<size_t> InFlight{0};
   std::atomic<bool> Stopping{false};
   std::atomic<bool> IsAccepting{false};
+  /// The socket that accepts connections, or -1.
+  std::atomic<int> Listening{-1};
   uint16_t Port = 0;
   WorkerPool Pool;
   std::unique_ptr<IdleParker> Parker;
 };
 
-/// Returns the name of the first fault in the framing or the headers of a
-/// request, or null. A request with such a fault is ambiguous and must not be
-/// forwarded.
-const char *findRequestFault(const httplib::Request &Request);
-
 } // namespace canvaswick
 
 #endif // CANVASWICK_HTTP_HTTPSERVER_H
--- a/include/canvaswick/Http/SocketStream.h
+++ b/include/canvaswick/Http/SocketStream.h
@@ -7,8 +7,8 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// cpp-httplib reads and writes messages through this stream, both to callers
-/// and to backend servers. A read or write fails at the deadline, or as soon as
+/// Messages are read and written through this stream, both to callers and to
+/// backend servers. A read or write fails at the deadline, or as soon as
 /// the watched peer disconnects.
 //===----------------------------------------------------------------------===//
 
@@ -61,11 +61,8 @@
   /// -1 disables this.
   void watchHangUp(int Descriptor);
 
-  /// Starts counting the bytes of a message head. A read beyond Limit fails.
-  void beginHead(size_t Limit);
-
-  /// Stops counting head bytes: the body follows.
-  void endHead();
+  /// Begins a message: counts its bytes from now on.
+  void beginMessage();
 
   /// Makes the stream a tunnel: what is read from now on are frames of the
   /// server's bytes if HasFrames, otherwise these bytes alone. Returns false if
@@ -83,21 +80,11 @@
   /// Returns whether writes are discarded.
   bool areWritesMuted() const { return this->Muted; }
 
-  /// Returns whether the head exceeded its limit.
-  bool isHeadTooLong() const;
-
-  /// Returns whether the head contained a line that did not end in CR LF, a
-  /// folded line or a NUL byte.
-  bool isHeadMalformed() const;
-
-  /// Returns whether any byte of a message was read since beginHead.
-  bool hasReadHeadBytes() const;
-
-  /// Returns the number of bytes written since beginHead. If it is zero, the
+  /// Returns the number of bytes written since beginMessage. If it is zero, the
   /// peer has not executed the request.
   size_t countBytesWritten() const;
 
-  /// Returns the number of bytes received since beginHead, including those
+  /// Returns the number of bytes received since beginMessage, including those
   /// buffered before.
   size_t countBytesRead() const;
 
@@ -146,8 +133,6 @@
   ssize_t fill();
   bool takeReceived(size_t Count);
   ssize_t endInput(bool IsClosed);
-  bool checkHeadByte(char Byte);
-  void escapeHead();
 
   static constexpr size_t BufferBytes = 16384;
 
@@ -162,16 +147,6 @@
   std::optional<TunnelFrameDecoder> Frames;
   bool Muted = false;
   bool Lingering = false;
-  bool InHead = false;
-  size_t HeadBytes = 0;
-  size_t HeadLimit = 0;
-  bool HeadTooLong = false;
-  bool HeadMalformed = false;
-  size_t HeadLines = 0;
-  bool IsHeadLineEmpty = false;
-  bool IsHeadEscaped = false;
-  char LastHeadByte = 0;
-  char ByteBeforeLast = 0;
   size_t BytesWritten = 0;
   size_t BytesRead = 0;
   StreamFailure Failure = StreamFailure::None;
--- a/include/canvaswick/Proxy/RequestProxy.h
+++ b/include/canvaswick/Proxy/RequestProxy.h
@@ -137,6 +137,7 @@
   void computeFingerprint(RequestContext &Request) const;
   bool collectBody(RequestContext &Request, uint64_t Limit);
   void refuseBody(RequestContext &Request, int Status, const char *Reason);
+  void refuseStreamedBody(RequestContext &Request);
   void streamBody(RequestContext &Request, OutgoingRequest &Outgoing) const;
 
   // RequestClaims.cpp: claims of keyed requests.
--- a/include/canvaswick/Proxy/ServiceRuntime.h
+++ b/include/canvaswick/Proxy/ServiceRuntime.h
@@ -80,8 +80,8 @@
   bool IsThroughPeer = false;
   /// Whether the request was sent on a kept connection.
   bool WasConnectionKept = false;
-  /// Whether the peer that passed the answer on failed, which says nothing about
-  /// the server either.
+  /// Whether the peer that passed the answer on failed, which says nothing
+  /// about the server either.
   bool WasPeerLost = false;
   /// Whether no peer connected to the server, which says nothing about it.
   bool HadNoTunnel = false;
--- /dev/null
+++ b/lib/Http/BodyReader.cpp
@@ -0,0 +1,209 @@
+//===- BodyReader.cpp - Bodies of HTTP messages ---------------------------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Every part of a body that is stored before it is passed on has a limit:
+/// lines of chunks, and trailers, which are dropped.
+///
+//===----------------------------------------------------------------------===//
+
+#include "canvaswick/Http/BodyReader.h"
+#include "canvaswick/Http/MessageHead.h"
+#include "canvaswick/Support/EnumNames.h"
+#include "canvaswick/Support/Text.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <cctype>
+#include <charconv>
+#include <cstdlib>
+
+namespace canvaswick {
+
+/// The most bytes of the line before a chunk, with its extensions.
+static constexpr size_t MaxChunkLineBytes = 4096;
+
+/// The most bytes of all trailers of a body together.
+static constexpr size_t MaxTrailerBytes = 16384;
+
+/// The bytes that are passed on at once at the most.
+static constexpr size_t PieceBytes = 16384;
+
+/// Digits of a length that fits in 64 bits.
+static constexpr size_t MaxLengthDigits = 18;
+
+static constexpr EnumNames<BodyEnd, 6> BodyEndNames = {{
+    {BodyEnd::Whole, "whole"},
+    {BodyEnd::Unread, "unread"},
+    {BodyEnd::Cut, "body-cut"},
+    {BodyEnd::Malformed, "malformed-chunk"},
+    {BodyEnd::TooLong, "chunk-line-too-long"},
+    {BodyEnd::Refused, "refused"},
+}};
+
+const char *getName(BodyEnd End) { return getEnumName(BodyEndNames, End); }
+
+bool isBodyLength(const std::string &Text) {
+  return !Text.empty() && Text.size() <= MaxLengthDigits &&
+         std::all_of(Text.begin(), Text.end(), [](char Byte) {
+           return std::isdigit(static_cast<unsigned char>(Byte));
+         });
+}
+
+BodyFraming findBodyFraming(const httplib::Headers &Headers) {
+  const size_t Lengths = Headers.count("Content-Length");
+  const size_t Encodings = Headers.count("Transfer-Encoding");
+  if (Lengths + Encodings == 0)
+    return BodyFraming::UntilClose;
+  if (Lengths + Encodings > 1)
+    return BodyFraming::Ambiguous;
+  if (Encodings == 1) {
+    const std::string &Encoding = Headers.find("Transfer-Encoding")->second;
+    return equalsIgnoringCase(Encoding, "chunked") ? BodyFraming::Chunked
+                                                   : BodyFraming::Ambiguous;
+  }
+  return isBodyLength(Headers.find("Content-Length")->second)
+             ? BodyFraming::Length
+             : BodyFraming::Ambiguous;
+}
+
+std::string makeChunk(const char *Data, size_t Size) {
+  assert(Size > 0 && "the last chunk is empty");
+  std::string Chunk = fmt::format("{:x}\r\n", Size);
+  Chunk.append(Data, Size);
+  Chunk += "\r\n";
+  return Chunk;
+}
+
+BodyReader::BodyReader(SocketStream &Stream, BodyFraming Framing,
+                       const httplib::Headers &Headers)
+    : Stream(Stream), Framing(Framing) {
+  if (Framing == BodyFraming::None)
+    this->End = BodyEnd::Whole;
+  if (Framing == BodyFraming::Length)
+    this->Length = std::strtoull(Headers.find("Content-Length")->second.c_str(),
+                                 nullptr, 10);
+}
+
+BodyEnd BodyReader::read(const BodyReceiver &Receive) {
+  if (this->End != BodyEnd::Unread)
+    return this->End;
+  this->End = BodyEnd::Cut;
+  const std::string Bytes = std::move(this->Invitation);
+  if (Bytes.empty() || this->Stream.write(Bytes.data(), Bytes.size()) >= 0)
+    this->End = this->readFramed(Receive);
+  return this->End;
+}
+
+BodyEnd BodyReader::readFramed(const BodyReceiver &Receive) {
+  switch (this->Framing) {
+  case BodyFraming::None:
+    return BodyEnd::Whole;
+  case BodyFraming::Length:
+    return this->readPieces(this->Length, Receive);
+  case BodyFraming::Chunked:
+    return this->readChunks(Receive);
+  case BodyFraming::UntilClose:
+    return this->readUntilClose(Receive);
+  case BodyFraming::Ambiguous:
+    break;
+  }
+  return BodyEnd::Malformed;
+}
+
+BodyEnd BodyReader::readPieces(uint64_t Length, const BodyReceiver &Receive) {
+  std::array<char, PieceBytes> Piece;
+  while (Length > 0) {
+    const ssize_t Count = this->Stream.read(
+        Piece.data(), std::min<uint64_t>(Length, Piece.size()));
+    if (Count <= 0)
+      return BodyEnd::Cut;
+    if (!Receive(Piece.data(), static_cast<size_t>(Count)))
+      return BodyEnd::Refused;
+    Length -= static_cast<uint64_t>(Count);
+  }
+  return BodyEnd::Whole;
+}
+
+BodyEnd BodyReader::readUntilClose(const BodyReceiver &Receive) {
+  std::array<char, PieceBytes> Piece;
+  while (true) {
+    const ssize_t Count = this->Stream.read(Piece.data(), Piece.size());
+    if (Count < 0)
+      return BodyEnd::Cut;
+    if (Count == 0)
+      return BodyEnd::Whole;
+    if (!Receive(Piece.data(), static_cast<size_t>(Count)))
+      return BodyEnd::Refused;
+  }
+}
+
+BodyEnd BodyReader::readChunks(const BodyReceiver &Receive) {
+  while (true) {
+    uint64_t Size = 0;
+    BodyEnd Step = this->readChunkSize(Size);
+    if (Step != BodyEnd::Whole)
+      return Step;
+    if (Size == 0)
+      return this->readTrailers();
+    Step = this->readPieces(Size, Receive);
+    if (Step == BodyEnd::Whole)
+      Step = this->readChunkEnd();
+    if (Step != BodyEnd::Whole)
+      return Step;
+  }
+}
+
+static BodyEnd toBodyEnd(HeadEnd End) {
+  switch (End) {
+  case HeadEnd::Whole:
+    return BodyEnd::Whole;
+  case HeadEnd::Cut:
+    return BodyEnd::Cut;
+  case HeadEnd::TooLong:
+    return BodyEnd::TooLong;
+  case HeadEnd::Malformed:
+    break;
+  }
+  return BodyEnd::Malformed;
+}
+
+/// Reads the line before a chunk. Extensions are dropped.
+BodyEnd BodyReader::readChunkSize(uint64_t &Size) {
+  std::string Line;
+  const HeadEnd End =
+      LineReader(this->Stream, MaxChunkLineBytes).readLine(Line);
+  if (End != HeadEnd::Whole)
+    return toBodyEnd(End);
+  const char *Last = Line.data() + Line.size();
+  const auto [After, Failure] = std::from_chars(Line.data(), Last, Size, 16);
+  if (Failure != std::errc())
+    return BodyEnd::Malformed;
+  const char *Rest = std::find_if_not(
+      After, Last, [](char Byte) { return Byte == ' ' || Byte == '\t'; });
+  return Rest == Last || *Rest == ';' ? BodyEnd::Whole : BodyEnd::Malformed;
+}
+
+/// Reads the line end after a chunk.
+BodyEnd BodyReader::readChunkEnd() {
+  static constexpr size_t LineEndBytes = 2;
+  std::string Line;
+  const HeadEnd End = LineReader(this->Stream, LineEndBytes).readLine(Line);
+  return End == HeadEnd::TooLong ? BodyEnd::Malformed : toBodyEnd(End);
+}
+
+BodyEnd BodyReader::readTrailers() {
+  httplib::Headers Dropped;
+  LineReader Lines(this->Stream, MaxTrailerBytes);
+  return toBodyEnd(readHeaderFields(Lines, Dropped));
+}
+
+} // namespace canvaswick
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -9,105 +9,42 @@
 /// \file
 /// The thread of IdleParker accepts connections and waits for input on idle
 /// ones. It passes readable connections to the worker pool. A worker serves
-/// requests until the connection is idle again, then parks it. The accept loop
-/// of cpp-httplib is not used because it takes one thread for each server.
+/// requests until the connection is idle again, then parks it. Of cpp-httplib
+/// only the types of messages are used: its server interprets what a proxy only
+/// passes on.
+///
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Http/HttpServer.h"
+#include "canvaswick/Http/BodyReader.h"
+#include "canvaswick/Http/ListenSocket.h"
+#include "canvaswick/Http/MessageHead.h"
+#include "canvaswick/Http/RequestFault.h"
+#include "canvaswick/Http/ResponseWriter.h"
+#include "canvaswick/Support/Exceptions.h"
 #include "canvaswick/Support/Text.h"
 
 #include <fmt/format.h>
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
-#include <algorithm>
-#include <cassert>
-#include <cctype>
-#include <limits>
+#include <thread>
 
 namespace canvaswick {
 
-namespace {
-
-/// State shared by the callbacks of one request. It is thread-local because
-/// cpp-httplib passes no context to its handlers.
-struct ServingContext {
-  SocketStream *Stream = nullptr;
-  httplib::Request *Request = nullptr;
-  bool Handled = false;
-  bool MustClose = false;
-};
-
-} // namespace
-
-static thread_local ServingContext *CurrentContext = nullptr;
-
-static constexpr const char *AnyPath = "/";
-
 /// Maximum number of connections in the listen queue.
 static constexpr int ListenBacklog = 1024;
 
+/// Time limit for writing the answer to a request that is not served.
+static constexpr Duration RefusalLimit = fromMillis(50);
+
 /// Retry-After of requests that were refused because the server is busy.
 static constexpr int BusyRetrySeconds = 1;
 
-static void setServerSocketOptions(socket_t Socket) {
-  const int On = 1;
-  ::setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
-}
-
-/// Opens a socket that listens at an IPv4 address. cpp-httplib would listen
-/// with a queue of five connections first, and a hall that connects at once is
-/// more. Returns the descriptor, or -1 on failure.
-static int listenTcp(const Endpoint &Address, int Backlog) {
-  sockaddr_in Name{};
-  Name.sin_family = AF_INET;
-  Name.sin_port = htons(Address.Port);
-  if (::inet_pton(AF_INET, Address.Host.c_str(), &Name.sin_addr) != 1)
-    return -1;
-  const int Descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (Descriptor < 0)
-    return -1;
-  setServerSocketOptions(Descriptor);
-  if (::bind(Descriptor, reinterpret_cast<const sockaddr *>(&Name),
-             sizeof(Name)) == 0 &&
-      ::listen(Descriptor, Backlog) == 0)
-    return Descriptor;
-  ::close(Descriptor);
-  return -1;
-}
-
-/// Returns the port to which a socket is bound.
-static uint16_t readPort(int Descriptor) {
-  sockaddr_in Name{};
-  socklen_t Length = sizeof(Name);
-  ::getsockname(Descriptor, reinterpret_cast<sockaddr *>(&Name), &Length);
-  return ntohs(Name.sin_port);
-}
-
 HttpServer::HttpServer(HttpServerLimits Limits, ExchangeHandler Handler)
     : Limits(Limits), Handler(std::move(Handler)),
       MaxHeadBytes(Limits.MaxHeadBytes), HeadMicros(Limits.HeadTime.count()),
       Pool(Limits.Workers) {
-  this->set_socket_options(setServerSocketOptions);
-  this->set_payload_max_length(std::numeric_limits<size_t>::max());
-  const auto Plain = [this](const httplib::Request &Request,
-                            httplib::Response &Response) {
-    this->handle(Request, Response, nullptr);
-  };
-  const auto WithBody = [this](const httplib::Request &Request,
-                               httplib::Response &Response,
-                               const httplib::ContentReader &Body) {
-    this->handle(Request, Response, &Body);
-  };
-  this->Get(AnyPath, Plain);
-  this->Options(AnyPath, Plain);
-  this->Delete(AnyPath, Plain);
-  this->Post(AnyPath, WithBody);
-  this->Put(AnyPath, WithBody);
-  this->Patch(AnyPath, WithBody);
-  this->Delete(AnyPath, WithBody);
   const auto Ready = [this](std::unique_ptr<SocketStream> Stream) {
     this->serveReady(std::move(Stream));
   };
@@ -126,33 +63,18 @@
 }
 
 Result<void> HttpServer::bind(const Endpoint &Address) {
-  const int Listening = listenTcp(Address, ListenBacklog);
-  if (Listening >= 0) {
-    this->svr_sock_ = Listening;
-    this->Port = readPort(Listening);
-    return outcome::success();
-  }
-  // The host is a name, or the address is taken.
-  if (Address.Port == 0) {
-    const int Chosen = this->bind_to_any_port(Address.Host);
-    if (Chosen <= 0)
-      return makeError(ErrorKind::Io, "cannot bind to " + Address.format());
-    this->Port = static_cast<uint16_t>(Chosen);
-  } else {
-    if (!this->bind_to_port(Address.Host, Address.Port))
-      return makeError(ErrorKind::Io, "cannot bind to " + Address.format());
-    this->Port = Address.Port;
-  }
-  // cpp-httplib listens with a backlog of five. Connections beyond that in a
-  // burst would be dropped, and callers would retry them a second later.
-  ::listen(this->svr_sock_, ListenBacklog);
+  const int Socket = listenTcp(Address, ListenBacklog);
+  if (Socket < 0)
+    return makeError(ErrorKind::Io, "cannot bind to " + Address.format());
+  this->Listening = Socket;
+  this->Port = readBoundPort(Socket);
   return outcome::success();
 }
 
 void HttpServer::beginAccepting() {
   if (this->IsAccepting.exchange(true))
     return;
-  this->Parker->listen(this->svr_sock_, [this](int Descriptor) {
+  this->Parker->listen(this->Listening, [this](int Descriptor) {
     this->takeConnection(Descriptor);
   });
 }
@@ -184,9 +106,9 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(5));
   }
   this->Parker->stop();
-  const int Listening = this->svr_sock_.exchange(INVALID_SOCKET);
-  if (Listening != INVALID_SOCKET)
-    ::close(Listening);
+  const int Socket = this->Listening.exchange(-1);
+  if (Socket >= 0)
+    ::close(Socket);
   if (AllEnded)
     this->Pool.stop();
   return AllEnded;
@@ -218,7 +140,7 @@
                                          "Canvaswick-Outcome: not-run\r\n"
                                          "Canvaswick-Reason: {}\r\n\r\n",
                                          BusyRetrySeconds, Reason);
-  Stream.setDeadline(readSteadyClock() + fromMillis(50));
+  Stream.setDeadline(readSteadyClock() + RefusalLimit);
   static_cast<httplib::Stream &>(Stream).write(Answer);
   Stream.beginLinger();
 }
@@ -235,7 +157,9 @@
   SocketStream *Raw = Stream.release();
   ++this->InFlight;
   const auto Job = [this, Raw] {
-    this->serveRequests(std::unique_ptr<SocketStream>(Raw));
+    runAndLogExceptions("connection-failed", [this, Raw] {
+      this->serveRequests(std::unique_ptr<SocketStream>(Raw));
+    });
     --this->InFlight;
   };
   if (this->Pool.trySubmit(Job))
@@ -268,137 +192,105 @@
 
 /// Serves one request. Returns whether the connection may be kept open.
 bool HttpServer::serveOne(SocketStream &Stream) {
-  ServingContext Context;
-  Context.Stream = &Stream;
-  CurrentContext = &Context;
   Stream.muteWrites(false);
-  Stream.beginHead(this->MaxHeadBytes);
+  Stream.beginMessage();
   Stream.setDeadline(readSteadyClock() + Duration(this->HeadMicros));
   Stream.watchHangUp(-1);
-  const auto Setup = [&Context](httplib::Request &Request) {
-    Context.Request = &Request;
-    Context.Stream->endHead();
-    // All paths are routed to one handler; Request.target keeps the original.
-    Request.path = AnyPath;
-    Request.ranges.clear();
-  };
-  bool Closed = false;
-  // The handler decides whether the response announces a close.
-  const bool IsDone = this->process_request(Stream, false, Closed, Setup);
-  CurrentContext = nullptr;
+  LineReader Lines(Stream, this->MaxHeadBytes);
+  MessageHead Head;
+  httplib::Request Request;
+  HeadEnd End = readMessageHead(Lines, Head);
+  if (End == HeadEnd::Whole && !parseRequestHead(std::move(Head), Request))
+    End = HeadEnd::Malformed;
+  bool IsKept = false;
+  if (End == HeadEnd::Whole)
+    IsKept = this->serveRequest(Stream, Request);
+  else
+    this->refuseHead(Stream, End);
   Stream.watchHangUp(-1);
   Stream.setStallLimit(Duration::zero());
   this->Counters.BytesRead += Stream.countBytesRead();
   this->Counters.BytesWritten += Stream.countBytesWritten();
-  if (Stream.isHeadTooLong() && !Context.Handled) {
-    Stream.muteWrites(false);
-    static_cast<httplib::Stream &>(Stream).write(
-        "HTTP/1.1 431 Request Header Fields Too Large\r\n"
-        "Content-Length: 0\r\nConnection: close\r\n"
-        "Canvaswick-Outcome: not-run\r\n\r\n");
-    Stream.beginLinger();
-  }
-  if (!Context.Handled && Stream.hasReadHeadBytes())
-    ++this->Counters.Malformed;
-  return IsDone && !Closed && Context.Handled && !Context.MustClose;
+  return IsKept;
+}
+
+/// Answers a request whose head cannot be read. One that was cut off has nobody
+/// to answer.
+void HttpServer::refuseHead(SocketStream &Stream, HeadEnd End) {
+  if (Stream.countBytesRead() == 0)
+    return;
+  ++this->Counters.Malformed;
+  if (End == HeadEnd::Cut && Stream.getFailure() != StreamFailure::Timeout)
+    return;
+  httplib::Response Response;
+  Response.status = End == HeadEnd::Malformed ? 400
+                    : End == HeadEnd::TooLong ? 431
+                                              : 408;
+  Response.set_header("Canvaswick-Outcome", "not-run");
+  Response.set_header("Canvaswick-Reason", getName(End));
+  Stream.setDeadline(readSteadyClock() + RefusalLimit);
+  writeResponse(Stream, Response, {.IsLast = true});
+  Stream.beginLinger();
 }
 
-void HttpServer::handle(const httplib::Request &Request,
-                        httplib::Response &Response,
-                        const httplib::ContentReader *Body) {
-  ServingContext &Context = *CurrentContext;
-  assert(Context.Request && "a handler ran before the setup hook");
-  Context.Handled = true;
+/// Returns what delimits the body of a request without a fault.
+static BodyFraming findRequestFraming(const httplib::Request &Request) {
+  const BodyFraming Framing = findBodyFraming(Request.headers);
+  const bool IsEmpty = Framing == BodyFraming::UntilClose ||
+                       Request.get_header_value("Content-Length") == "0";
+  return IsEmpty ? BodyFraming::None : Framing;
+}
+
+bool HttpServer::serveRequest(SocketStream &Stream, httplib::Request &Request) {
+  static constexpr const char *Invitation = "HTTP/1.1 100 Continue\r\n\r\n";
   ++this->Counters.Requests;
-  HttpExchange Exchange{Request, Response, Body, *Context.Stream,
+  Stream.get_remote_ip_and_port(Request.remote_addr, Request.remote_port);
+  const char *Fault = findRequestFault(Request);
+  const BodyFraming Framing =
+      Fault ? BodyFraming::Ambiguous : findRequestFraming(Request);
+  BodyReader Body(Stream, Framing, Request.headers);
+  if (equalsIgnoringCase(Request.get_header_value("Expect"), "100-continue"))
+    Body.setInvitation(Invitation);
+  httplib::Response Response;
+  HttpExchange Exchange{Request, Response,
+                        Framing == BodyFraming::None ? nullptr : &Body, Stream,
                         this->Stopping};
-  const char *Fault = Context.Stream->isHeadMalformed()
-                          ? "line-ending"
-                          : findRequestFault(Request);
   if (Fault) {
     ++this->Counters.Malformed;
     Response.status = 400;
     Response.set_header("Canvaswick-Outcome", "not-run");
     Response.set_header("Canvaswick-Reason", Fault);
-    Exchange.MustClose = true;
   } else {
-    this->Handler(Exchange);
+    this->runHandler(Exchange);
   }
   // A handler that wrote the response itself has already decided. A close that
   // its response did not announce is allowed only if that response is cut short
   // anyway.
-  if (!Context.Stream->areWritesMuted())
+  if (!Stream.areWritesMuted()) {
     Exchange.decideClose();
-  // cpp-httplib derives the Connection header of the response from that of the
-  // request.
-  if (Exchange.MustClose) {
-    Context.MustClose = true;
-    Context.Request->headers.erase("Connection");
-    Context.Request->headers.emplace("Connection", "close");
+    Exchange.MustClose |= !writeResponse(
+        Stream, Response,
+        {.IsLast = Exchange.MustClose, .IsHeadOnly = Request.method == "HEAD"});
   }
+  // What is left of a body must never be read as a request.
+  return !Exchange.MustClose && !Exchange.hasUnreadBody();
 }
 
-static bool isTokenByte(char Byte) {
-  static const std::string Others = "!#$%&'*+-.^_`|~";
-  return std::isalnum(static_cast<unsigned char>(Byte)) ||
-         Others.find(Byte) != std::string::npos;
-}
-
-static bool isToken(const std::string &Text) {
-  return !Text.empty() && std::all_of(Text.begin(), Text.end(), isTokenByte);
-}
-
-static bool isDigits(const std::string &Text) {
-  return !Text.empty() && Text.size() <= 18 &&
-         std::all_of(Text.begin(), Text.end(), [](char Byte) {
-           return std::isdigit(static_cast<unsigned char>(Byte));
-         });
-}
-
-static bool hasControlByte(const std::string &Text) {
-  return std::any_of(Text.begin(), Text.end(), [](char Byte) {
-    const auto Value = static_cast<unsigned char>(Byte);
-    return (Value < 0x20 && Value != '\t') || Value == 0x7f;
-  });
-}
-
-static bool mayHaveBody(const std::string &Method) {
-  return Method == "POST" || Method == "PUT" || Method == "PATCH" ||
-         Method == "DELETE";
-}
-
-const char *findRequestFault(const httplib::Request &Request) {
-  for (const auto &[Name, Value] : Request.headers) {
-    if (!isToken(Name))
-      return "header-name";
-    if (hasControlByte(Value))
-      return "header-value";
-  }
-  if (Request.version != "HTTP/1.1")
-    return "version";
-  if (Request.get_header_value_count("Host") != 1)
-    return "host";
-  if (Request.target.empty() || Request.target[0] != '/' ||
-      hasControlByte(Request.target))
-    return "target";
-  const size_t Lengths = Request.get_header_value_count("Content-Length");
-  const size_t Encodings = Request.get_header_value_count("Transfer-Encoding");
-  if (Lengths > 1 || Encodings > 1 || (Lengths == 1 && Encodings == 1))
-    return "conflicting-length";
-  if (Lengths == 1 && !isDigits(Request.get_header_value("Content-Length")))
-    return "content-length";
-  if (Encodings == 1 &&
-      !equalsIgnoringCase(Request.get_header_value("Transfer-Encoding"),
-                          "chunked"))
-    return "transfer-encoding";
-  const bool HasBody =
-      Encodings == 1 ||
-      (Lengths == 1 && Request.get_header_value("Content-Length") != "0");
-  if (HasBody && !mayHaveBody(Request.method))
-    return "unexpected-body";
-  if (Encodings == 1 && Request.method == "DELETE")
-    return "unexpected-body";
-  return nullptr;
+/// Runs the handler. A request whose handler throws is answered, unless its
+/// response has begun, and its connection is closed.
+void HttpServer::runHandler(HttpExchange &Exchange) {
+  const bool HasReturned =
+      runAndLogExceptions("handler-failed", [&] { this->Handler(Exchange); });
+  if (HasReturned)
+    return;
+  ++this->Counters.HandlerFailures;
+  Exchange.MustClose = true;
+  Exchange.Response = httplib::Response();
+  Exchange.Response.status = 500;
+  Exchange.Response.set_header("Canvaswick-Outcome", "not-known");
+  Exchange.Response.set_header("Canvaswick-Reason", "daemon-failed");
+  if (Exchange.Stream.countBytesWritten() > 0)
+    Exchange.Stream.muteWrites(true);
 }
 
 } // namespace canvaswick
--- a/lib/Http/SocketStream.cpp
+++ b/lib/Http/SocketStream.cpp
@@ -62,37 +62,14 @@
   this->WatchedDescriptor = Descriptor;
 }
 
-void SocketStream::beginHead(size_t Limit) {
-  this->InHead = true;
-  this->HeadBytes = 0;
-  this->HeadLimit = Limit;
-  this->HeadTooLong = false;
-  this->HeadMalformed = false;
-  this->HeadLines = 0;
-  this->IsHeadLineEmpty = false;
-  this->IsHeadEscaped = false;
-  if (this->hasBufferedBytes()) {
-    this->Buffer.erase(0, this->BufferAt);
-    this->BufferAt = 0;
-    this->escapeHead();
-  }
-  this->LastHeadByte = 0;
-  this->ByteBeforeLast = 0;
+void SocketStream::beginMessage() {
   this->BytesWritten = 0;
   this->BytesRead = this->Buffer.size() - this->BufferAt;
   this->Failure = StreamFailure::None;
 }
 
-void SocketStream::endHead() { this->InHead = false; }
-
 void SocketStream::muteWrites(bool Muted) { this->Muted = Muted; }
 
-bool SocketStream::isHeadTooLong() const { return this->HeadTooLong; }
-
-bool SocketStream::isHeadMalformed() const { return this->HeadMalformed; }
-
-bool SocketStream::hasReadHeadBytes() const { return this->HeadBytes > 0; }
-
 size_t SocketStream::countBytesWritten() const { return this->BytesWritten; }
 
 size_t SocketStream::countBytesRead() const { return this->BytesRead; }
@@ -208,8 +185,6 @@
         this->Buffer.resize(BufferBytes);
         continue;
       }
-      if (this->InHead && !this->IsHeadEscaped)
-        this->escapeHead();
       return static_cast<ssize_t>(this->Buffer.size());
     }
     const bool IsRetry = Count < 0 && (errno == EAGAIN ||
@@ -223,52 +198,6 @@
   }
 }
 
-/// Escapes percent signs in the header lines of the buffer, but not in the
-/// first line. cpp-httplib percent-decodes header values, so they would be
-/// forwarded changed; the escaping cancels that.
-void SocketStream::escapeHead() {
-  std::string Escaped;
-  Escaped.reserve(this->Buffer.size());
-  for (const char Byte : this->Buffer) {
-    Escaped += Byte;
-    if (this->IsHeadEscaped)
-      continue;
-    if (Byte == '%' && this->HeadLines > 0)
-      Escaped += "25";
-    if (Byte == '\n') {
-      // An empty line ends the head; the body is not escaped.
-      this->IsHeadEscaped = this->HeadLines > 0 && this->IsHeadLineEmpty;
-      ++this->HeadLines;
-      this->IsHeadLineEmpty = true;
-    } else if (Byte != '\r') {
-      this->IsHeadLineEmpty = false;
-    }
-  }
-  this->Buffer = std::move(Escaped);
-}
-
-/// Counts one byte of a head and records a bare LF, a folded line or a NUL
-/// byte. Returns false if the head is too long.
-bool SocketStream::checkHeadByte(char Byte) {
-  if (++this->HeadBytes > this->HeadLimit) {
-    this->HeadTooLong = true;
-    // The server writes the response to this itself, not cpp-httplib.
-    this->Muted = true;
-    return false;
-  }
-  if (Byte == '\n' && this->LastHeadByte != '\r')
-    this->HeadMalformed = true;
-  const bool StartsLine =
-      this->LastHeadByte == '\n' && this->ByteBeforeLast == '\r';
-  if (StartsLine && (Byte == ' ' || Byte == '\t'))
-    this->HeadMalformed = true;
-  if (Byte == '\0')
-    this->HeadMalformed = true;
-  this->ByteBeforeLast = this->LastHeadByte;
-  this->LastHeadByte = Byte;
-  return true;
-}
-
 ssize_t SocketStream::read(char *Data, size_t Size) {
   if (!this->hasBufferedBytes()) {
     const ssize_t Count = this->fill();
@@ -278,11 +207,6 @@
   const size_t Count = std::min(Size, this->Buffer.size() - this->BufferAt);
   std::memcpy(Data, this->Buffer.data() + this->BufferAt, Count);
   this->BufferAt += Count;
-  if (!this->InHead)
-    return static_cast<ssize_t>(Count);
-  for (size_t I = 0; I < Count; ++I)
-    if (!this->checkHeadByte(Data[I]))
-      return -1;
   return static_cast<ssize_t>(Count);
 }
 
--- a/lib/Http/Tunnel.cpp
+++ b/lib/Http/Tunnel.cpp
@@ -13,16 +13,15 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Http/Tunnel.h"
+#include "canvaswick/Http/MessageHead.h"
 
 #include <fmt/format.h>
 
 #include <poll.h>
 #include <sys/socket.h>
 
-#include <algorithm>
-#include <cctype>
 #include <cerrno>
-#include <charconv>
+#include <utility>
 
 namespace canvaswick {
 
@@ -36,45 +35,19 @@
 /// event is noticed.
 static constexpr int PollMillis = 1000;
 
+static constexpr int NoAnswer = -1;
 static constexpr int SwitchingProtocols = 101;
 static constexpr int BadGateway = 502;
 
-/// Reads up to the end of a head. Returns an empty text on failure.
-static std::string readHead(SocketStream &Stream) {
-  static constexpr std::string_view End = "\r\n\r\n";
-  std::string Head;
-  char Byte = 0;
-  while (Head.size() < MaxAnswerBytes) {
-    if (Stream.read(&Byte, 1) != 1)
-      return "";
-    Head += Byte;
-    if (Head.ends_with(End))
-      return Head;
-  }
-  return "";
-}
-
-/// Returns the status of a response head, or 0 if it is malformed.
-static int parseStatus(const std::string &Head) {
-  static constexpr std::string_view Version = "HTTP/1.1 ";
-  int Status = 0;
-  if (!Head.starts_with(Version))
-    return 0;
-  const char *First = Head.data() + Version.size();
-  std::from_chars(First, Head.data() + Head.size(), Status);
-  return Status;
-}
-
-/// Returns whether a response head says that the tunnel has frames.
-static bool announcesFrames(std::string Head) {
-  const auto ToLower = [](unsigned char Byte) {
-    return static_cast<char>(std::tolower(Byte));
-  };
-  std::string Line =
-      fmt::format("\r\n{}: {}\r\n", TunnelFramesHeader, TunnelFramesVersion);
-  std::transform(Head.begin(), Head.end(), Head.begin(), ToLower);
-  std::transform(Line.begin(), Line.end(), Line.begin(), ToLower);
-  return Head.find(Line) != std::string::npos;
+/// Reads the head of the peer's answer. Its status is -1 if it is malformed.
+static httplib::Response readAnswer(SocketStream &Stream) {
+  LineReader Lines(Stream, MaxAnswerBytes);
+  MessageHead Head;
+  httplib::Response Answer;
+  if (readMessageHead(Lines, Head) != HeadEnd::Whole ||
+      !parseResponseHead(std::move(Head), Answer))
+    Answer.status = NoAnswer;
+  return Answer;
 }
 
 TunnelAnswer openTunnel(SocketStream &Stream, const TunnelTarget &Target,
@@ -90,14 +63,16 @@
   Request += "\r\n";
   if (static_cast<httplib::Stream &>(Stream).write(Request) < 0)
     return TunnelAnswer::NoPeer;
-  const std::string Head = readHead(Stream);
-  switch (parseStatus(Head)) {
+  const httplib::Response Answer = readAnswer(Stream);
+  const bool HasFrames =
+      Answer.get_header_value(TunnelFramesHeader) == TunnelFramesVersion;
+  switch (Answer.status) {
   case SwitchingProtocols:
-    return Stream.beginTunnel(announcesFrames(Head)) ? TunnelAnswer::Opened
-                                                     : TunnelAnswer::NoPeer;
+    return Stream.beginTunnel(HasFrames) ? TunnelAnswer::Opened
+                                         : TunnelAnswer::NoPeer;
   case BadGateway:
     return TunnelAnswer::NoServer;
-  case 0:
+  case NoAnswer:
     return TunnelAnswer::NoPeer;
   default:
     return TunnelAnswer::Declined;
--- a/lib/Http/WorkerPool.cpp
+++ b/lib/Http/WorkerPool.cpp
@@ -12,6 +12,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Http/WorkerPool.h"
+#include "canvaswick/Support/Exceptions.h"
 #include "canvaswick/Support/Log.h"
 
 #include <algorithm>
@@ -94,11 +95,7 @@
 /// throw, for example on a malformed message. Such an exception must not end
 /// the process.
 void WorkerPool::runJob(const std::function<void()> &Job) {
-  try {
-    Job();
-  } catch (const std::exception &Failure) {
-    logError("job-failed", "what={:?}", Failure.what());
-  }
+  runAndLogExceptions("job-failed", Job);
 }
 
 /// Waits until the thread is woken. Returns false if the thread must end: after
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -44,7 +44,7 @@
 void RequestProxy::addToTrail(RequestContext &Request, const Attempt &Ended,
                               RequestOutcome Outcome, Duration Took) {
   Request.AttemptTrail += fmt::format(
-      "{}{}:{}:{}ms:share={:.3f}:sick={:.3f}:load={:.1f}{}{}{}{}{}",
+      "{}{}:{}:{}ms:share={:.3f}:sick={:.3f}:load={:.1f}{}{}{}{}{}{}",
       Request.AttemptTrail.empty() ? "" : ",",
       Request.Service->getServer(Ended.Server).Name,
       Ended.WasCutOff ? "cut-off" : getName(Outcome), toMillis(Took),
@@ -52,7 +52,9 @@
       Ended.IsTest ? ":test" : "",
       Ended.Placed ? fmt::format(":{}", getName(*Ended.Placed)) : "",
       getPathMark(Ended), Ended.WasConnectionKept ? ":kept" : "",
-      std::exchange(Request.IsRetryPaid, false) ? ":paid" : "");
+      std::exchange(Request.IsRetryPaid, false) ? ":paid" : "",
+      Request.AnswerFault ? fmt::format(":answer={}", Request.AnswerFault)
+                          : "");
 }
 
 /// Returns whether another attempt may begin, given the route's maximum number
@@ -337,6 +339,9 @@
                                               const ResponseRelay &Relay,
                                               const ExchangeResult &Result) {
   Request.WasFailed = true;
+  Request.AnswerFault = Result.Fault;
+  if (Result.Fault)
+    this->Counters.add(Counter::MalformedAnswers);
   Request.WasTimeout = Result.End == ExchangeEnd::Timeout;
   Request.WasPeerLost = Result.WasTunnelLost || Result.HasUnmarkedEnd;
   switch (Result.End) {
--- a/lib/Proxy/RequestBody.cpp
+++ b/lib/Proxy/RequestBody.cpp
@@ -27,14 +27,34 @@
 /// fingerprint of the content.
 static constexpr size_t MaxKeyedBodyLength = 1 << 20;
 
-static bool hasBody(const httplib::Request &Request) {
-  return Request.has_header("Transfer-Encoding") ||
-         (Request.has_header("Content-Length") &&
-          Request.get_header_value("Content-Length") != "0");
+namespace {
+
+/// How a request is refused whose body cannot be read.
+struct BodyRefusal {
+  int Status;
+  const char *Reason;
+};
+
+} // namespace
+
+static BodyRefusal getBodyRefusal(BodyEnd End) {
+  switch (End) {
+  case BodyEnd::Refused:
+    return {413, "body-too-long"};
+  case BodyEnd::Malformed:
+  case BodyEnd::TooLong:
+    return {400, getName(End)};
+  case BodyEnd::Whole:
+  case BodyEnd::Unread:
+  case BodyEnd::Cut:
+    break;
+  }
+  return {408, getName(BodyEnd::Cut)};
 }
 
 void RequestProxy::refuseBody(RequestContext &Request, int Status,
                               const char *Reason) {
+  this->Counters.add(Counter::RefusedBody);
   this->refuse(Request.Exchange, Status, RunOutcome::NotRun, Reason, NoWait);
   Request.Exchange.MustClose = true;
   Request.IsAnswered = true;
@@ -45,20 +65,19 @@
 /// the request was refused because the body is longer than Limit or was
 /// truncated.
 bool RequestProxy::collectBody(RequestContext &Request, uint64_t Limit) {
-  bool IsTooLong = false;
   Request.Exchange.Stream.setDeadline(Request.Deadline);
-  const bool IsRead =
-      (*Request.Exchange.Body)([&](const char *Data, size_t Size) {
-        IsTooLong = Request.Body.size() + Size > Limit;
-        if (!IsTooLong)
-          Request.Body.append(Data, Size);
-        return !IsTooLong;
+  const BodyEnd End =
+      Request.Exchange.Body->read([&](const char *Data, size_t Size) {
+        if (Request.Body.size() + Size > Limit)
+          return false;
+        Request.Body.append(Data, Size);
+        return true;
       });
   Request.Exchange.Stream.setDeadline(TimePoint::max());
-  if (IsRead)
+  if (End == BodyEnd::Whole)
     return true;
-  this->refuseBody(Request, IsTooLong ? 413 : 408,
-                   IsTooLong ? "body-too-long" : "body-cut");
+  const BodyRefusal Given = getBodyRefusal(End);
+  this->refuseBody(Request, Given.Status, Given.Reason);
   return false;
 }
 
@@ -79,7 +98,7 @@
   const httplib::Request &Caller = Request.Exchange.Request;
   if (!isRetryable(*Request.Route))
     Request.Key = Caller.get_header_value(IdempotencyHeader);
-  if (!hasBody(Caller) || !Request.Exchange.Body)
+  if (!Request.Exchange.Body)
     return true;
   const auto Limit =
       static_cast<uint64_t>(Request.Service->getConfig().MaxBodyBytes);
@@ -101,7 +120,8 @@
   return this->collectBody(Request, std::numeric_limits<uint64_t>::max());
 }
 
-/// Streams the caller's body to the server while it arrives.
+/// Streams the caller's body to the server while it arrives, at most until the
+/// request's deadline.
 void RequestProxy::streamBody(RequestContext &Request,
                               OutgoingRequest &Outgoing) const {
   const httplib::Request &Caller = Request.Exchange.Request;
@@ -109,20 +129,36 @@
       static_cast<uint64_t>(Request.Service->getConfig().MaxBodyBytes);
   Outgoing.BodyIsChunked = Caller.has_header("Transfer-Encoding");
   Outgoing.BodyLength = getBodyLength(Caller);
-  Outgoing.BodyProvider = [&Request, Limit](size_t, size_t,
-                                            httplib::DataSink &Sink) {
+  Outgoing.BodyProvider = [&Request, Limit](const BodyReceiver &Send) {
     Request.WasBodySent = true;
-    uint64_t Sent = 0;
-    const bool IsRead =
-        (*Request.Exchange.Body)([&](const char *Data, size_t Size) {
-          Sent += Size;
-          return Sent <= Limit && Sink.write(Data, Size);
+    uint64_t Taken = 0;
+    bool HasServerFailed = false;
+    Request.Exchange.Stream.setDeadline(Request.Deadline);
+    const BodyEnd End =
+        Request.Exchange.Body->read([&](const char *Data, size_t Size) {
+          Taken += Size;
+          HasServerFailed = Taken <= Limit && !Send(Data, Size);
+          return Taken <= Limit && !HasServerFailed;
         });
-    Request.HasBodyFailed = !IsRead;
-    if (IsRead && Sink.done)
-      Sink.done();
-    return IsRead;
+    Request.Exchange.Stream.setDeadline(TimePoint::max());
+    Request.StreamedEnd = End;
+    Request.HasBodyFailed = End != BodyEnd::Whole && !HasServerFailed;
+    return End == BodyEnd::Whole;
   };
 }
 
+/// Gives the final response to a request whose streamed body the caller did not
+/// send as it should have. The server has got a part of it.
+void RequestProxy::refuseStreamedBody(RequestContext &Request) {
+  BodyRefusal Given = getBodyRefusal(Request.StreamedEnd);
+  if (Request.StreamedEnd == BodyEnd::Cut)
+    Given.Status = 400;
+  if (Request.Exchange.Stream.getFailure() == StreamFailure::Timeout)
+    Given = {504, "deadline"};
+  this->Counters.add(Counter::RefusedBody);
+  Request.Reason = Given.Reason;
+  this->refuse(Request.Exchange, Given.Status, Request.Outcome, Given.Reason,
+               NoWait);
+}
+
 } // namespace canvaswick
--- a/lib/Proxy/RequestContext.h
+++ b/lib/Proxy/RequestContext.h
@@ -57,6 +57,9 @@
   bool HasClaim = false;
   std::string Body;
   bool IsBodyBuffered = true;
+  /// How reading a streamed body ended, and whether the caller is why it was
+  /// not passed on whole.
+  BodyEnd StreamedEnd = BodyEnd::Unread;
   bool HasBodyFailed = false;
   bool WasBodySent = false;
   size_t AttemptCount = 0;
@@ -71,6 +74,8 @@
   RetryPermit Permit;
   /// Whether the attempt in flight has used up a retry.
   bool IsRetryPaid = false;
+  /// What made the response to the last attempt unreadable, or null.
+  const char *AnswerFault = nullptr;
   /// Whether the attempt in flight is compared with a retry elsewhere.
   bool IsWeighed = false;
   /// Whether no peer connects to a server for this request.
--- a/lib/Proxy/RequestOutgoing.cpp
+++ b/lib/Proxy/RequestOutgoing.cpp
@@ -23,13 +23,11 @@
 
 /// Returns whether the proxy replaces a header of the caller or consumes it.
 /// HasKeys tells whether callers authenticate with keys, which no server may
-/// see. cpp-httplib adds the four headers in capitals.
+/// see.
 static bool isReplacedHeader(const std::string &Name, const HeaderNames &Names,
                              bool HasKeys) {
   return (HasKeys && equalsIgnoringCase(Name, Names.Key)) ||
          equalsIgnoringCase(Name, Names.Organisation) ||
-         Name == "REMOTE_ADDR" || Name == "REMOTE_PORT" ||
-         Name == "LOCAL_ADDR" || Name == "LOCAL_PORT" ||
          equalsIgnoringCase(Name, Names.Deadline) ||
          equalsIgnoringCase(Name, Names.RequestId) ||
          equalsIgnoringCase(Name, Names.ExpectedInstance) ||
--- a/lib/Proxy/RequestProxy.cpp
+++ b/lib/Proxy/RequestProxy.cpp
@@ -277,6 +277,10 @@
     this->refuseQuarantined(Request);
     return;
   }
+  if (Request.HasBodyFailed) {
+    this->refuseStreamedBody(Request);
+    return;
+  }
   const Duration Wait =
       Request.IsQuarantined
           ? addRetryJitter(Request.CallerId, Request.QuarantineWait)
--- a/lib/Proxy/ResponseRelay.cpp
+++ b/lib/Proxy/ResponseRelay.cpp
@@ -22,7 +22,6 @@
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
-#include <cstring>
 #include <sstream>
 
 namespace canvaswick {
@@ -50,8 +49,6 @@
   return false;
 }
 
-static constexpr const char *LastChunk = "0\r\n\r\n";
-
 ResponseRelay::ResponseRelay(HttpExchange &Exchange, const HeaderNames &Names,
                              RelayOptions Options)
     : Exchange(Exchange), Names(Names), Options(Options) {}
@@ -224,7 +221,8 @@
     this->Copy.Body.append(Data, Size);
   else
     this->IsCopyTruncated = true;
-  // The rest of a response that another server began is as long as was promised.
+  // The rest of a response that another server began is as long as was
+  // promised.
   if (this->HeadWritten && this->HasLength &&
       this->BytesRelayed + Size > this->Length) {
     this->Verdict = ResponseVerdict::ResumeMismatch;
@@ -241,9 +239,7 @@
 bool ResponseRelay::writeBody(const char *Data, size_t Size) {
   if (!this->IsChunked)
     return this->writeToCaller(Data, Size);
-  std::string Chunk = fmt::format("{:x}\r\n", Size);
-  Chunk.append(Data, Size);
-  Chunk += "\r\n";
+  const std::string Chunk = makeChunk(Data, Size);
   return this->writeToCaller(Chunk.data(), Chunk.size());
 }
 
@@ -264,7 +260,7 @@
   if (!this->HeadWritten)
     return;
   if (IsWhole && this->IsChunked)
-    IsWhole = this->writeToCaller(LastChunk, std::strlen(LastChunk));
+    IsWhole = this->writeToCaller(LastChunk.data(), LastChunk.size());
   // cpp-httplib must not write anything after the response.
   this->Exchange.Stream.muteWrites(true);
   if (!IsWhole || this->CallerLeft)
--- a/lib/Rpc/PeerCaller.cpp
+++ b/lib/Rpc/PeerCaller.cpp
@@ -135,17 +135,15 @@
 }
 
 bool readWholeBody(HttpExchange &Exchange, size_t Limit, std::string &Body) {
-  const httplib::Request &Request = Exchange.Request;
-  const bool HasBody = Request.has_header("Content-Length") ||
-                       Request.has_header("Transfer-Encoding");
-  if (!Exchange.Body || !HasBody)
+  if (!Exchange.Body)
     return true;
-  return (*Exchange.Body)([&](const char *Data, size_t Size) {
+  const BodyEnd End = Exchange.Body->read([&](const char *Data, size_t Size) {
     if (Body.size() + Size > Limit)
       return false;
     Body.append(Data, Size);
     return true;
   });
+  return End == BodyEnd::Whole;
 }
 
 void serveUnsignedCall(HttpExchange &Exchange,
--- a/lib/StandIn/BackendStandIn.cpp
+++ b/lib/StandIn/BackendStandIn.cpp
@@ -92,15 +92,16 @@
 }
 
 static bool readBody(HttpExchange &Exchange, std::string &Body) {
-  if (!Exchange.Body || (!Exchange.Request.has_header("Content-Length") &&
-                         !Exchange.Request.has_header("Transfer-Encoding")))
+  if (!Exchange.Body)
     return true;
   // Of a long upload, all is read but only the beginning is kept.
-  return (*Exchange.Body)([&Body](const char *Data, size_t Size) {
-    if (Body.size() < PieceBytes)
-      Body.append(Data, Size);
-    return true;
-  });
+  const BodyEnd End =
+      Exchange.Body->read([&Body](const char *Data, size_t Size) {
+        if (Body.size() < PieceBytes)
+          Body.append(Data, Size);
+        return true;
+      });
+  return End == BodyEnd::Whole;
 }
 
 bool BackendStandIn::isHit(const httplib::Request &Request) {
--- a/lib/StandIn/PlatformStandIn.cpp
+++ b/lib/StandIn/PlatformStandIn.cpp
@@ -108,13 +108,14 @@
 }
 
 static bool readBody(HttpExchange &Exchange, std::string &Body) {
-  if (!Exchange.Body || (!Exchange.Request.has_header("Content-Length") &&
-                         !Exchange.Request.has_header("Transfer-Encoding")))
+  if (!Exchange.Body)
     return true;
-  return (*Exchange.Body)([&Body](const char *Data, size_t Size) {
-    Body.append(Data, Size);
-    return true;
-  });
+  const BodyEnd End =
+      Exchange.Body->read([&Body](const char *Data, size_t Size) {
+        Body.append(Data, Size);
+        return true;
+      });
+  return End == BodyEnd::Whole;
 }
 
 /// Applies the outage, the rate limit and the delay. Returns whether the call
--- a/lib/Support/PeriodicThread.cpp
+++ b/lib/Support/PeriodicThread.cpp
@@ -11,9 +11,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Support/PeriodicThread.h"
-#include "canvaswick/Support/Log.h"
-
-#include <exception>
+#include "canvaswick/Support/Exceptions.h"
 
 namespace canvaswick {
 
@@ -25,16 +23,6 @@
   });
 }
 
-/// Runs a round and logs exceptions. A library may throw on a malformed
-/// response.
-static void runAndLogExceptions(const std::function<void()> &Round) {
-  try {
-    Round();
-  } catch (const std::exception &Failure) {
-    logError("round-failed", "what={:?}", Failure.what());
-  }
-}
-
 void PeriodicThread::run(Duration Interval,
                          const std::function<void()> &Round) {
   std::unique_lock<std::mutex> Lock(this->Mutex);
@@ -42,7 +30,7 @@
     this->IsWoken = false;
     Lock.unlock();
     const TimePoint Next = readSteadyClock() + Interval;
-    runAndLogExceptions(Round);
+    runAndLogExceptions("round-failed", Round);
     Lock.lock();
     this->Changed.wait_until(
         Lock, Next, [this] { return this->Stopping || this->IsWoken; });
--- a/unittests/Proxy/RawBackend.h
+++ b/unittests/Proxy/RawBackend.h
@@ -87,6 +87,8 @@
     return Done;
   }
 
+  void endSending() { ::shutdown(this->Descriptor, SHUT_WR); }
+
   /// Reads all until the other side closes.
   std::string readAll() {
     while (this->fill())
