A request that throws leaves nothing in the counts and lists of its service

Cause: admit and finish, begin and end of an attempt were pairs of calls, and an exception went between them. Now AdmittedRequest and AttemptOwner give back what nobody else has.

HandlerFailure (a listener throws in the middle of an attempt, five times with two places): aborts on, passes; the caller gets 500, not-known, the connection is closed and the body's rest is not run.

--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -150,6 +150,7 @@
       Request.HasNoServer = Needs.Tried.empty();
       break;
     }
+    const AttemptOwner Owner(*Request.Service, Current);
     this->Counters.add(Counter::ServersExcluded, Current.ExcludedServers);
     this->notifyAttemptListener(Now);
     const RequestOutcome Outcome = this->runAttempt(Request, Relay, Current);
--- a/lib/Proxy/RequestContext.h
+++ b/lib/Proxy/RequestContext.h
@@ -15,6 +15,7 @@
 #ifndef CANVASWICK_LIB_PROXY_REQUESTCONTEXT_H
 #define CANVASWICK_LIB_PROXY_REQUESTCONTEXT_H
 
+#include "RequestOwners.h"
 #include "canvaswick/Admission/RequestFingerprint.h"
 #include "canvaswick/Proxy/RequestProxy.h"
 #include "canvaswick/Proxy/RetryPermit.h"
@@ -40,6 +41,7 @@
   FleetRuntimeRef Fleet;
   const RouteConfig *Route = nullptr;
   ServiceRuntimeRef Service;
+  AdmittedRequest Admitted;
   /// The digest of the API key that the caller presented; empty if there is
   /// none or it is malformed.
   std::optional<KeyDigest> PresentedKey;
--- a/lib/Proxy/RequestProxy.cpp
+++ b/lib/Proxy/RequestProxy.cpp
@@ -260,6 +260,7 @@
     this->refuseUnadmitted(Request, Refused, Wait);
     return;
   }
+  Request.Admitted.begin(Request.Service, Request.Began);
   RelayOptions InitialOptions;
   ResponseRelay Relay(Request.Exchange, this->Options.Headers, InitialOptions);
   const bool IsRead = this->readBody(Request);
@@ -354,7 +355,7 @@
     this->Counters.add(Counter::Answered);
   this->refundIfNotRun(Request, Now);
   this->logEnd(Request, Relay, Now);
-  Request.Service->finish(Kind, Now - Request.Began, Now);
+  Request.Admitted.finish(Kind, Now);
 }
 
 } // namespace canvaswick
