Bytes without end are bounded: answers without a length, and what follows a refusal

An answer that states no length had no limit: now 1 GiB, beyond which it is cut and counts against its server. And a caller that went on sending after its request was refused kept its connection open for ever, since each piece that arrived began the wait anew: now 2 s in all.

--- a/include/canvaswick/Http/BodyReader.h
+++ b/include/canvaswick/Http/BodyReader.h
@@ -21,6 +21,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <string>
 #include <string_view>
 
@@ -52,6 +53,8 @@
   Malformed,
   /// A chunk's line or the trailers are longer than their limits.
   TooLong,
+  /// It states no length and is longer than its limit.
+  TooMuch,
   /// The receiver wanted no more.
   Refused,
 };
@@ -82,6 +85,9 @@
   BodyReader(SocketStream &Stream, BodyFraming Framing,
              const httplib::Headers &Headers);
 
+  /// Limits a body that states no length. By default there is no limit.
+  void setMaxUnsizedBytes(uint64_t Limit) { this->MaxUnsizedBytes = Limit; }
+
   /// Writes these bytes before the body is read for the first time: the sender
   /// waits for them.
   void setInvitation(std::string Bytes) { this->Invitation = std::move(Bytes); }
@@ -104,6 +110,7 @@
   SocketStream &Stream;
   const BodyFraming Framing;
   uint64_t Length = 0;
+  uint64_t MaxUnsizedBytes = std::numeric_limits<uint64_t>::max();
   std::string Invitation;
   BodyEnd End = BodyEnd::Unread;
 };
--- a/include/canvaswick/Http/HttpClient.h
+++ b/include/canvaswick/Http/HttpClient.h
@@ -23,6 +23,7 @@
 #include <httplib.h>
 
 #include <functional>
+#include <limits>
 #include <list>
 #include <map>
 #include <memory>
@@ -110,6 +111,8 @@
   /// Called once there is a connection, before the first byte of the request is
   /// sent, unless empty. Nothing is sent if it returns false.
   std::function<bool()> BeforeSend;
+  /// The longest body of a response that states no length, in bytes.
+  uint64_t MaxUnsizedBytes = std::numeric_limits<uint64_t>::max();
   /// Whether a response without a length may be delimited by the end of its
   /// connection, if that is known to be the server's.
   bool MayEndWithConnection = false;
--- a/include/canvaswick/Http/SocketStream.h
+++ b/include/canvaswick/Http/SocketStream.h
@@ -102,8 +102,8 @@
   bool hasBufferedBytes() const;
 
   /// Shuts down the write side: the peer reads end of file after the data
-  /// already written. Input is discarded from now on.
-  void beginLinger();
+  /// already written. Input is discarded until the time Until at the latest.
+  void beginLinger(TimePoint Until);
 
   /// Makes the connection end with a reset when it is closed, so that the peer
   /// does not take what it has received for complete.
@@ -115,6 +115,10 @@
   /// Returns whether beginLinger was called.
   bool isLingering() const;
 
+  /// Returns the time at which the connection must be closed. Must not be
+  /// called before beginLinger.
+  TimePoint getLingerEnd() const;
+
   /// Discards the input that has arrived. Returns whether the peer has closed
   /// its side too.
   bool discardInput();
@@ -146,7 +150,7 @@
   bool IsTunnel = false;
   std::optional<TunnelFrameDecoder> Frames;
   bool Muted = false;
-  bool Lingering = false;
+  std::optional<TimePoint> LingerUntil;
   size_t BytesWritten = 0;
   size_t BytesRead = 0;
   StreamFailure Failure = StreamFailure::None;
--- a/include/canvaswick/Proxy/ProxyOptions.h
+++ b/include/canvaswick/Proxy/ProxyOptions.h
@@ -79,6 +79,9 @@
   /// they can be sent again; longer ones are refused. 0: chunked bodies are
   /// streamed.
   size_t MaxBufferedBodyBytes = 0;
+  /// The longest body of a response that states no length. One that is longer
+  /// has no end, and is cut.
+  uint64_t MaxUnsizedAnswerBytes = uint64_t(1) << 30;
   /// Whether requests that must not run twice use a new connection, which
   /// proves that the server is reachable before anything is sent.
   bool UsesFreshConnections = false;
--- a/lib/Http/BodyReader.cpp
+++ b/lib/Http/BodyReader.cpp
@@ -40,12 +40,13 @@
 /// Digits of a length that fits in 64 bits.
 static constexpr size_t MaxLengthDigits = 18;
 
-static constexpr EnumNames<BodyEnd, 6> BodyEndNames = {{
+static constexpr EnumNames<BodyEnd, 7> BodyEndNames = {{
     {BodyEnd::Whole, "whole"},
     {BodyEnd::Unread, "unread"},
     {BodyEnd::Cut, "body-cut"},
     {BodyEnd::Malformed, "malformed-chunk"},
     {BodyEnd::TooLong, "chunk-line-too-long"},
+    {BodyEnd::TooMuch, "body-without-end"},
     {BodyEnd::Refused, "refused"},
 }};
 
@@ -135,18 +136,23 @@
 
 BodyEnd BodyReader::readUntilClose(const BodyReceiver &Receive) {
   std::array<char, PieceBytes> Piece;
+  uint64_t Left = this->MaxUnsizedBytes;
   while (true) {
     const ssize_t Count = this->Stream.read(Piece.data(), Piece.size());
     if (Count < 0)
       return BodyEnd::Cut;
     if (Count == 0)
       return BodyEnd::Whole;
+    if (static_cast<uint64_t>(Count) > Left)
+      return BodyEnd::TooMuch;
     if (!Receive(Piece.data(), static_cast<size_t>(Count)))
       return BodyEnd::Refused;
+    Left -= static_cast<uint64_t>(Count);
   }
 }
 
 BodyEnd BodyReader::readChunks(const BodyReceiver &Receive) {
+  uint64_t Left = this->MaxUnsizedBytes;
   while (true) {
     uint64_t Size = 0;
     BodyEnd Step = this->readChunkSize(Size);
@@ -154,6 +160,9 @@
       return Step;
     if (Size == 0)
       return this->readTrailers();
+    if (Size > Left)
+      return BodyEnd::TooMuch;
+    Left -= Size;
     Step = this->readPieces(Size, Receive);
     if (Step == BodyEnd::Whole)
       Step = this->readChunkEnd();
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -38,6 +38,10 @@
 /// Time limit for writing the answer to a request that is not served.
 static constexpr Duration RefusalLimit = fromMillis(50);
 
+/// Time limit for the caller to close a connection after our side has been shut
+/// down, however much it sends meanwhile.
+static constexpr Duration LingerLimit = fromSeconds(2);
+
 /// Retry-After of requests that were refused because the server is busy.
 static constexpr int BusyRetrySeconds = 1;
 
@@ -142,12 +146,12 @@
                                          BusyRetrySeconds, Reason);
   Stream.setDeadline(readSteadyClock() + RefusalLimit);
   static_cast<httplib::Stream &>(Stream).write(Answer);
-  Stream.beginLinger();
+  Stream.beginLinger(readSteadyClock() + LingerLimit);
 }
 
 void HttpServer::serveReady(std::unique_ptr<SocketStream> Stream) {
   if (Stream->isLingering()) {
-    if (Stream->discardInput())
+    if (Stream->discardInput() || readSteadyClock() > Stream->getLingerEnd())
       this->release(std::move(Stream));
     else
       this->Parker->park(std::move(Stream));
@@ -183,7 +187,7 @@
     this->release(std::move(Stream));
     return;
   }
-  Stream->beginLinger();
+  Stream->beginLinger(readSteadyClock() + LingerLimit);
   if (Stream->discardInput())
     this->release(std::move(Stream));
   else
@@ -230,7 +234,7 @@
   Response.set_header("Canvaswick-Reason", getName(End));
   Stream.setDeadline(readSteadyClock() + RefusalLimit);
   writeResponse(Stream, Response, {.IsLast = true});
-  Stream.beginLinger();
+  Stream.beginLinger(readSteadyClock() + LingerLimit);
 }
 
 /// Returns what delimits the body of a request without a fault.
--- a/lib/Http/IdleParker.cpp
+++ b/lib/Http/IdleParker.cpp
@@ -35,10 +35,6 @@
 /// stay in the listen queue of the kernel meanwhile, as with cpp-httplib.
 static constexpr std::chrono::milliseconds AcceptPause(1);
 
-/// Time limit for the peer to close a connection after our side has been shut
-/// down.
-static constexpr Duration LingerLimit = fromSeconds(2);
-
 IdleParker::IdleParker(Duration IdleLimit, StreamHandler Ready,
                        StreamHandler Expired)
     : IdleMicros(IdleLimit.count()), Ready(std::move(Ready)),
@@ -115,9 +111,10 @@
   {
     std::lock_guard<std::mutex> Lock(this->Mutex);
     for (const auto &[Descriptor, Connection] : this->Connections) {
-      const Duration Limit =
-          Connection.Stream->isLingering() ? LingerLimit : IdleLimit;
-      if (Now - Connection.Since > Limit)
+      const TimePoint Until = Connection.Stream->isLingering()
+                                  ? Connection.Stream->getLingerEnd()
+                                  : Connection.Since + IdleLimit;
+      if (Now > Until)
         Expired.push_back(Descriptor);
     }
   }
--- a/lib/Http/RequestExchange.cpp
+++ b/lib/Http/RequestExchange.cpp
@@ -161,6 +161,7 @@
 
 ExchangeEnd RequestExchange::receiveBody(ExchangeResult &Result) {
   BodyReader Body(this->Stream, this->Framing, this->Response.headers);
+  Body.setMaxUnsizedBytes(this->Outgoing.MaxUnsizedBytes);
   Result.Body.clear();
   const BodyEnd End = Body.read([&](const char *Data, size_t Size) {
     return this->takeBody(Data, Size, Result);
@@ -169,7 +170,7 @@
     return ExchangeEnd::Complete;
   if (End == BodyEnd::Refused)
     return this->Sink ? ExchangeEnd::Canceled : ExchangeEnd::Broken;
-  if (End == BodyEnd::Malformed || End == BodyEnd::TooLong)
+  if (End != BodyEnd::Cut)
     Result.Fault = getName(End);
   return this->classifyFailure();
 }
--- a/lib/Http/SocketStream.cpp
+++ b/lib/Http/SocketStream.cpp
@@ -23,6 +23,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cassert>
 #include <cerrno>
 #include <cstring>
 
@@ -234,8 +235,8 @@
   return static_cast<ssize_t>(Size);
 }
 
-void SocketStream::beginLinger() {
-  this->Lingering = true;
+void SocketStream::beginLinger(TimePoint Until) {
+  this->LingerUntil = Until;
   ::shutdown(this->Descriptor, SHUT_WR);
 }
 
@@ -247,7 +248,12 @@
   this->Failure = StreamFailure::Io;
 }
 
-bool SocketStream::isLingering() const { return this->Lingering; }
+bool SocketStream::isLingering() const { return this->LingerUntil.has_value(); }
+
+TimePoint SocketStream::getLingerEnd() const {
+  assert(this->LingerUntil && "the connection does not linger");
+  return *this->LingerUntil;
+}
 
 bool SocketStream::discardInput() {
   this->Buffer.clear();
--- a/lib/Proxy/RequestBody.cpp
+++ b/lib/Proxy/RequestBody.cpp
@@ -40,6 +40,7 @@
 static BodyRefusal getBodyRefusal(BodyEnd End) {
   switch (End) {
   case BodyEnd::Refused:
+  case BodyEnd::TooMuch:
     return {413, "body-too-long"};
   case BodyEnd::Malformed:
   case BodyEnd::TooLong:
--- a/lib/Proxy/RequestOutgoing.cpp
+++ b/lib/Proxy/RequestOutgoing.cpp
@@ -98,6 +98,7 @@
   Outgoing.ServerInstance = Server.Name;
   this->setConnectionRules(Request, Server, Outgoing);
   Outgoing.MayEndWithConnection = this->Options.MaxBufferedResponseBytes > 0;
+  Outgoing.MaxUnsizedBytes = this->Options.MaxUnsizedAnswerBytes;
   Relay.addResumeHeaders(Outgoing.Headers);
   Outgoing.StallLimit = fromMillis(Request.Service->getConfig().StallMs);
   if (Request.HasCallerDeadline)
