A request that can't be written to a tunnel blames no server; fingerprints of long chunked bodies

A peer that ends while a request is sent to it made the write fail, and that counted against the server: now it is a lost tunnel, too (TunnelEnd, one case failed before). And a body in chunks that is longer than the buffer had no part in its request's fingerprint, so that different uploads would be held back together; what was read of it counts now.

--- a/lib/Http/SocketStream.cpp
+++ b/lib/Http/SocketStream.cpp
@@ -226,7 +226,8 @@
     const bool IsRetry = Count < 0 && (errno == EAGAIN ||
                                        errno == EWOULDBLOCK || errno == EINTR);
     if (!IsRetry) {
-      this->Failure = StreamFailure::Io;
+      this->Failure =
+          this->IsTunnel ? StreamFailure::TunnelLost : StreamFailure::Io;
       return -1;
     }
     if (!this->waitFor(POLLOUT))
--- a/lib/Proxy/RequestBody.cpp
+++ b/lib/Proxy/RequestBody.cpp
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <string_view>
 
 namespace canvaswick {
 
@@ -103,14 +104,15 @@
 }
 
 /// Computes the request's fingerprint after the body has been read as far as it
-/// is buffered. A streamed body is represented by its declared length, because
-/// none of it has been read when the first server gets it.
+/// is buffered. A body of which nothing has been read is represented by its
+/// declared length.
 void RequestProxy::computeFingerprint(RequestContext &Request) const {
   const httplib::Request &Caller = Request.Exchange.Request;
-  const std::string Unseen = Caller.get_header_value("Content-Length");
+  const std::string Declared = Caller.get_header_value("Content-Length");
+  const bool IsUnread = !Request.IsBodyBuffered && Request.Body.empty();
   Request.Fingerprint = computeRequestFingerprint(
       {Request.Organisation, Caller.method, Request.Route->Host, Caller.target,
-       Request.IsBodyBuffered ? Request.Body : Unseen});
+       IsUnread ? std::string_view(Declared) : Request.Body});
 }
 
 /// Buffers a short body and leaves a long one to be streamed. Returns false if
--- a/unittests/Proxy/TunnelEndTest.cpp
+++ b/unittests/Proxy/TunnelEndTest.cpp
@@ -74,6 +74,26 @@
   CHECK(Result.WasTunnelLost);
 }
 
+TEST_CASE("a peer that ends while a request is sent is a lost tunnel") {
+  HttpServer Peer(HttpServerLimits{}, [](HttpExchange &Each) {
+    static_cast<httplib::Stream &>(Each.Stream)
+        .write("HTTP/1.1 101 Switching Protocols\r\n"
+               "Canvaswick-Tunnel-Frames: 1\r\n\r\n");
+    Each.Stream.muteWrites(true);
+    Each.Stream.resetOnClose();
+    Each.MustClose = true;
+  });
+  REQUIRE(Peer.start({"127.0.0.1", 0}));
+  OutgoingRequest Request;
+  Request.Method = "POST";
+  Request.Body = std::string(20 << 20, 'x');
+  Request.TunnelLimit = fromSeconds(5);
+  Request.Through = TunnelTarget{{"127.0.0.1", Peer.getPort()}, {}};
+  const ExchangeResult Result = exchange(Request);
+  CHECK(Result.End == ExchangeEnd::Broken);
+  CHECK(Result.WasTunnelLost);
+}
+
 TEST_CASE("an answer without a length is incomplete if the peer does not mark "
           "its end") {
   const ExchangeResult Result = exchange(EndingPeer(false).makeRequest());
