Refusals of the server in one place

The 503 of a busy server and the answers to heads that cannot be read were put together in two ways; both go through writeResponse now. No change of behaviour but the order of header fields.

--- a/include/canvaswick/Http/HttpServer.h
+++ b/include/canvaswick/Http/HttpServer.h
@@ -145,7 +145,7 @@
   bool serveRequest(SocketStream &Stream, httplib::Request &Request);
   void runHandler(HttpExchange &Exchange);
   void refuseHead(SocketStream &Stream, HeadEnd End);
-  void refuse(SocketStream &Stream, const char *Reason);
+  void refuse(SocketStream &Stream, int Status, const char *Reason);
   void release(std::unique_ptr<SocketStream> Stream);
 
   const HttpServerLimits Limits;
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -42,7 +42,9 @@
 /// down, however much it sends meanwhile.
 static constexpr Duration LingerLimit = fromSeconds(2);
 
-/// Retry-After of requests that were refused because the server is busy.
+/// Status and Retry-After of requests that were refused because the server is
+/// busy.
+static constexpr int BusyStatus = 503;
 static constexpr int BusyRetrySeconds = 1;
 
 HttpServer::HttpServer(HttpServerLimits Limits, ExchangeHandler Handler)
@@ -123,7 +125,7 @@
   auto Stream = std::make_unique<SocketStream>(Descriptor);
   if (++this->Connections > this->Limits.MaxConnections) {
     ++this->Counters.RefusedConnections;
-    this->refuse(*Stream, "connections");
+    this->refuse(*Stream, BusyStatus, "connections");
     this->release(std::move(Stream));
     return;
   }
@@ -135,17 +137,17 @@
   --this->Connections;
 }
 
-/// Writes a complete 503 response without reading the request.
-void HttpServer::refuse(SocketStream &Stream, const char *Reason) {
-  const std::string Answer = fmt::format("HTTP/1.1 503 Service Unavailable\r\n"
-                                         "Content-Length: 0\r\n"
-                                         "Connection: close\r\n"
-                                         "Retry-After: {}\r\n"
-                                         "Canvaswick-Outcome: not-run\r\n"
-                                         "Canvaswick-Reason: {}\r\n\r\n",
-                                         BusyRetrySeconds, Reason);
+/// Answers a request that does not reach the handler, and closes the connection
+/// once the caller has had time to read that.
+void HttpServer::refuse(SocketStream &Stream, int Status, const char *Reason) {
+  httplib::Response Response;
+  Response.status = Status;
+  Response.set_header("Canvaswick-Outcome", "not-run");
+  Response.set_header("Canvaswick-Reason", Reason);
+  if (Status == BusyStatus)
+    Response.set_header("Retry-After", fmt::format("{}", BusyRetrySeconds));
   Stream.setDeadline(readSteadyClock() + RefusalLimit);
-  static_cast<httplib::Stream &>(Stream).write(Answer);
+  writeResponse(Stream, Response, {.IsLast = true});
   Stream.beginLinger(readSteadyClock() + LingerLimit);
 }
 
@@ -170,7 +172,7 @@
     return;
   Stream.reset(Raw);
   ++this->Counters.RefusedBusy;
-  this->refuse(*Stream, "busy");
+  this->refuse(*Stream, BusyStatus, "busy");
   --this->InFlight;
   this->Parker->park(std::move(Stream));
 }
@@ -218,6 +220,20 @@
   return IsKept;
 }
 
+/// Returns the status of the answer to a request whose head cannot be read.
+static int getStatus(HeadEnd End) {
+  switch (End) {
+  case HeadEnd::Malformed:
+    return 400;
+  case HeadEnd::TooLong:
+    return 431;
+  case HeadEnd::Whole:
+  case HeadEnd::Cut:
+    break;
+  }
+  return 408;
+}
+
 /// Answers a request whose head cannot be read. One that was cut off has nobody
 /// to answer.
 void HttpServer::refuseHead(SocketStream &Stream, HeadEnd End) {
@@ -226,15 +242,7 @@
   ++this->Counters.Malformed;
   if (End == HeadEnd::Cut && Stream.getFailure() != StreamFailure::Timeout)
     return;
-  httplib::Response Response;
-  Response.status = End == HeadEnd::Malformed ? 400
-                    : End == HeadEnd::TooLong ? 431
-                                              : 408;
-  Response.set_header("Canvaswick-Outcome", "not-run");
-  Response.set_header("Canvaswick-Reason", getName(End));
-  Stream.setDeadline(readSteadyClock() + RefusalLimit);
-  writeResponse(Stream, Response, {.IsLast = true});
-  Stream.beginLinger(readSteadyClock() + LingerLimit);
+  this->refuse(Stream, getStatus(End), getName(End));
 }
 
 /// Returns what delimits the body of a request without a fault.
