The line of a request says as of which position its servers were listed

The logs of the incident could not tell a replica that was wrong (A) from a request that went by an old list (B): no line named the list. list-as-of is the position at the request's arrival.

--- a/include/canvaswick/Directory/FleetRecords.h
+++ b/include/canvaswick/Directory/FleetRecords.h
@@ -15,6 +15,7 @@
 #ifndef CANVASWICK_DIRECTORY_FLEETRECORDS_H
 #define CANVASWICK_DIRECTORY_FLEETRECORDS_H
 
+#include "canvaswick/Directory/StorePosition.h"
 #include "canvaswick/Settings/FleetConfig.h"
 
 #include <map>
@@ -120,11 +121,12 @@
 
 /// Builds the configuration of a daemon. Servers of unknown services, and
 /// routes to unknown services, are left out. DrainedHalls names the halls whose
-/// servers must get no requests.
+/// servers must get no requests. AsOf is the position of the servers' entries.
 FleetConfigRef compileFleetConfig(const RoutingRules &Rules,
                                   const KnownServers &Servers,
                                   const ServiceDefaults &Defaults,
-                                  std::set<std::string> DrainedHalls = {});
+                                  std::set<std::string> DrainedHalls = {},
+                                  const StorePosition &AsOf = {});
 
 } // namespace canvaswick
 
--- a/include/canvaswick/Settings/FleetConfig.h
+++ b/include/canvaswick/Settings/FleetConfig.h
@@ -161,6 +161,9 @@
   CallerLimits Limits;
   /// Halls whose servers must get no requests.
   std::set<std::string> DrainedHalls;
+  /// The position of the store as of which the servers are listed, for logs;
+  /// empty if they are listed in the settings.
+  std::string ListedAsOf;
 
   /// Returns the index of the service with the given name, or -1.
   int findService(const std::string &Name) const;
--- a/lib/Directory/FleetRecords.cpp
+++ b/lib/Directory/FleetRecords.cpp
@@ -110,10 +110,13 @@
 FleetConfigRef compileFleetConfig(const RoutingRules &Rules,
                                   const KnownServers &Servers,
                                   const ServiceDefaults &Defaults,
-                                  std::set<std::string> DrainedHalls) {
+                                  std::set<std::string> DrainedHalls,
+                                  const StorePosition &AsOf) {
   boost::intrusive_ptr<FleetConfig> Config(new FleetConfig);
   Config->Version = Rules.Version;
   Config->DrainedHalls = std::move(DrainedHalls);
+  if (!AsOf.isNone())
+    Config->ListedAsOf = fmt::format("{}", AsOf);
   Config->Limits = Rules.Limits;
   Config->Organisations = Rules.Organisations;
   std::map<std::string, uint32_t> ServiceIndex;
--- a/lib/Proxy/RequestProxy.cpp
+++ b/lib/Proxy/RequestProxy.cpp
@@ -309,16 +309,24 @@
   this->refuse(Request.Exchange, Status, Request.Outcome, Request.Reason, Wait);
 }
 
+/// Returns how the log shows the list of servers at a request's arrival.
+static std::string getListMark(const FleetConfig &Config) {
+  return Config.ListedAsOf.empty()
+             ? ""
+             : fmt::format(" list-as-of={}", Config.ListedAsOf);
+}
+
 void RequestProxy::logEnd(const RequestContext &Request,
                           const ResponseRelay &Relay, TimePoint Now) {
   const bool IsRelayed = Request.IsAnswered && Request.AttemptCount > 0;
   logInfo("request",
           "id={} caller={} organisation={:?} asks={:016x} route={} service={} "
-          "version={} "
+          "version={}{} "
           "status={} outcome={} reason={} ms={} left-ms={} tries={}{}",
           Request.CallerId, Request.Exchange.Request.remote_addr,
           Request.Organisation, Request.Fingerprint, Request.Route->Name,
           Request.Service->getConfig().Name, Request.Fleet->getConfig().Version,
+          getListMark(Request.Fleet->getConfig()),
           IsRelayed ? Relay.getStatus() : Request.Exchange.Response.status,
           IsRelayed ? "relayed"
                     : (Request.WasCanceled ? "caller-left"
