Requests go by the servers that are listed when they are sent, not when they arrived

Callers saw nothing; servers that had said that they leave got requests for as long as a request's time lasts (DRAIN).

Cause: a request kept the version of its service that was in force at its arrival. Retries, tests, the first attempt after a body that came in slowly, and tunnels for peers chose from that; only a wait for a retry looked for a newer one, and ended with a refusal. Class: a decision by a state that was copied earlier.

Mend: each attempt begins with the version in force, and FleetRuntime::mayReceive is asked once more right before the first byte, and by a peer before it opens a tunnel. A wait goes on when the servers change; its retry goes to those that are listed then. Ruled out: telling the old versions of a service who leaves. They would have to know of servers that joined, too.

--- a/include/canvaswick/Proxy/FleetRuntime.h
+++ b/include/canvaswick/Proxy/FleetRuntime.h
@@ -40,6 +40,11 @@
   /// Returns the service with this name, or null.
   ServiceRuntimeRef findService(const std::string &Name) const;
 
+  /// Returns whether a server may be sent requests: it is listed and does not
+  /// leave. All that sends asks the version in force, at the last moment.
+  bool mayReceive(const std::string &Service, const std::string &Server,
+                  TimePoint Now) const;
+
   /// Sets for each server how many connections Pool may open to it. Servers of
   /// services that Previous has too are left out; it may be null.
   void limitConnections(ConnectionPool &Pool,
--- a/include/canvaswick/Proxy/RequestProxy.h
+++ b/include/canvaswick/Proxy/RequestProxy.h
@@ -169,6 +169,7 @@
   void refuseAfterWait(RequestContext &Request);
 
   // RequestPaths.cpp: direct attempts and those through peers.
+  bool maySendNow(RequestContext &Request, const ServerConfig &Server) const;
   bool chargeArrival(RequestContext &Request) const;
   bool choosePath(RequestContext &Request) const;
   ExchangeResult sendAttempt(RequestContext &Request, const Attempt &Current,
@@ -195,6 +196,7 @@
                         OutgoingRequest &Outgoing) const;
 
   // RequestAttempts.cpp: attempts at servers.
+  bool followSettings(RequestContext &Request) const;
   void runAttempts(RequestContext &Request, ResponseRelay &Relay);
   void notifyAttemptListener(TimePoint Now) const;
   void handleServerNotice(const RequestContext &Request, Attempt &Current,
--- a/include/canvaswick/Proxy/ServiceRuntime.h
+++ b/include/canvaswick/Proxy/ServiceRuntime.h
@@ -9,7 +9,7 @@
 /// \file
 /// Combines the selection of servers, admission, retry budgets and server
 /// health of one service under one mutex. Instances are shared through counted
-/// references; a request in flight keeps the instance with which it began.
+/// references; an attempt in flight keeps the instance with which it began.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -301,6 +301,14 @@
   bool shouldAbandonAttempt(const Attempt &Each, const AttemptNeeds &Needs,
                             TimePoint Now) const;
 
+  /// Returns whether a server is listed and does not leave.
+  bool mayReceive(const std::string &Server, TimePoint Now);
+
+  /// Returns the indices here of servers of another version of the service,
+  /// without those that are no longer used.
+  std::vector<size_t> mapServers(const std::vector<size_t> &Servers,
+                                 const ServiceRuntime &Other) const;
+
   /// Sets which servers the platform lists as leaving: those with one of these
   /// addresses (host, or host and port).
   void setLeavingAddresses(const std::set<std::string> &Addresses,
@@ -410,6 +418,7 @@
   NoticeSource makeNoticeSource(size_t Server) const;
   size_t applyNotices(std::vector<double> &Shares, TimePoint Now) const;
   bool isExcludedByNotice(size_t Server, TimePoint Now) const;
+  bool isLeavingByNotice(size_t Server, TimePoint Now) const;
   void updateLeaving(TimePoint Now);
   void updateHalls(TimePoint Now);
   void recordWarmups(TimePoint Now);
--- a/include/canvaswick/Proxy/TunnelResponder.h
+++ b/include/canvaswick/Proxy/TunnelResponder.h
@@ -44,7 +44,7 @@
   /// Answers a request for TunnelPath, and carries the tunnel until it ends.
   /// Declines with 403 a caller that is no daemon of the fleet, with 404 a
   /// server that is not listed, with 503 if it is busy, stopping or cut off
-  /// itself, and with 502 if the server can't be reached.
+  /// itself, and with 502 if the server leaves or can't be reached.
   void handle(HttpExchange &Exchange);
 
   /// Declines all tunnels from now on. Those that are open go on.
--- a/lib/Proxy/FleetRuntime.cpp
+++ b/lib/Proxy/FleetRuntime.cpp
@@ -40,6 +40,12 @@
   return nullptr;
 }
 
+bool FleetRuntime::mayReceive(const std::string &Service,
+                              const std::string &Server, TimePoint Now) const {
+  const ServiceRuntimeRef Found = this->findService(Service);
+  return Found && Found->mayReceive(Server, Now);
+}
+
 void FleetRuntime::limitConnections(ConnectionPool &Pool,
                                     const FleetRuntime *Previous) const {
   for (const ServiceRuntimeRef &Service : this->Services) {
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -39,11 +39,21 @@
   return Ended.WasPeerLost ? ":peer-lost" : ":peer";
 }
 
+/// Returns how the trail shows the list of servers by which an attempt was
+/// sent, if that is another one than at the request's arrival.
+static std::string getListMark(const FleetRuntimeRef &Arrival,
+                               const FleetRuntimeRef &Sent) {
+  const std::string &AsOf = Sent->getConfig().ListedAsOf;
+  return AsOf == Arrival->getConfig().ListedAsOf
+             ? ""
+             : fmt::format(":list={}", AsOf);
+}
+
 /// Appends an attempt to the trail that is logged when the request ends.
 void RequestProxy::addToTrail(RequestContext &Request, const Attempt &Ended,
                               RequestOutcome Outcome, Duration Took) {
   Request.AttemptTrail += fmt::format(
-      "{}{}:{}:{}ms:share={:.3f}:sick={:.3f}:load={:.1f}{}{}{}{}{}{}",
+      "{}{}:{}:{}ms:share={:.3f}:sick={:.3f}:load={:.1f}{}{}{}{}{}{}{}{}",
       Request.AttemptTrail.empty() ? "" : ",",
       Request.Service->getServer(Ended.Server).Name,
       Ended.WasCutOff ? "cut-off" : getName(Outcome), toMillis(Took),
@@ -52,6 +62,8 @@
       Ended.Placed ? fmt::format(":{}", getName(*Ended.Placed)) : "",
       getPathMark(Ended), Ended.WasConnectionKept ? ":kept" : "",
       std::exchange(Request.IsRetryPaid, false) ? ":paid" : "",
+      Request.WasWithdrawn ? ":withdrawn" : "",
+      getListMark(Request.Fleet, Request.AttemptFleet),
       Request.AnswerFault ? fmt::format(":answer={}", Request.AnswerFault)
                           : "");
 }
@@ -119,6 +131,22 @@
              : Outcome;
 }
 
+/// Makes the request use the servers that are listed now, and not those of its
+/// arrival. Returns false if its service exists no more.
+bool RequestProxy::followSettings(RequestContext &Request) const {
+  Request.AttemptFleet = this->Fleet.get();
+  const ServiceRuntimeRef Current =
+      Request.AttemptFleet->findService(Request.Service->getConfig().Name);
+  if (!Current)
+    return false;
+  if (Current == Request.Service)
+    return true;
+  Request.Needs.Tried =
+      Current->mapServers(Request.Needs.Tried, *Request.Service);
+  Request.Service = Current;
+  return true;
+}
+
 void RequestProxy::runAttempts(RequestContext &Request, ResponseRelay &Relay) {
   AttemptNeeds &Needs = Request.Needs;
   Needs.Class = Request.Route->Class;
@@ -138,6 +166,10 @@
     }
     if (!Relay.hasBegun() && this->recheckQuarantine(Request, Now))
       break;
+    if (!this->followSettings(Request)) {
+      Request.HasNoServer = !Request.WasSent;
+      break;
+    }
     Needs.IsLast = !isRetryable(*Request.Route) ||
                    Request.AttemptCount + 1 >= this->getMaxAttempts(Request) ||
                    !Request.Service->hasRetry(Now);
@@ -146,7 +178,7 @@
       break;
     Attempt Current;
     if (!Request.Service->begin(Current, Needs, Now)) {
-      Request.HasNoServer = Needs.Tried.empty();
+      Request.HasNoServer = Needs.Tried.empty() && !Request.WasSent;
       break;
     }
     const AttemptOwner Owner(*Request.Service, Current);
@@ -163,7 +195,7 @@
     const bool WasTried = !Current.HadNoTunnel || !Request.HasNoPeer;
     if (WasTried)
       Needs.Tried.push_back(Current.Server);
-    if (isServerMissing(Outcome))
+    if (isServerMissing(Outcome) || Request.WasWithdrawn)
       Unreachable += WasTried ? 1 : 0;
     else
       ++Request.AttemptCount;
--- a/lib/Proxy/RequestContext.h
+++ b/lib/Proxy/RequestContext.h
@@ -40,7 +40,10 @@
   bool HasCallerDeadline = false;
   FleetRuntimeRef Fleet;
   const RouteConfig *Route = nullptr;
+  /// The service in the version that was in force when the last attempt began,
+  /// and that version. Fleet is the one of the request's arrival.
   ServiceRuntimeRef Service;
+  FleetRuntimeRef AttemptFleet;
   AdmittedRequest Admitted;
   /// The digest of the API key that the caller presented; empty if there is
   /// none or it is malformed.
@@ -74,6 +77,9 @@
   std::vector<std::string> AskedPeers;
   /// The retry that the next arrival at a server uses up.
   RetryPermit Permit;
+  /// Whether nothing was sent in the last attempt because its server had begun
+  /// to leave.
+  bool WasWithdrawn = false;
   /// Whether the attempt in flight has used up a retry.
   bool IsRetryPaid = false;
   /// What made the response to the last attempt unreadable, or null.
--- a/lib/Proxy/RequestOutcomes.cpp
+++ b/lib/Proxy/RequestOutcomes.cpp
@@ -63,6 +63,8 @@
   case ExchangeEnd::NoConnection:
     return RequestOutcome::Canceled;
   case ExchangeEnd::NotSent:
+    if (Request.WasWithdrawn)
+      return RequestOutcome::Canceled;
     this->Counters.add(Counter::UpstreamFailures);
     return RequestOutcome::Unreachable;
   case ExchangeEnd::Complete:
--- a/lib/Proxy/RequestPaths.cpp
+++ b/lib/Proxy/RequestPaths.cpp
@@ -48,6 +48,17 @@
   return true;
 }
 
+/// Returns whether a server may still be sent the request, right before that
+/// happens: connections take a while.
+bool RequestProxy::maySendNow(RequestContext &Request,
+                              const ServerConfig &Server) const {
+  Request.WasWithdrawn = !this->Fleet.get()->mayReceive(
+      Request.Service->getConfig().Name, Server.Name, readSteadyClock());
+  if (Request.WasWithdrawn)
+    this->Counters.add(Counter::SendsWithdrawn);
+  return !Request.WasWithdrawn;
+}
+
 /// Charges an arrival at a server, right before the request is sent there. The
 /// first one is free, each further one uses up a retry. Returns whether the
 /// request may be sent.
@@ -72,8 +83,9 @@
                                          TimePoint Deadline, int CallerSocket,
                                          const AnswerSink &Sink) {
   const ServerConfig &Server = Request.Service->getServer(Current.Server);
-  Outgoing.BeforeSend = [this, &Request] {
-    return this->chargeArrival(Request);
+  Request.WasWithdrawn = false;
+  Outgoing.BeforeSend = [this, &Request, &Server] {
+    return this->maySendNow(Request, Server) && this->chargeArrival(Request);
   };
   if (Current.IsThroughPeer)
     return this->sendThroughPeers(Request, Server, Outgoing, Deadline,
@@ -143,6 +155,8 @@
         this->leavePeer(Request, *Peer);
       return Result;
     }
+    if (Request.WasWithdrawn)
+      return Result;
     this->Counters.add(Counter::TunnelsDeclined);
     if (Result.Tunnel == TunnelAnswer::NoServer) {
       // Unless the links of both are cut, which the next probe of each shows,
--- a/lib/Proxy/RequestWaits.cpp
+++ b/lib/Proxy/RequestWaits.cpp
@@ -72,19 +72,18 @@
   return Waiting;
 }
 
-/// Returns how the wait of a request ends for a reason outside the room. An old
-/// version of a service isn't told which servers leave, and close() does not
-/// reach the room of a service that was removed.
+/// Returns how the wait of a request ends for a reason outside the room.
+/// close() does not reach the room of a service that was removed.
 std::optional<WaitEnd>
 RequestProxy::checkWaitEnd(const RequestContext &Request) const {
   if (Request.Exchange.Stream.isPeerGone())
     return WaitEnd::CallerLeft;
   if (this->IsStopping)
     return WaitEnd::Stopping;
-  const FleetRuntimeRef Current = this->Fleet.get();
-  if (readSteadyClock() >= Request.Deadline ||
-      Current->findService(Request.Service->getConfig().Name) !=
-          Request.Service)
+  const ServiceRuntimeRef Current =
+      this->Fleet.get()->findService(Request.Service->getConfig().Name);
+  if (readSteadyClock() >= Request.Deadline || !Current ||
+      &Current->getRoom() != &Request.Service->getRoom())
     return WaitEnd::Refused;
   return std::nullopt;
 }
--- a/lib/Proxy/ServiceNotices.cpp
+++ b/lib/Proxy/ServiceNotices.cpp
@@ -57,15 +57,19 @@
   return Changes;
 }
 
+bool ServiceRuntime::isLeavingByNotice(size_t Server, TimePoint Now) const {
+  return !this->Notices->isEmpty() &&
+         this->Notices->with([&](const ServerNotices &All) {
+           return All.getActiveKind(this->Ids[Server], Now) ==
+                  NoticeKind::Leaving;
+         });
+}
+
 /// Updates in the policy which servers have announced that they leave: its
 /// floor counts without them. The caller holds the mutex.
 void ServiceRuntime::updateLeaving(TimePoint Now) {
   for (size_t I = 0; I < this->Ids.size(); ++I) {
-    const bool IsLeaving =
-        !this->Notices->isEmpty() &&
-        this->Notices->with([&](const ServerNotices &All) {
-          return All.getActiveKind(this->Ids[I], Now) == NoticeKind::Leaving;
-        });
+    const bool IsLeaving = this->isLeavingByNotice(I, Now);
     if (this->LeavingByNotice[I] == IsLeaving)
       continue;
     this->LeavingByNotice[I] = IsLeaving;
--- a/lib/Proxy/ServiceRuntime.cpp
+++ b/lib/Proxy/ServiceRuntime.cpp
@@ -120,6 +120,31 @@
   return Matches;
 }
 
+std::vector<size_t>
+ServiceRuntime::mapServers(const std::vector<size_t> &Servers,
+                           const ServiceRuntime &Other) const {
+  std::vector<size_t> Mapped;
+  for (const size_t Each : Servers)
+    if (const auto Index = this->findServerIndex(Other.Ids[Each]))
+      Mapped.push_back(*Index);
+  return Mapped;
+}
+
+bool ServiceRuntime::mayReceive(const std::string &Server, TimePoint Now) {
+  std::lock_guard<std::mutex> Lock(this->Mutex);
+  this->updateHalls(Now);
+  const auto Index =
+      this->findServerIndex(getServerId(this->Config.Name, Server));
+  if (Index)
+    return !this->IsLeaving[*Index] && !this->isLeavingByNotice(*Index, Now);
+  // A peer may use other servers than this daemon.
+  return std::any_of(this->Config.Servers.begin(), this->Config.Servers.end(),
+                     [&Server](const ServerConfig &Each) {
+                       return Each.Name == Server &&
+                              Each.State == ServerState::Active;
+                     });
+}
+
 ServiceRuntime::Policies
 ServiceRuntime::makePolicy(const DaemonIdentity &Identity) const {
   if (Identity.Source == SettingsSource::Platform)
--- a/lib/Proxy/TunnelResponder.cpp
+++ b/lib/Proxy/TunnelResponder.cpp
@@ -63,6 +63,8 @@
   if (!Server)
     return 404;
   const ServiceRuntimeRef Found = Current->findService(Service);
+  if (!Found->mayReceive(Server->Name, readSteadyClock()))
+    return 502;
   const ServerId Id = Found->getId();
   if (this->Paths.getState(Id).IsCutOff)
     return 503;
--- a/unittests/Proxy/TunnelFixture.h
+++ b/unittests/Proxy/TunnelFixture.h
@@ -33,8 +33,9 @@
 
 /// A peer that opens tunnels to the servers of a ProxyFixture.
 struct TunnelFixture : ProxyFixture {
-  TunnelFixture()
-      : Answers(this->Fleet, this->Paths, this->Counters,
+  explicit TunnelFixture(size_t Servers = 2)
+      : ProxyFixture("", 3, "", {}, {}, Servers),
+        Answers(this->Fleet, this->Paths, this->Counters,
                 [this](const HttpExchange &, const std::string &Server) {
                   this->VerifiedServer = Server;
                   return this->IsKnown.load();
