--- a/include/canvaswick/Daemon/DirectoryCalls.h
+++ b/include/canvaswick/Daemon/DirectoryCalls.h
@@ -153,7 +153,9 @@
 /// is long.
 Json::Value packChanges(Json::Value Encoded);
 
-/// Accepts both forms. Fails with InvalidArgument if the value is malformed.
+/// Accepts both forms. The position after which the changes begin is not part
+/// of them: it is that of the request. Fails with InvalidArgument if the value
+/// is malformed.
 Result<ItemChanges> decodeChanges(const Json::Value &Value);
 
 } // namespace canvaswick
--- a/include/canvaswick/Directory/ItemTable.h
+++ b/include/canvaswick/Directory/ItemTable.h
@@ -12,18 +12,23 @@
 /// repeatedly and in any order; an update older than the known item changes
 /// nothing.
 ///
+/// What a replica promises to its followers: all changes after one position up
+/// to another, removals included. Only apply moves a position, by changes that
+/// state what lies before it.
+///
 //===----------------------------------------------------------------------===//
 
 #ifndef CANVASWICK_DIRECTORY_ITEMTABLE_H
 #define CANVASWICK_DIRECTORY_ITEMTABLE_H
 
+#include "canvaswick/Directory/RemovalLog.h"
 #include "canvaswick/Directory/StorePosition.h"
 #include "canvaswick/Support/Error.h"
 #include "canvaswick/Support/TextDelta.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -64,17 +69,53 @@
 /// Positions of items by key.
 using ItemPositions = std::map<std::string, StorePosition>;
 
-/// The changes between two positions.
+/// Which of the items between two positions some changes contain.
+enum class ChangesExtent : uint8_t {
+  /// Some. They are valid, but no position is reached by them.
+  Excerpt,
+  /// All but the large ones, and all removals.
+  Small,
+  All,
+};
+
+/// Changes of a replica.
 struct ItemChanges {
-  /// Whether Items contains all items and not only those that changed.
+  /// The position after which the changes begin. Has no meaning if IsFull.
+  StorePosition After;
+  /// Whether Items contains all items that exist, so that the others do not.
   bool IsFull = false;
-  /// Whether items with large values are left out. The items in here are valid,
-  /// but applying them does not bring the replica up to AsOf.
-  bool OmitsLarge = false;
+  ChangesExtent Extent = ChangesExtent::All;
   std::vector<StoreItem> Items;
   /// Items that are sent as differences.
   std::vector<ItemDelta> Deltas;
+  /// The large items that are left out, if the sender lists them. Without the
+  /// list, full changes of small items do not show what was removed.
+  std::optional<ItemPositions> Omitted;
+  /// The position up to which the changes are complete.
   StorePosition AsOf;
+  /// Where the changes come from, for logs.
+  std::string Source;
+};
+
+/// The positions that a replica has reached.
+struct ReplicaPosition {
+  /// Everything up to here is known.
+  StorePosition Complete;
+  /// All but large items are known up to here; not before Complete.
+  StorePosition Small;
+
+  bool operator==(const ReplicaPosition &) const = default;
+};
+
+/// What applying some changes has done.
+struct ApplyResult {
+  /// Whether any item was written or removed.
+  bool IsChanged = false;
+  /// Whether the changes were full and came too late, or did not follow what is
+  /// known: they moved no position.
+  bool IsUnconnected = false;
+  /// Differences from values that are not held. Their items are missing.
+  std::vector<ItemDelta> UnknownBases;
 };
 
 /// The replica: items by key. Not thread-safe.
@@ -82,25 +123,20 @@
 public:
   using ItemMap = std::map<std::string, StoreItem>;
 
-  /// Applies an update of one item. Returns whether it changed the table.
-  bool apply(const StoreItem &Update);
+  /// Applies changes, and moves the positions as far as the changes show what
+  /// lies before them.
+  ApplyResult apply(const ItemChanges &Changes);
 
-  /// Applies a complete read of the store as it was at AsOf or later. Items
-  /// that are not listed are removed, unless they are newer than AsOf. Returns
-  /// whether the table changed.
-  bool replaceAll(const std::vector<StoreItem> &Items,
-                  const StorePosition &AsOf);
+  /// Applies an update of one item. No position moves. Returns whether an item
+  /// was written or removed.
+  bool apply(const StoreItem &Update);
 
-  /// Resets all positions, so that whatever is applied next replaces the known
-  /// items. Used when the store has lost changes without a new epoch.
+  /// Resets all positions, so that the next full changes replace the known
+  /// items; until then, changes that are not full are ignored. Used when the
+  /// store has lost changes without a new epoch.
   void markStale();
 
-  /// Records that all changes up to AsOf were applied.
-  void advanceTo(const StorePosition &AsOf);
-
-  /// Returns the position up to which the table is complete, or none if nothing
-  /// was read yet.
-  const StorePosition &getAsOf() const { return this->AsOf; }
+  const ReplicaPosition &getPosition() const { return this->Position; }
 
   /// Returns the keys of the items that were written or removed since the last
   /// call, each once and in their order.
@@ -122,16 +158,21 @@
   /// Returns the positions of the large items in the table.
   ItemPositions listLarge() const;
 
-  /// Rebuilds an item from a difference. Fails with NotFound if the table does
-  /// not hold the base item.
-  Result<StoreItem> resolve(const ItemDelta &Delta) const;
-
   const ItemMap &getItems() const { return this->Items; }
 
 private:
-  void recordRemoval(const std::string &Key, const StorePosition &At);
-  bool wasRemovedSince(const StoreItem &Update) const;
+  bool isContained(const StoreItem &Update) const;
+  bool remove(const StoreItem &Update);
   void put(const StoreItem &Update);
+  bool replaceAll(const ItemChanges &Changes);
+  bool putListed(const StoreItem &Item, const StorePosition &ReadAt);
+  bool removeUnlisted(const ItemChanges &Changes);
+  std::vector<StoreItem> resolveDeltas(const std::vector<ItemDelta> &Deltas,
+                                       ApplyResult &Applied) const;
+  bool follows(const ItemChanges &Changes) const;
+  void move(const ItemChanges &Changes, ChangesExtent Extent);
+  void recordMissing(const std::string &Key, const StorePosition &At);
+  void forgetMissing();
   void recordDelta(const StoreItem &Known, const StoreItem &Update);
   void useDeltas(ItemChanges &Changes, const ItemPositions &Held) const;
 
@@ -139,11 +180,16 @@
   std::set<std::string> ChangedKeys;
   /// The last changes of large items, as far as they are small as differences.
   std::map<std::string, ItemDelta> LastDeltas;
-  StorePosition AsOf;
-  /// Recent removals, oldest first, and the position from which on the list is
-  /// complete.
-  std::deque<StoreItem> Removals;
-  StorePosition RemovalsSince;
+  ReplicaPosition Position;
+  /// Large items that exist and whose value was not received yet. All of them
+  /// are newer than Position.Complete.
+  ItemPositions Missing;
+  /// Large items up to here may be missing without being listed there: daemons
+  /// of earlier versions leave them out without a word.
+  StorePosition LeftOutUnlistedUpTo;
+  RemovalLog Removals;
+  /// True from markStale until the next full changes.
+  bool IsStale = false;
 };
 
 } // namespace canvaswick
--- a/lib/Daemon/DirectoryCalls.cpp
+++ b/lib/Daemon/DirectoryCalls.cpp
@@ -10,6 +10,7 @@
 /// An item is encoded as [key, revision, value, epoch]. The epoch is omitted if
 /// it is the epoch of the whole answer. An item without a value has been
 /// deleted. Large values may be listed apart, each compressed and in base64.
+/// Large items that are left out are listed as [key, revision].
 ///
 //===----------------------------------------------------------------------===//
 
@@ -67,6 +68,7 @@
   return Row;
 }
 
+/// Encodes an item, or its key and position alone.
 static Json::Value encodeItem(const StoreItem &Item, uint64_t DefaultEpoch) {
   Json::Value Row(Json::arrayValue);
   Row.append(Item.Key);
@@ -84,12 +86,18 @@
   Value["as-of"] = static_cast<Json::UInt64>(Changes.AsOf.Revision);
   Value["epoch"] = static_cast<Json::UInt64>(Changes.AsOf.Epoch);
   Value["all"] = Changes.IsFull;
-  Value["partial"] = Changes.OmitsLarge;
+  Value["partial"] = Changes.Extent != ChangesExtent::All;
   Value["items"] = Json::arrayValue;
   for (const StoreItem &Item : Changes.Items)
     Value["items"].append(encodeItem(Item, Changes.AsOf.Epoch));
   for (const ItemDelta &Delta : Changes.Deltas)
     Value["deltas"].append(encodeDelta(Delta));
+  if (!Changes.Omitted)
+    return Value;
+  Value["omitted"] = Json::arrayValue;
+  for (const auto &[Key, At] : *Changes.Omitted)
+    Value["omitted"].append(
+        encodeItem({Key, "", At, true}, Changes.AsOf.Epoch));
   return Value;
 }
 
@@ -182,12 +190,28 @@
   return outcome::success();
 }
 
+/// Decodes the list of the large items that are left out, if there is one.
+static Result<std::optional<ItemPositions>>
+decodeOmitted(const Json::Value &Rows, uint64_t Epoch) {
+  if (Rows.isNull())
+    return std::optional<ItemPositions>();
+  ItemPositions Omitted;
+  for (const Json::Value &Row : Rows) {
+    StoreItem Item;
+    if (!decodeItem(Row, Epoch, Item))
+      return makeError(ErrorKind::InvalidArgument, "malformed omitted item");
+    Omitted[Item.Key] = Item.At;
+  }
+  return std::optional<ItemPositions>(std::move(Omitted));
+}
+
 Result<ItemChanges> decodeChanges(const Json::Value &Value) {
   if (!Value.isObject() || !Value["as-of"].isUInt64() ||
       (Value.isMember("epoch") && !Value["epoch"].isUInt64()) ||
       !Value["all"].isBool() ||
       (Value.isMember("partial") && !Value["partial"].isBool()) ||
       (Value.isMember("values") && !Value["values"].isArray()) ||
+      (Value.isMember("omitted") && !Value["omitted"].isArray()) ||
       (Value.isMember("deltas") && !Value["deltas"].isArray()))
     return makeError(ErrorKind::InvalidArgument,
                      "malformed changes of the store");
@@ -196,7 +220,9 @@
   const uint64_t Epoch = Value["epoch"].asUInt64();
   Changes.AsOf = {Epoch, Value["as-of"].asUInt64()};
   Changes.IsFull = Value["all"].asBool();
-  Changes.OmitsLarge = Value["partial"].asBool();
+  Changes.Extent =
+      Value["partial"].asBool() ? ChangesExtent::Small : ChangesExtent::All;
+  BOOST_OUTCOME_TRY(Changes.Omitted, decodeOmitted(Value["omitted"], Epoch));
   BOOST_OUTCOME_TRY(Json::Value Rows, readRows(Value));
   for (const Json::Value &Row : Rows) {
     StoreItem Item;
@@ -239,6 +265,17 @@
   this->Large.end(Receipt);
 }
 
+/// Leaves out the large items, and lists them instead.
+static void omitLarge(ItemChanges &Changes) {
+  Changes.Omitted.emplace();
+  std::erase_if(Changes.Items, [&Changes](const StoreItem &Item) {
+    if (isLarge(Item))
+      Changes.Omitted->emplace(Item.Key, Item.At);
+    return isLarge(Item);
+  });
+  Changes.Extent = ChangesExtent::Small;
+}
+
 Json::Value ChangesResponder::answer(const ChangesRequest &Request,
                                      TimePoint Now) {
   if (Request.WantsLarge && Request.Receipt != 0 &&
@@ -260,8 +297,7 @@
   if (Request.WantsOnlySettings)
     return this->encodeLarge(std::move(Changes));
   if (HasLarge && !(Request.WantsLarge && HasRoom)) {
-    std::erase_if(Changes.Items, isLarge);
-    Changes.OmitsLarge = true;
+    omitLarge(Changes);
     return packChanges(encodeChanges(Changes));
   }
   if (HasLarge && !IsFullReplica && Request.AcceptsPackedValues)
@@ -382,7 +418,11 @@
   BOOST_OUTCOME_TRY(
       Json::Value Answer,
       Caller.call(Peer, MethodName, encodeRequest(Request), Limits, Traffic));
-  return decodeChanges(Answer);
+  BOOST_OUTCOME_TRY(ItemChanges Changes, decodeChanges(Answer));
+  Changes.After = Request.After;
+  if (Request.WantsOnlySettings)
+    Changes.Extent = ChangesExtent::Excerpt;
+  return Changes;
 }
 
 void confirmReceipt(PeerCaller &Caller, const Endpoint &Peer,
--- a/lib/Directory/ItemTable.cpp
+++ b/lib/Directory/ItemTable.cpp
@@ -7,8 +7,9 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// Removed items need no tombstones: an update that is not newer than AsOf is
-/// already contained in the table.
+/// An update that is not newer than the position up to which the table is
+/// complete is contained in the table. Beyond it, items and removals may be
+/// known already, so that only the newer one of each key counts.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -20,29 +21,44 @@
 
 namespace canvaswick {
 
-bool ItemTable::apply(const StoreItem &Update) {
-  if (Update.At <= this->AsOf)
+/// Returns whether the table already reflects an update or something newer.
+bool ItemTable::isContained(const StoreItem &Update) const {
+  if (Update.At <= this->Position.Complete ||
+      this->Removals.find(Update.Key) >= Update.At)
+    return true;
+  if (const StoreItem *Known = this->find(Update.Key))
+    return Known->At >= Update.At;
+  if (Update.IsRemoved || Update.At > this->Position.Small)
     return false;
-  const auto Found = this->Items.find(Update.Key);
-  const bool IsKnown = Found != this->Items.end();
-  if (IsKnown && Found->second.At >= Update.At)
+  // Such an item exists no more, although its removal is not in the log: full
+  // changes did not list it. Unless it is one of those that were left out.
+  const bool MayBeLeftOut =
+      isLarge(Update) && Update.At <= this->LeftOutUnlistedUpTo;
+  return !MayBeLeftOut && this->Missing.count(Update.Key) == 0;
+}
+
+bool ItemTable::apply(const StoreItem &Update) {
+  if (this->isContained(Update))
     return false;
-  if (!Update.IsRemoved) {
-    if (!IsKnown && this->wasRemovedSince(Update))
-      return false;
-    this->put(Update);
-    return true;
-  }
-  if (!IsKnown)
+  if (Update.IsRemoved)
+    return this->remove(Update);
+  this->put(Update);
+  return true;
+}
+
+/// Removes an item. The removal is recorded in any case: a follower may hold
+/// what this table never held.
+bool ItemTable::remove(const StoreItem &Update) {
+  this->Removals.record(Update.Key, Update.At);
+  if (this->Items.erase(Update.Key) == 0)
     return false;
-  this->Items.erase(Found);
   this->ChangedKeys.insert(Update.Key);
   this->LastDeltas.erase(Update.Key);
-  this->recordRemoval(Update.Key, Update.At);
   return true;
 }
 
 void ItemTable::put(const StoreItem &Update) {
+  this->Removals.forget(Update.Key);
   StoreItem &Known = this->Items[Update.Key];
   this->ChangedKeys.insert(Update.Key);
   this->recordDelta(Known, Update);
@@ -65,56 +81,149 @@
                                     std::move(Change)};
 }
 
-bool ItemTable::replaceAll(const std::vector<StoreItem> &Given,
-                           const StorePosition &ReadAt) {
-  if (ReadAt < this->AsOf)
+ApplyResult ItemTable::apply(const ItemChanges &Changes) {
+  ApplyResult Applied;
+  if (!this->follows(Changes)) {
+    Applied.IsUnconnected = true;
+    // Single items are valid all the same, unless positions have no meaning.
+    if (!this->IsStale)
+      for (const StoreItem &Item : Changes.Items)
+        Applied.IsChanged |= this->apply(Item);
+    return Applied;
+  }
+  const std::vector<StoreItem> Resolved =
+      this->resolveDeltas(Changes.Deltas, Applied);
+  if (Changes.IsFull)
+    Applied.IsChanged = this->replaceAll(Changes);
+  else
+    for (const StoreItem &Item : Changes.Items)
+      Applied.IsChanged |= this->apply(Item);
+  for (const StoreItem &Item : Resolved)
+    Applied.IsChanged |= this->apply(Item);
+  for (const ItemDelta &Delta : Applied.UnknownBases)
+    this->recordMissing(Delta.Key, Delta.At);
+  const bool IsAll =
+      Changes.Extent == ChangesExtent::All && Applied.UnknownBases.empty();
+  this->move(Changes, IsAll ? ChangesExtent::All : ChangesExtent::Small);
+  return Applied;
+}
+
+/// Returns whether changes begin where the table ends or before, so that
+/// nothing lies between.
+bool ItemTable::follows(const ItemChanges &Changes) const {
+  if (Changes.Extent == ChangesExtent::Excerpt)
     return false;
-  bool IsChanged = false;
+  const bool IsSmall = Changes.Extent == ChangesExtent::Small;
+  if (Changes.IsFull)
+    return Changes.AsOf >= this->Position.Complete &&
+           (!IsSmall || Changes.Omitted);
+  const bool IsOneEpoch =
+      Changes.After.isNone() || Changes.After.Epoch == Changes.AsOf.Epoch;
+  return !this->IsStale && IsOneEpoch && Changes.After <= this->Position.Small;
+}
+
+/// Moves the positions after changes that follow the table were applied.
+void ItemTable::move(const ItemChanges &Changes, ChangesExtent Extent) {
+  ReplicaPosition &Reached = this->Position;
+  if (Extent == ChangesExtent::All &&
+      (Changes.IsFull || Changes.After <= Reached.Complete))
+    Reached.Complete = std::max(Reached.Complete, Changes.AsOf);
+  Reached.Small = std::max({Reached.Small, Changes.AsOf, Reached.Complete});
+  if (Changes.Omitted)
+    for (const auto &[Key, At] : *Changes.Omitted)
+      this->recordMissing(Key, At);
+  else if (Changes.Extent == ChangesExtent::Small)
+    this->LeftOutUnlistedUpTo =
+        std::max(this->LeftOutUnlistedUpTo, Changes.AsOf);
+  this->forgetMissing();
+  this->Removals.shrink(Reached.Complete);
+}
+
+/// Records that a large item exists, unless it or something newer is known.
+void ItemTable::recordMissing(const std::string &Key, const StorePosition &At) {
+  StorePosition &Known = this->Missing[Key];
+  Known = std::max(Known, At);
+}
+
+/// Forgets the missing items that have been received, removed or replaced.
+void ItemTable::forgetMissing() {
+  std::erase_if(this->Missing, [this](const auto &Entry) {
+    const auto &[Key, At] = Entry;
+    const StoreItem *Known = this->find(Key);
+    return At <= this->Position.Complete || (Known && Known->At >= At) ||
+           this->Removals.find(Key) >= At;
+  });
+}
+
+/// Puts an item from a list of all items as of ReadAt. Returns whether it was
+/// new.
+bool ItemTable::putListed(const StoreItem &Item, const StorePosition &ReadAt) {
+  if (Item.IsRemoved)
+    return this->apply(Item);
+  const StoreItem *Known = this->find(Item.Key);
+  if ((Known && Known->At >= Item.At) || this->Removals.find(Item.Key) > ReadAt)
+    return false;
+  // Of small items the table may know more than the list.
+  if (ReadAt < this->Position.Small && Item.At > this->Position.Complete &&
+      this->isContained(Item))
+    return false;
+  this->put(Item);
+  return true;
+}
+
+/// Removes the items that do not exist by a list of all.
+bool ItemTable::removeUnlisted(const ItemChanges &Changes) {
   std::set<std::string> Listed;
-  for (const StoreItem &Item : Given) {
+  for (const StoreItem &Item : Changes.Items)
     Listed.insert(Item.Key);
-    const StoreItem *Known = this->find(Item.Key);
-    if (Known && Known->At >= Item.At)
-      continue;
-    this->put(Item);
-    IsChanged = true;
-  }
-  IsChanged |= std::erase_if(this->Items, [&](const auto &Entry) {
-                 const bool IsGone = Listed.count(Entry.first) == 0 &&
-                                     Entry.second.At <= ReadAt;
-                 if (IsGone)
-                   this->ChangedKeys.insert(Entry.first);
-                 return IsGone;
-               }) > 0;
-  this->AsOf = ReadAt;
-  // It is not known when the items that are missing now were removed.
-  this->Removals.clear();
-  this->RemovalsSince = ReadAt;
-  return IsChanged;
+  for (const ItemDelta &Delta : Changes.Deltas)
+    Listed.insert(Delta.Key);
+  std::vector<std::string> Gone;
+  for (const auto &[Key, Item] : this->Items)
+    if (Item.At <= Changes.AsOf && Listed.count(Key) == 0 &&
+        !(Changes.Omitted && Changes.Omitted->count(Key) > 0))
+      Gone.push_back(Key);
+  // When they were removed is not known: after the last complete position, and
+  // not after the list was made.
+  for (const std::string &Key : Gone)
+    this->remove({Key, "", Changes.AsOf, true});
+  return !Gone.empty();
 }
 
-/// Returns whether an unknown item was removed after the change in Update.
-/// Single updates may be applied ahead of AsOf, and a peer that lags must not
-/// restore what these removed.
-bool ItemTable::wasRemovedSince(const StoreItem &Update) const {
-  return std::any_of(this->Removals.begin(), this->Removals.end(),
-                     [&Update](const StoreItem &Removal) {
-                       return Removal.Key == Update.Key &&
-                              Removal.At > Update.At;
-                     });
+/// Applies a list of all items as they were at one position or later.
+bool ItemTable::replaceAll(const ItemChanges &Changes) {
+  bool IsChanged = false;
+  for (const StoreItem &Item : Changes.Items)
+    IsChanged |= this->putListed(Item, Changes.AsOf);
+  IsChanged |= this->removeUnlisted(Changes);
+  // What came and went before the list was made is in no log.
+  if (Changes.Extent == ChangesExtent::All)
+    this->Removals.forgetUpTo(Changes.AsOf);
+  else
+    this->Removals.restrictTo(Changes.AsOf);
+  this->IsStale = false;
+  return IsChanged;
 }
 
-/// Number of removals that are remembered for peers that lag.
-static constexpr size_t MaxRemovals = 1000;
-
-void ItemTable::recordRemoval(const std::string &Key, const StorePosition &At) {
-  this->Removals.push_back({Key, "", At, true});
-  if (this->Removals.size() <= MaxRemovals)
-    return;
-  // Single updates may be applied out of order.
-  this->RemovalsSince =
-      std::max(this->RemovalsSince, this->Removals.front().At);
-  this->Removals.pop_front();
+/// Rebuilds items from differences. What the table holds already, or something
+/// newer, is passed over.
+std::vector<StoreItem>
+ItemTable::resolveDeltas(const std::vector<ItemDelta> &Deltas,
+                         ApplyResult &Applied) const {
+  std::vector<StoreItem> Resolved;
+  for (const ItemDelta &Delta : Deltas) {
+    if (this->isContained({Delta.Key, "", Delta.At, true}))
+      continue;
+    const StoreItem *Base = this->find(Delta.Key);
+    if (Base && Base->At == Delta.Base)
+      if (Result<std::string> Value = applyDelta(Base->Value, Delta.Change)) {
+        Resolved.push_back(
+            {Delta.Key, std::move(Value.value()), Delta.At, false});
+        continue;
+      }
+    Applied.UnknownBases.push_back(Delta);
+  }
+  return Resolved;
 }
 
 ItemPositions ItemTable::listLarge() const {
@@ -125,15 +234,6 @@
   return Large;
 }
 
-Result<StoreItem> ItemTable::resolve(const ItemDelta &Delta) const {
-  const StoreItem *Known = this->find(Delta.Key);
-  if (!Known || Known->At != Delta.Base)
-    return makeError(ErrorKind::NotFound,
-                     "base item of the difference not found");
-  BOOST_OUTCOME_TRY(std::string Value, applyDelta(Known->Value, Delta.Change));
-  return StoreItem{Delta.Key, std::move(Value), Delta.At, false};
-}
-
 /// Leaves out the large items that Held names, and replaces others by
 /// differences from them.
 void ItemTable::useDeltas(ItemChanges &Changes,
@@ -157,35 +257,37 @@
 ItemChanges ItemTable::getChangesAfter(const StorePosition &After,
                                        const ItemPositions &Held) const {
   ItemChanges Changes;
-  Changes.AsOf = this->AsOf;
-  Changes.IsFull = After < this->RemovalsSince;
+  Changes.After = After;
+  Changes.AsOf = this->Position.Complete;
+  Changes.IsFull = After < this->Removals.getSince();
   for (const auto &[Key, Item] : this->Items)
     if (Changes.IsFull || Item.At > After)
       Changes.Items.push_back(Item);
   if (Changes.IsFull)
     return Changes;
   this->useDeltas(Changes, Held);
-  for (const StoreItem &Removal : this->Removals)
-    if (Removal.At > After)
-      Changes.Items.push_back(Removal);
+  this->Removals.visitAfter(
+      After, [&Changes](const std::string &Key, const StorePosition &At) {
+        Changes.Items.push_back({Key, "", At, true});
+      });
   return Changes;
 }
 
 void ItemTable::markStale() {
-  this->AsOf = {};
+  this->Position = {};
+  this->Missing.clear();
+  this->LeftOutUnlistedUpTo = {};
+  this->Removals.reset();
   this->LastDeltas.clear();
   for (auto &[Key, Item] : this->Items)
     Item.At = {};
+  this->IsStale = true;
 }
 
 std::set<std::string> ItemTable::drainChangedKeys() {
   return std::exchange(this->ChangedKeys, {});
 }
 
-void ItemTable::advanceTo(const StorePosition &Reached) {
-  this->AsOf = std::max(this->AsOf, Reached);
-}
-
 const StoreItem *ItemTable::find(const std::string &Key) const {
   const auto Found = this->Items.find(Key);
   return Found == this->Items.end() ? nullptr : &Found->second;
--- a/unittests/Daemon/DirectoryCallsTest.cpp
+++ b/unittests/Daemon/DirectoryCallsTest.cpp
@@ -53,8 +53,18 @@
   return Replica;
 }
 
-static const ItemChanges SmallChanges{
-    false, false, {{"k", "v", {0, 7}, false}}, {}, {0, 7}};
+static ItemChanges makeChanges(const StorePosition &After,
+                               std::vector<StoreItem> Items,
+                               const StorePosition &AsOf) {
+  ItemChanges Changes;
+  Changes.After = After;
+  Changes.Items = std::move(Items);
+  Changes.AsOf = AsOf;
+  return Changes;
+}
+
+static const ItemChanges SmallChanges =
+    makeChanges({}, {{"k", "v", {0, 7}, false}}, {0, 7});
 
 /// A small change and a large configuration.
 static ItemChanges makeLargeChanges() {
@@ -97,11 +107,13 @@
         .value();
   };
   CHECK(Request(true).Items.size() == 2);
-  CHECK_FALSE(Request(true).OmitsLarge);
-  CHECK(Request(false).OmitsLarge);
+  CHECK(Request(true).Extent == ChangesExtent::All);
+  CHECK_FALSE(Request(true).Omitted);
+  CHECK(Request(false).Extent == ChangesExtent::Small);
+  CHECK(Request(false).Omitted.value().size() == 1);
   CHECK(Request(false).Items == SmallChanges.Items);
   HasCapacity = false;
-  CHECK(Request(true).OmitsLarge);
+  CHECK(Request(true).Extent == ChangesExtent::Small);
   CHECK(Request(true).Items == SmallChanges.Items);
 }
 
@@ -109,9 +121,9 @@
   ChangesResponder Responder(
       [](const ChangesRequest &) { return SmallChanges; },
       [] { return false; });
-  CHECK_FALSE(decodeChanges(Responder.answer({{0, 3}, false, {}}, TimePoint{}))
-                  .value()
-                  .OmitsLarge);
+  CHECK(decodeChanges(Responder.answer({{0, 3}, false, {}}, TimePoint{}))
+            .value()
+            .Extent == ChangesExtent::All);
 }
 
 TEST_CASE("a full replica is refused with a reason if there is no capacity") {
@@ -173,8 +185,7 @@
     Config.replace(I, 8, fmt::format("{:07}}}", I));
   Table.apply({"config", Config, {0, 3}, false});
   Table.apply({"config", Config + "one route more}", {0, 6}, false});
-  Table.apply({"k", "v", {0, 7}, false});
-  Table.advanceTo({0, 7});
+  Table.apply(makeChanges({0, 0}, {{"k", "v", {0, 7}, false}}, {0, 7}));
   // There is no capacity for large values, but a delta is small.
   ChangesResponder Responder(
       [&Table](const ChangesRequest &Request) {
@@ -185,22 +196,28 @@
       decodeChanges(
           Responder.answer({{0, 3}, false, {{"config", {0, 3}}}}, TimePoint{}))
           .value();
-  CHECK_FALSE(Changes.OmitsLarge);
+  CHECK(Changes.Extent == ChangesExtent::All);
   CHECK(Changes.Items.size() == 1);
   REQUIRE(Changes.Deltas.size() == 1);
   ItemTable Behind;
-  Behind.apply({"config", Config, {0, 3}, false});
-  const Result<StoreItem> Item = Behind.resolve(Changes.Deltas[0]);
-  REQUIRE(Item);
-  CHECK(Item.value() == *Table.find("config"));
+  Behind.apply(
+      makeChanges({0, 0}, {{"config", Config, {0, 3}, false}}, {0, 3}));
+  ItemChanges Fetched = Changes;
+  Fetched.After = {0, 3};
+  CHECK(Behind.apply(Fetched).UnknownBases.empty());
+  REQUIRE(Behind.find("config"));
+  CHECK(*Behind.find("config") == *Table.find("config"));
+  CHECK(Behind.getPosition().Complete == StorePosition(0, 7));
   // A daemon that holds another version, or none, does not get the delta.
   for (const ItemPositions &Held : {ItemPositions{{"config", {0, 2}}}, {}})
     CHECK(decodeChanges(Responder.answer({{0, 3}, false, Held}, TimePoint{}))
               .value()
-              .OmitsLarge);
+              .Extent == ChangesExtent::Small);
   ItemTable Other;
-  Other.apply({"config", Config, {0, 2}, false});
-  CHECK_FALSE(Other.resolve(Changes.Deltas[0]));
+  Other.apply(makeChanges({0, 0}, {{"config", Config, {0, 2}, false}}, {0, 3}));
+  CHECK(Other.apply(Fetched).UnknownBases.size() == 1);
+  CHECK(Other.find("config")->At == StorePosition(0, 2));
+  CHECK(Other.getPosition() == ReplicaPosition{{0, 3}, {0, 7}});
 }
 
 TEST_CASE("malformed requests and deltas are rejected") {
@@ -252,9 +269,14 @@
                    std::string(100, 'x'),
                    {2, 10 + I},
                    false});
-  Table.replaceAll(All, {2, 110});
-  Table.apply({"servers/new", std::string(3000, 'y'), {2, 111}, false});
-  Table.advanceTo({2, 111});
+  ItemChanges Read;
+  Read.IsFull = true;
+  Read.Items = All;
+  Read.AsOf = {2, 110};
+  Table.apply(Read);
+  Table.apply(makeChanges(
+      {2, 110}, {{"servers/new", std::string(3000, 'y'), {2, 111}, false}},
+      {2, 111}));
   bool HasCapacity = true;
   ChangesResponder Responder(
       [&Table](const ChangesRequest &Request) {
--- a/unittests/Directory/ItemTableTest.cpp
+++ b/unittests/Directory/ItemTableTest.cpp
@@ -16,8 +16,27 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <utility>
+
 using namespace canvaswick;
 
+static ItemChanges makeChanges(const StorePosition &After,
+                               std::vector<StoreItem> Items,
+                               const StorePosition &AsOf) {
+  ItemChanges Changes;
+  Changes.After = After;
+  Changes.Items = std::move(Items);
+  Changes.AsOf = AsOf;
+  return Changes;
+}
+
+static ItemChanges makeFull(std::vector<StoreItem> Items,
+                            const StorePosition &AsOf) {
+  ItemChanges Changes = makeChanges({}, std::move(Items), AsOf);
+  Changes.IsFull = true;
+  return Changes;
+}
+
 TEST_CASE("an update older than the known item changes nothing") {
   ItemTable Table;
   CHECK(Table.apply({"a", "new", {0, 5}, false}));
@@ -31,7 +50,7 @@
   ItemTable Table;
   Table.apply({"a", "x", {0, 3}, false});
   Table.apply({"a", "", {0, 6}, true});
-  Table.advanceTo({0, 6});
+  Table.apply(makeChanges({0, 0}, {}, {0, 6}));
   CHECK(Table.find("a") == nullptr);
   CHECK_FALSE(Table.apply({"a", "x", {0, 3}, false}));
   CHECK(Table.find("a") == nullptr);
@@ -40,12 +59,12 @@
 TEST_CASE("a peer that lags does not restore an item removed ahead of AsOf") {
   ItemTable Table;
   Table.apply({"a", "x", {0, 3}, false});
-  Table.advanceTo({0, 8});
+  Table.apply(makeChanges({0, 0}, {}, {0, 8}));
   // A single update, applied ahead of AsOf.
   CHECK(Table.apply({"a", "", {0, 15}, true}));
   // A peer that lags still lists the item.
   CHECK_FALSE(Table.apply({"a", "y", {0, 10}, false}));
-  Table.advanceTo({0, 12});
+  Table.apply(makeChanges({0, 8}, {}, {0, 12}));
   CHECK(Table.find("a") == nullptr);
   // The item may be created again later.
   CHECK(Table.apply({"a", "z", {0, 20}, false}));
@@ -56,12 +75,13 @@
   ItemTable Table;
   Table.apply({"old", "x", {0, 3}, false});
   Table.apply({"newer", "y", {0, 12}, false});
-  CHECK(Table.replaceAll({{"other", "z", {0, 8}, false}}, {0, 10}));
+  CHECK(Table.apply(makeFull({{"other", "z", {0, 8}, false}}, {0, 10}))
+            .IsChanged);
   CHECK(Table.find("old") == nullptr);
   CHECK(Table.find("newer"));
   CHECK(Table.find("other"));
-  CHECK(Table.getAsOf() == StorePosition(0, 10));
-  CHECK_FALSE(Table.replaceAll({}, {0, 9}));
+  CHECK(Table.getPosition().Complete == StorePosition(0, 10));
+  CHECK_FALSE(Table.apply(makeFull({}, {0, 9})).IsChanged);
   CHECK(Table.find("other"));
 }
 
@@ -111,8 +131,8 @@
 TEST_CASE("only keys that were written or removed are reported as changed") {
   ItemTable Table;
   using Keys = std::set<std::string>;
-  Table.replaceAll({{"a", "1", {1, 2}, false}, {"b", "1", {1, 3}, false}},
-                   {1, 5});
+  Table.apply(
+      makeFull({{"a", "1", {1, 2}, false}, {"b", "1", {1, 3}, false}}, {1, 5}));
   CHECK(Table.drainChangedKeys() == Keys{"a", "b"});
   CHECK(Table.drainChangedKeys().empty());
   Table.apply({"a", "2", {1, 6}, false});
@@ -123,6 +143,85 @@
   Table.apply({"b", "", {1, 8}, true});
   CHECK(Table.drainChangedKeys() == Keys{"b"});
   // A complete read reports what it replaces and what it no longer lists.
-  Table.replaceAll({{"d", "1", {1, 9}, false}}, {1, 10});
+  Table.apply(makeFull({{"d", "1", {1, 9}, false}}, {1, 10}));
   CHECK(Table.drainChangedKeys() == Keys{"a", "d"});
 }
+
+/// Returns what a follower holds that fetches everything after Known.
+static ItemTable follow(ItemTable Follower, const ItemTable &Peer) {
+  Follower.apply(Peer.getChangesAfter(Follower.getPosition().Complete));
+  return Follower;
+}
+
+static bool holds(const ItemTable &Table, const std::string &Key) {
+  return Table.find(Key) != nullptr;
+}
+
+TEST_CASE("a removal heard ahead outlasts a snapshot from before it") {
+  ItemTable Table;
+  Table.apply(makeFull({{"a", "x", {1, 90}, false}}, {1, 100}));
+  Table.apply({"a", "", {1, 150}, true});
+  Table.apply(makeFull({{"a", "x", {1, 90}, false}}, {1, 120}));
+  CHECK_FALSE(holds(Table, "a"));
+}
+
+TEST_CASE("a replica passes on the removal of what it never held") {
+  ItemTable Lagging;
+  Lagging.apply(makeFull({{"a", "x", {1, 51}, false}}, {1, 188}));
+  ItemTable Restarted;
+  Restarted.apply(makeFull({}, {1, 23}));
+  Restarted.apply(makeChanges({1, 23}, {{"a", "", {1, 202}, true}}, {1, 204}));
+  CHECK_FALSE(holds(follow(Lagging, Restarted), "a"));
+}
+
+TEST_CASE("a replica passes on a removal that it heard before a full read") {
+  ItemTable Lagging;
+  Lagging.apply(makeFull({{"a", "x", {1, 90}, false}}, {1, 130}));
+  ItemTable Table;
+  Table.apply(makeFull({{"a", "x", {1, 90}, false}}, {1, 100}));
+  Table.apply({"a", "", {1, 150}, true});
+  Table.apply(makeFull({{"a", "x", {1, 90}, false}}, {1, 120}));
+  Table.apply(makeChanges({1, 120}, {{"a", "", {1, 150}, true}}, {1, 150}));
+  CHECK_FALSE(holds(follow(Lagging, Table), "a"));
+}
+
+TEST_CASE("what is missing from a full list of small items is removed") {
+  ItemTable Table;
+  const std::string Large(LargeValueBytes + 1, 'x');
+  Table.apply(makeFull({{"a", "x", {1, 90}, false},
+                        {"config", Large, {1, 91}, false},
+                        {"old-config", Large, {1, 92}, false}},
+                       {1, 100}));
+  ItemChanges Small = makeFull({{"b", "x", {1, 110}, false}}, {1, 120});
+  Small.Extent = ChangesExtent::Small;
+  // A peer that does not list what it leaves out proves nothing.
+  CHECK(Table.apply(Small).IsUnconnected);
+  CHECK(holds(Table, "a"));
+  CHECK(holds(Table, "b"));
+  CHECK(Table.getPosition() == ReplicaPosition{{1, 100}, {1, 100}});
+  Small.Omitted = {{"config", {1, 115}}};
+  CHECK_FALSE(Table.apply(Small).IsUnconnected);
+  CHECK_FALSE(holds(Table, "a"));
+  CHECK_FALSE(holds(Table, "old-config"));
+  CHECK(holds(Table, "config"));
+  CHECK(Table.getPosition() == ReplicaPosition{{1, 100}, {1, 120}});
+  // A peer that lags does not bring it back.
+  Table.apply(makeChanges({1, 100}, {{"a", "y", {1, 105}, false}}, {1, 110}));
+  CHECK_FALSE(holds(Table, "a"));
+}
+
+TEST_CASE("changes that do not follow what is known move no position") {
+  ItemTable Table;
+  Table.apply(makeFull({{"a", "x", {1, 90}, false}}, {1, 100}));
+  const ItemChanges Later =
+      makeChanges({1, 110}, {{"b", "x", {1, 115}, false}}, {1, 120});
+  CHECK(Table.apply(Later).IsUnconnected);
+  CHECK(holds(Table, "b"));
+  CHECK(Table.getPosition().Small == StorePosition(1, 100));
+  Table.markStale();
+  CHECK(Table.apply(Later).IsUnconnected);
+  CHECK(Table.getPosition().Small.isNone());
+  Table.apply(makeFull({{"b", "z", {1, 80}, false}}, {1, 85}));
+  CHECK_FALSE(holds(Table, "a"));
+  CHECK(Table.find("b")->Value == "z");
+}
--- a/unittests/FarBehind/FarBehindTest.cpp
+++ b/unittests/FarBehind/FarBehindTest.cpp
@@ -12,6 +12,7 @@
 ///
 //===----------------------------------------------------------------------===//
 
+#include "PlatformAdapter/ViewChanges.h"
 #include "canvaswick/Daemon/DirectoryCalls.h"
 #include "platform/PeerFollower.h"
 
@@ -32,10 +33,10 @@
 
 TEST_CASE("a daemon that lacks hundreds of changes has new settings in time") {
   FleetView PeerView{{70}, fromSeconds(2)};
-  PeerView.replaceAll({}, {0, 1}, readSteadyClock());
+  replaceAll(PeerView, {}, {0, 1}, readSteadyClock());
   const StorePosition ConfigAt{0, ManyChanges};
-  PeerView.applyEvents({{ConfigKey, std::string(5000, ' '), ConfigAt, false}},
-                       {0, ManyChanges + 1}, readSteadyClock());
+  applyEvents(PeerView, {{ConfigKey, std::string(5000, ' '), ConfigAt, false}},
+              {0, ManyChanges + 1}, readSteadyClock());
   JsonRpcDispatcher Dispatcher;
   ChangesResponder Responder(
       [&PeerView](const ChangesRequest &Request) {
@@ -50,7 +51,7 @@
 
   CounterTable Counters;
   FleetView View{{70}, fromSeconds(2)};
-  View.replaceAll({}, {0, 1}, readSteadyClock());
+  replaceAll(View, {}, {0, 1}, readSteadyClock());
   PeerFollower Follower({"a", "h", {}, {}}, {}, {}, View, Counters, [] {});
   Follower.setDaemons({{"peer", "h", {"127.0.0.1", Server.getPort()}, {}}},
                       readSteadyClock());
@@ -88,7 +89,7 @@
         }) {
     addDirectoryMethod(this->Dispatcher, this->Responder);
     REQUIRE(this->Server.start({"127.0.0.1", 0}));
-    this->View.replaceAll({}, {0, 1}, readSteadyClock());
+    replaceAll(this->View, {}, {0, 1}, readSteadyClock());
   }
 
   std::atomic<int> SettingsAsked{0};
@@ -106,12 +107,13 @@
     "a second") {
   CountingPeer Peer;
   const StorePosition ConfigAt{0, ManyChanges};
-  Peer.View.applyEvents({{ConfigKey, std::string(5000, ' '), ConfigAt, false},
-                         {"servers/i-1", "{}", {0, ManyChanges - 1}, false}},
-                        {0, ManyChanges + 1}, readSteadyClock());
+  applyEvents(Peer.View,
+              {{ConfigKey, std::string(5000, ' '), ConfigAt, false},
+               {"servers/i-1", "{}", {0, ManyChanges - 1}, false}},
+              {0, ManyChanges + 1}, readSteadyClock());
   CounterTable Counters;
   FleetView View{{70}, fromSeconds(2)};
-  View.replaceAll({}, {0, 1}, readSteadyClock());
+  replaceAll(View, {}, {0, 1}, readSteadyClock());
   PeerFollower Follower({"a", "h", {}, {}}, {}, {}, View, Counters, [] {});
   Follower.setDaemons({{"peer", "h", {"127.0.0.1", Peer.Server.getPort()}, {}}},
                       readSteadyClock());
--- a/unittests/HallDrain/PlatformHallTest.cpp
+++ b/unittests/HallDrain/PlatformHallTest.cpp
@@ -13,6 +13,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "PlatformAdapter/PlatformFixture.h"
+#include "PlatformAdapter/ViewChanges.h"
 #include "platform/FleetView.h"
 
 #include <doctest/doctest.h>
@@ -32,7 +33,7 @@
 
 struct ViewFixture {
   ViewFixture() : View({70}, fromSeconds(2)) {
-    this->View.replaceAll({this->Config, this->Key}, {1, 10}, Start);
+    replaceAll(this->View, {this->Config, this->Key}, {1, 10}, Start);
   }
 
   Halls getDrained() const { return this->View.compileConfig()->DrainedHalls; }
@@ -48,48 +49,48 @@
   ViewFixture Fixture;
   CHECK(Fixture.getDrained() == Halls{"h"});
   const uint64_t Before = Fixture.View.getChangeCounts().Config;
-  Fixture.View.applyEvents({{"op/evacuate/k", "{}", {1, 11}, false}}, {1, 11},
-                           Start);
+  applyEvents(Fixture.View, {{"op/evacuate/k", "{}", {1, 11}, false}}, {1, 11},
+              Start);
   CHECK(Fixture.getDrained() == Halls{"h", "k"});
   CHECK(Fixture.View.getChangeCounts().Config > Before);
-  Fixture.View.applyEvents({{"op/evacuate/h", "", {1, 12}, true}}, {1, 12},
-                           Start);
+  applyEvents(Fixture.View, {{"op/evacuate/h", "", {1, 12}, true}}, {1, 12},
+              Start);
   CHECK(Fixture.getDrained() == Halls{"k"});
 }
 
 TEST_CASE("a key that a complete read no longer lists was removed") {
   ViewFixture Fixture;
   Fixture.View.recordStoreFailure(Start);
-  Fixture.View.replaceAll({Fixture.Config}, {1, 20}, Start + fromSeconds(1));
+  replaceAll(Fixture.View, {Fixture.Config}, {1, 20}, Start + fromSeconds(1));
   CHECK(Fixture.getDrained().empty());
 }
 
 TEST_CASE("a hall stays drained if the store was restored without its key") {
   ViewFixture Fixture;
-  Fixture.View.replaceAll({Fixture.Config}, {2, 8}, Start + fromSeconds(1));
+  replaceAll(Fixture.View, {Fixture.Config}, {2, 8}, Start + fromSeconds(1));
   CHECK(Fixture.getDrained() == Halls{"h"});
-  Fixture.View.applyEvents({{"op/evacuate/k", "{}", {2, 11}, false}}, {2, 11},
-                           Start);
+  applyEvents(Fixture.View, {{"op/evacuate/k", "{}", {2, 11}, false}}, {2, 11},
+              Start);
   CHECK(Fixture.getDrained() == Halls{"h", "k"});
   // Operators return it by writing the key again and removing it.
-  Fixture.View.applyEvents({{"op/evacuate/h", "{}", {2, 12}, false}}, {2, 12},
-                           Start);
-  Fixture.View.applyEvents({{"op/evacuate/h", "", {2, 13}, true}}, {2, 13},
-                           Start);
+  applyEvents(Fixture.View, {{"op/evacuate/h", "{}", {2, 12}, false}}, {2, 12},
+              Start);
+  applyEvents(Fixture.View, {{"op/evacuate/h", "", {2, 13}, true}}, {2, 13},
+              Start);
   CHECK(Fixture.getDrained() == Halls{"k"});
 }
 
 TEST_CASE("a hall stays drained if the store has lost its key in one epoch") {
   ViewFixture Fixture;
   Fixture.View.markStale(Start);
-  Fixture.View.replaceAll({Fixture.Config}, {1, 6}, Start + fromSeconds(1));
+  replaceAll(Fixture.View, {Fixture.Config}, {1, 6}, Start + fromSeconds(1));
   CHECK(Fixture.getDrained() == Halls{"h"});
 }
 
 TEST_CASE("a peer's replica brings drained halls too") {
   ViewFixture Fixture;
   FleetView Newcomer({70}, fromSeconds(2));
-  Newcomer.applyChanges(Fixture.View.getChangesAfter({}), Start);
+  Newcomer.apply(Fixture.View.getChangesAfter({}), Start);
   CHECK(Newcomer.compileConfig()->DrainedHalls == Halls{"h"});
 }
 
--- a/unittests/LargeSettings/LargeSettingsTest.cpp
+++ b/unittests/LargeSettings/LargeSettingsTest.cpp
@@ -13,6 +13,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "PlatformAdapter/HallFixture.h"
+#include "PlatformAdapter/ViewChanges.h"
 #include "canvaswick/Daemon/DirectoryCalls.h"
 #include "canvaswick/Json/JsonText.h"
 #include "platform/PeerFollower.h"
@@ -89,7 +90,7 @@
 
   void write(const std::string &Key, const std::string &Value) {
     const StorePosition At{0, ++this->Revision};
-    this->View.applyEvents({{Key, Value, At, false}}, At, readSteadyClock());
+    applyEvents(this->View, {{Key, Value, At, false}}, At, readSteadyClock());
   }
 
   JsonRpcDispatcher Dispatcher;
@@ -103,8 +104,8 @@
 /// A follower that has one peer.
 struct FollowerFixture {
   FollowerFixture() {
-    this->Peer.View.replaceAll({}, {0, 1}, readSteadyClock());
-    this->View.replaceAll({}, {0, 1}, readSteadyClock());
+    replaceAll(this->Peer.View, {}, {0, 1}, readSteadyClock());
+    replaceAll(this->View, {}, {0, 1}, readSteadyClock());
     this->Follower.setDaemons(
         {{"peer", "h", {"127.0.0.1", this->Peer.Link->getPort()}, {}}},
         readSteadyClock());
@@ -149,8 +150,10 @@
   ItemTable Table;
   Table.apply({ConfigKey, makeConfig(12, 1400), {0, 3}, false});
   Table.apply({ConfigKey, makeConfig(14, 2800), {0, 6}, false});
-  Table.apply({"servers/i-1", "leaves", {0, 7}, false});
-  Table.advanceTo({0, 7});
+  ItemChanges Last;
+  Last.Items = {{"servers/i-1", "leaves", {0, 7}, false}};
+  Last.AsOf = {0, 7};
+  Table.apply(Last);
   ChangesResponder Responder(
       [&Table](const ChangesRequest &Request) {
         return Table.getChangesAfter(Request.After, Request.Held);
@@ -160,7 +163,7 @@
       Responder.answer({{0, 3}, false, {{ConfigKey, {0, 3}}}}, TimePoint{});
   CHECK(writeJson(Answer).size() <= MaxSmallAnswerBytes);
   const ItemChanges Changes = decodeChanges(Answer).value();
-  CHECK(Changes.OmitsLarge);
+  CHECK(Changes.Extent == ChangesExtent::Small);
   REQUIRE(Changes.Items.size() == 1);
   CHECK(Changes.Items[0].Key == "servers/i-1");
 }
@@ -199,7 +202,7 @@
   // The same epoch goes on with a lower revision.
   for (FleetView *View : {&Fixture.View, &Fixture.Peer.View}) {
     View->markStale(readSteadyClock());
-    View->replaceAll({}, {0, 3}, readSteadyClock());
+    replaceAll(*View, {}, {0, 3}, readSteadyClock());
   }
   Fixture.Peer.Revision = 3;
   Fixture.Peer.write("servers/i-2", "leaves");
--- a/unittests/Lifetimes/LifetimesTest.cpp
+++ b/unittests/Lifetimes/LifetimesTest.cpp
@@ -15,6 +15,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "PlatformAdapter/PlatformFixture.h"
+#include "PlatformAdapter/ViewChanges.h"
 #include "platform/FleetView.h"
 
 #include <doctest/doctest.h>
@@ -85,12 +86,13 @@
   CHECK(rc::check([] {
     FleetView View({70}, fromSeconds(2));
     const TimePoint Start(fromSeconds(100));
-    View.replaceAll({{"op/config",
-                      R"({"version": 1, "limits": {},
+    replaceAll(View,
+               {{"op/config",
+                 R"({"version": 1, "limits": {},
       "clusters": [{"name": "s"}], "listeners": []})",
-                      {0, 1},
-                      false}},
-                    {0, 1}, Start);
+                 {0, 1},
+                 false}},
+               {0, 1}, Start);
     std::map<std::string, ExpectedServer> Expected;
     const int Steps = *rc::gen::inRange(1, 40);
     for (int Step = 0; Step < Steps; ++Step) {
@@ -116,7 +118,7 @@
                  std::pair(ExpectedEntry.Born, ExpectedEntry.Sequence)) {
         ExpectedEntry = {Born, Sequence, IsDraining, true};
       }
-      View.applyEvents({Event}, {0, Revision}, Start);
+      applyEvents(View, {Event}, {0, Revision}, Start);
     }
     std::map<std::string, bool> ExpectedStates;
     for (const auto &[Id, ExpectedEntry] : Expected)
--- a/unittests/PlatformAdapter/FleetAtSizeTest.cpp
+++ b/unittests/PlatformAdapter/FleetAtSizeTest.cpp
@@ -14,6 +14,7 @@
 ///
 //===----------------------------------------------------------------------===//
 
+#include "PlatformAdapter/ViewChanges.h"
 #include "PlatformFixture.h"
 #include "canvaswick/Daemon/Gateway.h"
 #include "platform/FleetView.h"
@@ -110,7 +111,7 @@
 struct FilledDaemon {
   FilledDaemon() : Serving(makeConfig(), makeProxyOptions({})) {
     REQUIRE(this->Serving.start());
-    this->View.replaceAll(makeItems(), {0, InitialRevision}, Start);
+    replaceAll(this->View, makeItems(), {0, InitialRevision}, Start);
     this->apply();
   }
 
@@ -137,7 +138,7 @@
   }
 
   void applyItem(const StoreItem &Item) {
-    REQUIRE(this->View.applyEvents({Item}, Item.At, Start));
+    REQUIRE(applyEvents(this->View, {Item}, Item.At, Start));
     this->apply();
   }
 
--- a/unittests/PlatformAdapter/FleetViewTest.cpp
+++ b/unittests/PlatformAdapter/FleetViewTest.cpp
@@ -14,6 +14,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "platform/FleetView.h"
+#include "PlatformAdapter/ViewChanges.h"
 #include "canvaswick/Support/Log.h"
 #include "platform/RecordDecoder.h"
 
@@ -52,15 +53,16 @@
 
 /// Fills a view with one configuration and one server.
 static void fill(FleetView &View) {
-  View.replaceAll({{"op/config", makeRules(2), {0, 5}, false},
-                   {"servers/i-1", makeServer("ready"), {0, 6}, false}},
-                  {0, 10}, Start);
+  replaceAll(View,
+             {{"op/config", makeRules(2), {0, 5}, false},
+              {"servers/i-1", makeServer("ready"), {0, 6}, false}},
+             {0, 10}, Start);
 }
 
 TEST_CASE("nothing is in force before the first configuration") {
   FleetView View({70}, fromSeconds(2));
-  View.replaceAll({{"servers/i-1", makeServer("ready"), {0, 6}, false}},
-                  {0, 10}, Start);
+  replaceAll(View, {{"servers/i-1", makeServer("ready"), {0, 6}, false}},
+             {0, 10}, Start);
   CHECK(View.compileConfig() == nullptr);
 }
 
@@ -68,29 +70,29 @@
   FleetView View({70}, fromSeconds(2));
   fill(View);
   CHECK(View.compileConfig()->Version == 2);
-  View.applyEvents({{"op/config", makeRules(4), {0, 12}, false}}, {0, 12},
-                   Start);
+  applyEvents(View, {{"op/config", makeRules(4), {0, 12}, false}}, {0, 12},
+              Start);
   CHECK(View.compileConfig()->Version == 4);
   // An older version at a newer revision, a malformed configuration, and a
   // newer version at an older revision.
-  View.applyEvents({{"op/config", makeRules(3), {0, 13}, false}}, {0, 13},
-                   Start);
+  applyEvents(View, {{"op/config", makeRules(3), {0, 13}, false}}, {0, 13},
+              Start);
   CHECK(View.compileConfig()->Version == 4);
-  View.applyEvents({{"op/config", "{", {0, 14}, false}}, {0, 14}, Start);
+  applyEvents(View, {{"op/config", "{", {0, 14}, false}}, {0, 14}, Start);
   CHECK(View.compileConfig()->Version == 4);
-  View.applyEvents({{"op/config", makeRules(9), {0, 11}, false}}, {0, 14},
-                   Start);
+  applyEvents(View, {{"op/config", makeRules(9), {0, 11}, false}}, {0, 14},
+              Start);
   CHECK(View.compileConfig()->Version == 4);
 }
 
 TEST_CASE("a draining server is kept as such, and a removed one is dropped") {
   FleetView View({70}, fromSeconds(2));
   fill(View);
-  View.applyEvents({{"servers/i-1", makeServer("draining"), {0, 11}, false}},
-                   {0, 11}, Start);
+  applyEvents(View, {{"servers/i-1", makeServer("draining"), {0, 11}, false}},
+              {0, 11}, Start);
   CHECK(View.compileConfig()->Services[0].Servers[0].State ==
         ServerState::Draining);
-  View.applyEvents({{"servers/i-1", "", {0, 12}, true}}, {0, 12}, Start);
+  applyEvents(View, {{"servers/i-1", "", {0, 12}, true}}, {0, 12}, Start);
   CHECK(countServers(View) == 0);
 }
 
@@ -98,16 +100,17 @@
           "kept for a while") {
   FleetView View({70}, fromSeconds(2));
   fill(View);
-  View.applyEvents({{"servers/i-2", makeServer("ready"), {0, 11}, false},
-                    {"servers/i-3", makeServer("ready"), {0, 12}, false}},
-                   {0, 12}, Start);
+  applyEvents(View,
+              {{"servers/i-2", makeServer("ready"), {0, 11}, false},
+               {"servers/i-3", makeServer("ready"), {0, 12}, false}},
+              {0, 12}, Start);
   View.recordStoreFailure(Start);
-  View.replaceAll({{"op/config", makeRules(2), {0, 5}, false}}, {0, 20},
-                  Start + fromSeconds(1));
+  replaceAll(View, {{"op/config", makeRules(2), {0, 5}, false}}, {0, 20},
+             Start + fromSeconds(1));
   CHECK(countServers(View) == 3);
   SUBCASE("one comes back") {
-    View.applyEvents({{"servers/i-1", makeServer("ready"), {0, 22}, false}},
-                     {0, 22}, Start + fromSeconds(2));
+    applyEvents(View, {{"servers/i-1", makeServer("ready"), {0, 22}, false}},
+                {0, 22}, Start + fromSeconds(2));
     CHECK(View.resolveMissing(Start + fromSeconds(9)));
     CHECK(countServers(View) == 1);
   }
@@ -122,11 +125,11 @@
     "a single server whose entry vanishes around a store failure has left") {
   FleetView View({70}, fromSeconds(2));
   fill(View);
-  View.applyEvents({{"servers/i-2", makeServer("ready"), {0, 11}, false}},
-                   {0, 12}, Start);
+  applyEvents(View, {{"servers/i-2", makeServer("ready"), {0, 11}, false}},
+              {0, 12}, Start);
   View.recordStoreFailure(Start);
-  View.applyEvents({{"servers/i-2", "", {0, 13}, true}}, {0, 13},
-                   Start + fromSeconds(1));
+  applyEvents(View, {{"servers/i-2", "", {0, 13}, true}}, {0, 13},
+              Start + fromSeconds(1));
   CHECK(countServers(View) == 1);
 }
 
@@ -135,24 +138,25 @@
   FleetView View({70}, fromSeconds(2));
   fill(View);
   View.recordStoreFailure(Start - fromSeconds(60));
-  View.applyEvents({{"servers/i-1", "", {0, 12}, true}}, {0, 12}, Start);
+  applyEvents(View, {{"servers/i-1", "", {0, 12}, true}}, {0, 12}, Start);
   CHECK(countServers(View) == 0);
 }
 
 TEST_CASE("a peer's replica is applied like an answer of the store") {
   FleetView Ahead({70}, fromSeconds(2));
   fill(Ahead);
-  Ahead.applyEvents({{"servers/i-1", "", {0, 12}, true},
-                     {"op/config", makeRules(5), {0, 13}, false}},
-                    {0, 13}, Start);
+  applyEvents(Ahead,
+              {{"servers/i-1", "", {0, 12}, true},
+               {"op/config", makeRules(5), {0, 13}, false}},
+              {0, 13}, Start);
   FleetView Behind({70}, fromSeconds(2));
   fill(Behind);
-  CHECK(Behind.applyChanges(Ahead.getChangesAfter(Behind.getAsOf()), Start));
+  CHECK(Behind.apply(Ahead.getChangesAfter(Behind.getAsOf()), Start).IsChanged);
   CHECK(Behind.getAsOf() == StorePosition(0, 13));
   CHECK(countServers(Behind) == 0);
   CHECK(Behind.compileConfig()->Version == 5);
   FleetView Empty({70}, fromSeconds(2));
-  CHECK(Empty.applyChanges(Ahead.getChangesAfter({}), Start));
+  CHECK(Empty.apply(Ahead.getChangesAfter({}), Start).IsChanged);
   CHECK(Empty.compileConfig()->Version == 5);
 }
 
@@ -163,11 +167,12 @@
   const auto ApplyEntry = [&](uint64_t Lease, const char *Host,
                               uint64_t Revision) {
     const DaemonRecord Record{"d1", "h", {Host, 80}, {Host, 81}};
-    View.applyEvents({{"canvaswick/daemons/d1",
-                       encodeDaemon(Record, Lease),
-                       {0, Revision},
-                       false}},
-                     {0, Revision}, Start);
+    applyEvents(View,
+                {{"canvaswick/daemons/d1",
+                  encodeDaemon(Record, Lease),
+                  {0, Revision},
+                  false}},
+                {0, Revision}, Start);
   };
   const FleetChangeCounts First = View.getChangeCounts();
   ApplyEntry(7, "10.0.0.1", 11);
@@ -184,14 +189,14 @@
     CHECK(View.listDaemons()[0].Control.Host == "10.0.0.2");
   }
   SUBCASE("an entry that cannot be decoded") {
-    View.applyEvents({{"canvaswick/daemons/d1", "[]", {0, 12}, false}}, {0, 12},
-                     Start);
+    applyEvents(View, {{"canvaswick/daemons/d1", "[]", {0, 12}, false}},
+                {0, 12}, Start);
     CHECK(View.getChangeCounts().Daemons == Second.Daemons + 1);
     CHECK(View.listDaemons().empty());
   }
   SUBCASE("the entry is removed") {
-    View.applyEvents({{"canvaswick/daemons/d1", "", {0, 12}, true}}, {0, 12},
-                     Start);
+    applyEvents(View, {{"canvaswick/daemons/d1", "", {0, 12}, true}}, {0, 12},
+                Start);
     CHECK(View.getChangeCounts().Daemons == Second.Daemons + 1);
     CHECK(View.listDaemons().empty());
   }
@@ -206,17 +211,18 @@
     const uint64_t Now = View.getChangeCounts().Config;
     return std::exchange(Before, Now) != Now;
   };
-  View.applyEvents({{"servers/i-2", makeServer("ready"), {0, 11}, false}},
-                   {0, 11}, Start);
+  applyEvents(View, {{"servers/i-2", makeServer("ready"), {0, 11}, false}},
+              {0, 11}, Start);
   CHECK(HasChanged());
-  View.applyEvents({{"op/config", makeRules(3), {0, 12}, false}}, {0, 12},
-                   Start);
+  applyEvents(View, {{"op/config", makeRules(3), {0, 12}, false}}, {0, 12},
+              Start);
   CHECK(HasChanged());
   View.setBounds({60}, fromSeconds(2));
   CHECK(HasChanged());
   // Both entries expire, and their servers are dropped later.
   View.recordStoreFailure(Start);
-  View.applyEvents(
+  applyEvents(
+      View,
       {{"servers/i-1", "", {0, 13}, true}, {"servers/i-2", "", {0, 14}, true}},
       {0, 14}, Start);
   CHECK(countServers(View) == 2);
@@ -224,11 +230,11 @@
   CHECK(View.resolveMissing(Start + fromSeconds(3)));
   CHECK(HasChanged());
   // A server that leaves is dropped at once.
-  View.applyEvents({{"servers/i-3", makeServer("ready"), {0, 15}, false}},
-                   {0, 15}, Start + fromSeconds(20));
+  applyEvents(View, {{"servers/i-3", makeServer("ready"), {0, 15}, false}},
+              {0, 15}, Start + fromSeconds(20));
   CHECK(HasChanged());
-  View.applyEvents({{"servers/i-3", "", {0, 16}, true}}, {0, 16},
-                   Start + fromSeconds(20));
+  applyEvents(View, {{"servers/i-3", "", {0, 16}, true}}, {0, 16},
+              Start + fromSeconds(20));
   CHECK(HasChanged());
   CHECK(countServers(View) == 0);
 }
@@ -251,17 +257,19 @@
 
 TEST_CASE("a server that restarts under its ID is another server") {
   FleetView View({70}, fromSeconds(2));
-  View.replaceAll(
+  replaceAll(
+      View,
       {{"op/config", makeRules(2), {0, 5}, false},
        {"servers/i-1", makeInstanceEntry(1000, 7, "draining"), {0, 6}, false}},
       {0, 10}, Start);
   const FleetConfigRef Before = View.compileConfig();
   CHECK(getOnlyServer(Before).State == ServerState::Draining);
-  View.applyEvents({{"servers/i-1",
-                     makeInstanceEntry(2000, 1, "ready", 81),
-                     {0, 11},
-                     false}},
-                   {0, 11}, Start);
+  applyEvents(View,
+              {{"servers/i-1",
+                makeInstanceEntry(2000, 1, "ready", 81),
+                {0, 11},
+                false}},
+              {0, 11}, Start);
   const FleetConfigRef After = View.compileConfig();
   CHECK(getOnlyServer(After).State == ServerState::Active);
   CHECK(getOnlyServer(After).Address.Port == 81);
@@ -273,11 +281,13 @@
 TEST_CASE(
     "the same instance is the same server, whatever else its entry says") {
   FleetView View({70}, fromSeconds(2));
-  View.replaceAll({{"op/config", makeRules(2), {0, 5}, false},
-                   {"servers/i-1", makeInstanceEntry(1000, 7), {0, 6}, false}},
-                  {0, 10}, Start);
+  replaceAll(View,
+             {{"op/config", makeRules(2), {0, 5}, false},
+              {"servers/i-1", makeInstanceEntry(1000, 7), {0, 6}, false}},
+             {0, 10}, Start);
   const FleetConfigRef Before = View.compileConfig();
-  View.applyEvents(
+  applyEvents(
+      View,
       {{"servers/i-1", makeInstanceEntry(1000, 8, "draining"), {0, 11}, false}},
       {0, 11}, Start);
   CHECK(getOnlyServer(View.compileConfig()).Name == getOnlyServer(Before).Name);
@@ -287,45 +297,49 @@
 TEST_CASE("an entry of an earlier instance, or an older one of the same, is "
           "ignored") {
   FleetView View({70}, fromSeconds(2));
-  View.replaceAll({{"op/config", makeRules(2), {0, 5}, false},
-                   {"servers/i-1", makeInstanceEntry(2000, 5), {0, 6}, false}},
-                  {0, 10}, Start);
-  View.applyEvents({{"servers/i-1",
-                     makeInstanceEntry(1000, 99, "draining"),
-                     {0, 11},
-                     false}},
-                   {0, 11}, Start);
+  replaceAll(View,
+             {{"op/config", makeRules(2), {0, 5}, false},
+              {"servers/i-1", makeInstanceEntry(2000, 5), {0, 6}, false}},
+             {0, 10}, Start);
+  applyEvents(View,
+              {{"servers/i-1",
+                makeInstanceEntry(1000, 99, "draining"),
+                {0, 11},
+                false}},
+              {0, 11}, Start);
   CHECK(getOnlyServer(View.compileConfig()).State == ServerState::Active);
-  View.applyEvents(
+  applyEvents(
+      View,
       {{"servers/i-1", makeInstanceEntry(2000, 4, "draining"), {0, 12}, false}},
       {0, 12}, Start);
   CHECK(getOnlyServer(View.compileConfig()).State == ServerState::Active);
   // The same holds after the entry was removed.
-  View.applyEvents({{"servers/i-1", "", {0, 13}, true}}, {0, 13}, Start);
-  View.applyEvents(
-      {{"servers/i-1", makeInstanceEntry(1000, 100), {0, 14}, false}}, {0, 14},
-      Start);
+  applyEvents(View, {{"servers/i-1", "", {0, 13}, true}}, {0, 13}, Start);
+  applyEvents(View,
+              {{"servers/i-1", makeInstanceEntry(1000, 100), {0, 14}, false}},
+              {0, 14}, Start);
   CHECK(countServers(View) == 0);
-  View.applyEvents(
-      {{"servers/i-1", makeInstanceEntry(2000, 6), {0, 15}, false}}, {0, 15},
-      Start);
+  applyEvents(View,
+              {{"servers/i-1", makeInstanceEntry(2000, 6), {0, 15}, false}},
+              {0, 15}, Start);
   CHECK(countServers(View) == 1);
 }
 
 TEST_CASE("a server whose entry becomes malformed is dropped until it is valid "
           "again") {
   FleetView View({70}, fromSeconds(2));
-  View.replaceAll({{"op/config", makeRules(2), {0, 5}, false},
-                   {"servers/i-1", makeInstanceEntry(1000, 7), {0, 6}, false},
-                   {"servers/i-2", makeInstanceEntry(1000, 7), {0, 7}, false}},
-                  {0, 10}, Start);
-  View.applyEvents({{"servers/i-1", "\xff", {0, 11}, false}}, {0, 11}, Start);
+  replaceAll(View,
+             {{"op/config", makeRules(2), {0, 5}, false},
+              {"servers/i-1", makeInstanceEntry(1000, 7), {0, 6}, false},
+              {"servers/i-2", makeInstanceEntry(1000, 7), {0, 7}, false}},
+             {0, 10}, Start);
+  applyEvents(View, {{"servers/i-1", "\xff", {0, 11}, false}}, {0, 11}, Start);
   CHECK(countServers(View) == 1);
   CHECK(View.drainRefusedCount() == 1);
   CHECK(View.drainRefusedCount() == 0);
-  View.applyEvents(
-      {{"servers/i-1", makeInstanceEntry(1000, 8), {0, 12}, false}}, {0, 12},
-      Start);
+  applyEvents(View,
+              {{"servers/i-1", makeInstanceEntry(1000, 8), {0, 12}, false}},
+              {0, 12}, Start);
   CHECK(countServers(View) == 2);
 }
 
@@ -336,13 +350,13 @@
   CHECK(countServers(View) == 1);
   // One server that reports its start time among others that do not proves
   // nothing.
-  View.applyEvents(
-      {{"servers/i-2", makeInstanceEntry(1000, 1), {0, 11}, false}}, {0, 11},
-      Start);
+  applyEvents(View,
+              {{"servers/i-2", makeInstanceEntry(1000, 1), {0, 11}, false}},
+              {0, 11}, Start);
   CHECK(countServers(View) == 2);
-  View.applyEvents(
-      {{"servers/i-3", makeInstanceEntry(1000, 1), {0, 12}, false}}, {0, 12},
-      Start);
+  applyEvents(View,
+              {{"servers/i-3", makeInstanceEntry(1000, 1), {0, 12}, false}},
+              {0, 12}, Start);
   CHECK(countServers(View) == 2);
 }
 
@@ -364,9 +378,9 @@
     FleetView View({70}, fromSeconds(2));
     fill(View);
     const DaemonRecord Peer{"d1", "h", {"10.0.0.1", 80}, {"10.0.0.1", 81}};
-    View.applyEvents(
-        {{"canvaswick/daemons/d1", encodeDaemon(Peer), {0, 11}, false}},
-        {0, 11}, Start);
+    applyEvents(View,
+                {{"canvaswick/daemons/d1", encodeDaemon(Peer), {0, 11}, false}},
+                {0, 11}, Start);
     const std::string Keys[] = {"servers/i-2",
                                 "canvaswick/daemons/d2",
                                 "servers/" + *rc::gen::arbitrary<std::string>(),
@@ -382,8 +396,8 @@
       const std::string Real = *rc::gen::arbitrary<bool>()
                                    ? makeInstanceEntry(1000, 5)
                                    : encodeDaemon(Peer);
-      View.applyEvents({{Key, makeDamagedEntry(Real), {0, Revision}, false}},
-                       {0, Revision}, Start);
+      applyEvents(View, {{Key, makeDamagedEntry(Real), {0, Revision}, false}},
+                  {0, Revision}, Start);
     }
     const FleetConfigRef Config = View.compileConfig();
     RC_ASSERT(Config->Version == 2u);
@@ -407,7 +421,7 @@
   Bounds.Burst = 0;
   const uint64_t Before = countDroppedLogLines();
   startLogWriter(Bounds);
-  View.applyEvents(Events, Events.back().At, Start);
+  applyEvents(View, Events, Events.back().At, Start);
   stopLogWriter();
   return countDroppedLogLines() - Before;
 }
--- a/unittests/PlatformAdapter/PeerFollowerTest.cpp
+++ b/unittests/PlatformAdapter/PeerFollowerTest.cpp
@@ -13,6 +13,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "platform/PeerFollower.h"
+#include "PlatformAdapter/ViewChanges.h"
 #include "canvaswick/StandIn/RelayStandIn.h"
 
 #include <doctest/doctest.h>
@@ -75,7 +76,7 @@
 struct FollowerFixture {
   explicit FollowerFixture(const std::string &Name)
       : Follower({Name, "h", {}, {}}, {}, {}, View, Counters, [] {}) {
-    this->View.replaceAll({}, {0, 1}, readSteadyClock());
+    replaceAll(this->View, {}, {0, 1}, readSteadyClock());
     this->Follower.setDaemons({this->One.getRecord(), this->Two.getRecord()},
                               readSteadyClock());
   }
@@ -201,7 +202,7 @@
 TEST_CASE("a delta that cannot be applied is followed by the whole value") {
   FollowerFixture Fixture("a");
   const StoreItem Held{"large", std::string(5000, 'y'), {0, 2}, false};
-  Fixture.View.replaceAll({Held}, {0, 2}, readSteadyClock());
+  replaceAll(Fixture.View, {Held}, {0, 2}, readSteadyClock());
   for (AheadPeer *Peer : {&Fixture.One, &Fixture.Two})
     Peer->HasLarge = true;
   Fixture.advance(5, readSteadyClock());
--- /dev/null
+++ b/unittests/ReplicaModel/Replica.h
@@ -0,0 +1,98 @@
+//===- Replica.h - A replica of the store in virtual time -------*- C++ -*-===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// An ItemTable with the calls by which daemons bring each other up to date.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef CANVASWICK_UNITTESTS_REPLICAMODEL_REPLICA_H
+#define CANVASWICK_UNITTESTS_REPLICAMODEL_REPLICA_H
+
+#include "canvaswick/Daemon/DirectoryCalls.h"
+
+#include <rapidcheck.h>
+
+#include <utility>
+#include <vector>
+
+namespace canvaswick {
+
+/// One daemon's replica, without threads or sockets.
+class Replica {
+public:
+  StorePosition getComplete() const {
+    return this->Table.getPosition().Complete;
+  }
+  StorePosition getSmall() const { return this->Table.getPosition().Small; }
+  const StoreItem *find(const std::string &Key) const {
+    return this->Table.find(Key);
+  }
+  size_t countItems() const { return this->Table.getItems().size(); }
+
+  void markStale() { this->Table.markStale(); }
+
+  /// Applies the answer of a watch.
+  void applyEvents(const std::vector<StoreItem> &Events,
+                   const StorePosition &Before, const StorePosition &AsOf) {
+    ItemChanges Changes;
+    Changes.After = Before;
+    Changes.Items = Events;
+    Changes.AsOf = AsOf;
+    this->Table.apply(Changes);
+  }
+
+  /// Applies a read of the whole store, or a snapshot.
+  void applyAll(const std::vector<StoreItem> &Items,
+                const StorePosition &AsOf) {
+    ItemChanges Changes;
+    Changes.IsFull = true;
+    Changes.Items = Items;
+    Changes.AsOf = AsOf;
+    this->Table.apply(Changes);
+  }
+
+  std::vector<StoreItem> listAll() const {
+    return this->Table.getChangesAfter({}).Items;
+  }
+
+  ChangesRequest makeRequest(bool WantsLarge) const {
+    ChangesRequest Request;
+    Request.WantsLarge = WantsLarge;
+    Request.After = WantsLarge ? this->getComplete() : this->getSmall();
+    Request.Held = this->Table.listLarge();
+    return Request;
+  }
+
+  /// Answers a peer as a daemon does, over the wire.
+  ItemChanges answer(const ChangesRequest &Asked) const {
+    const ChangesRequest Request = decodeRequest(encodeRequest(Asked)).value();
+    ChangesResponder Responder(
+        [this](const ChangesRequest &Each) {
+          return this->Table.getChangesAfter(Each.After, Each.Held);
+        },
+        [] { return true; });
+    Result<ItemChanges> Changes =
+        decodeChanges(Responder.answer(Request, TimePoint{}));
+    RC_ASSERT(Changes.has_value());
+    return std::move(Changes.value());
+  }
+
+  /// Applies a peer's answer.
+  void applyAnswer(ItemChanges Changes, const ChangesRequest &Request) {
+    Changes.After = Request.After;
+    this->Table.apply(Changes);
+  }
+
+private:
+  ItemTable Table;
+};
+
+} // namespace canvaswick
+
+#endif // CANVASWICK_UNITTESTS_REPLICAMODEL_REPLICA_H
--- a/unittests/StoreRestore/FleetModelTest.cpp
+++ b/unittests/StoreRestore/FleetModelTest.cpp
@@ -13,6 +13,7 @@
 ///
 //===----------------------------------------------------------------------===//
 
+#include "PlatformAdapter/ViewChanges.h"
 #include "canvaswick/Daemon/DirectoryCalls.h"
 #include "platform/FleetView.h"
 
@@ -132,7 +133,7 @@
     if (compareAnswer(Before, AsOf) == AnswerConsistency::HasLost &&
         AsOf.Epoch == Before.Epoch)
       this->View->markStale(Now);
-    this->View->replaceAll(Store.readAll(), AsOf, Now);
+    replaceAll(*this->View, Store.readAll(), AsOf, Now);
   }
 
   void watch(const ModelStore &Store, TimePoint Now) {
@@ -143,17 +144,18 @@
     if (Before.isNone() || !Events || !Follows)
       this->read(Store, Now);
     else
-      this->View->applyEvents(*Events, Store.getAsOf(), Now);
+      applyEvents(*this->View, *Events, Store.getAsOf(), Now);
   }
 
   void fetch(const ModelDaemon &Peer, TimePoint Now) {
     const StorePosition Known = this->View->getAsOf();
     if (Peer.View->getAsOf() <= Known)
       return;
-    const Result<ItemChanges> Received =
+    Result<ItemChanges> Received =
         decodeChanges(encodeChanges(Peer.View->getChangesAfter(Known)));
     RC_ASSERT(Received.has_value());
-    this->View->applyChanges(Received.value(), Now);
+    Received.value().After = Known;
+    this->View->apply(Received.value(), Now);
   }
 
   uint64_t getVersion() const {
--- a/unittests/StoreRestore/ViewRestoreTest.cpp
+++ b/unittests/StoreRestore/ViewRestoreTest.cpp
@@ -6,6 +6,7 @@
 //
 //===----------------------------------------------------------------------===//
 
+#include "PlatformAdapter/ViewChanges.h"
 #include "canvaswick/Daemon/DirectoryCalls.h"
 #include "platform/FleetView.h"
 #include "platform/RecordDecoder.h"
@@ -49,16 +50,16 @@
 /// A view with settings, a server and a daemon, at epoch 1, revision 50.
 struct RestoreFixture {
   RestoreFixture() {
-    this->View.replaceAll(
-        {makeItem("op/config", makeSettings(5), {1, 48}),
-         makeItem("servers/i-1", makeServer(7, "ready"), {1, 20}),
-         makeDaemonItem("d1", {1, 49})},
-        {1, 50}, Start);
+    replaceAll(this->View,
+               {makeItem("op/config", makeSettings(5), {1, 48}),
+                makeItem("servers/i-1", makeServer(7, "ready"), {1, 20}),
+                makeDaemonItem("d1", {1, 49})},
+               {1, 50}, Start);
   }
 
   /// Replaces the view's items by those of a restored store.
   void restore(std::vector<StoreItem> Items, StorePosition AsOf) {
-    CHECK(this->View.replaceAll(Items, AsOf, this->Now));
+    CHECK(replaceAll(this->View, Items, AsOf, this->Now));
   }
 
   /// Returns the server's state in the compiled configuration, or nothing if it
@@ -82,20 +83,20 @@
   RestoreFixture Fixture;
   Fixture.restore({makeItem("op/config", makeSettings(3), {2, 10})}, {2, 20});
   CHECK(Fixture.View.compileConfig()->Version == 5);
-  Fixture.View.applyEvents({makeItem("op/config", makeSettings(5), {2, 21})},
-                           {2, 21}, Fixture.Now);
+  applyEvents(Fixture.View, {makeItem("op/config", makeSettings(5), {2, 21})},
+              {2, 21}, Fixture.Now);
   CHECK(Fixture.View.compileConfig()->Version == 5);
-  Fixture.View.applyEvents({makeItem("op/config", makeSettings(6), {2, 22})},
-                           {2, 22}, Fixture.Now);
+  applyEvents(Fixture.View, {makeItem("op/config", makeSettings(6), {2, 22})},
+              {2, 22}, Fixture.Now);
   CHECK(Fixture.View.compileConfig()->Version == 6);
 }
 
 TEST_CASE(
     "a draining server stays draining although a backup lists it as ready") {
   RestoreFixture Fixture;
-  Fixture.View.applyEvents(
-      {makeItem("servers/i-1", makeServer(8, "draining"), {1, 51})}, {1, 51},
-      Start);
+  applyEvents(Fixture.View,
+              {makeItem("servers/i-1", makeServer(8, "draining"), {1, 51})},
+              {1, 51}, Start);
   Fixture.restore({makeItem("servers/i-1", makeServer(7, "ready"), {2, 20})},
                   {2, 30});
   CHECK(Fixture.findState() == ServerState::Draining);
@@ -104,40 +105,40 @@
     CHECK(Fixture.findState() == ServerState::Draining);
   }
   SUBCASE("until the server writes a later entry") {
-    Fixture.View.applyEvents(
-        {makeItem("servers/i-1", makeServer(9, "ready"), {2, 31})}, {2, 31},
-        Fixture.Now);
+    applyEvents(Fixture.View,
+                {makeItem("servers/i-1", makeServer(9, "ready"), {2, 31})},
+                {2, 31}, Fixture.Now);
     CHECK(Fixture.findState() == ServerState::Active);
   }
 }
 
 TEST_CASE("a draining server stays draining where no epoch shows the restore") {
   RestoreFixture Fixture;
-  Fixture.View.applyEvents(
-      {makeItem("servers/i-1", makeServer(8, "draining"), {1, 51})}, {1, 51},
-      Start);
+  applyEvents(Fixture.View,
+              {makeItem("servers/i-1", makeServer(8, "draining"), {1, 51})},
+              {1, 51}, Start);
   Fixture.View.markStale(Fixture.Now);
   Fixture.restore({makeItem("servers/i-1", makeServer(7, "ready"), {1, 20})},
                   {1, 30});
   CHECK(Fixture.findState() == ServerState::Draining);
-  Fixture.View.applyEvents(
-      {makeItem("servers/i-1", makeServer(9, "ready"), {1, 31})}, {1, 31},
-      Fixture.Now);
+  applyEvents(Fixture.View,
+              {makeItem("servers/i-1", makeServer(9, "ready"), {1, 31})},
+              {1, 31}, Fixture.Now);
   CHECK(Fixture.findState() == ServerState::Active);
 }
 
 TEST_CASE("a removed server is not used although a backup lists it") {
   RestoreFixture Fixture;
-  Fixture.View.applyEvents({{"servers/i-1", "", {1, 51}, true}}, {1, 51},
-                           Start);
+  applyEvents(Fixture.View, {{"servers/i-1", "", {1, 51}, true}}, {1, 51},
+              Start);
   REQUIRE_FALSE(Fixture.findState());
   Fixture.restore({makeItem("servers/i-1", makeServer(7, "ready"), {2, 20})},
                   {2, 30});
   CHECK_FALSE(Fixture.findState());
   SUBCASE("it runs and writes its entry again") {
-    Fixture.View.applyEvents(
-        {makeItem("servers/i-1", makeServer(9, "ready"), {2, 31})}, {2, 31},
-        Fixture.Now);
+    applyEvents(Fixture.View,
+                {makeItem("servers/i-1", makeServer(9, "ready"), {2, 31})},
+                {2, 31}, Fixture.Now);
     CHECK(Fixture.findState() == ServerState::Active);
   }
   SUBCASE("its entry outlasts that of a silent server") {
@@ -146,8 +147,8 @@
     CHECK(Fixture.findState() == ServerState::Active);
   }
   SUBCASE("its entry is removed") {
-    Fixture.View.applyEvents({{"servers/i-1", "", {2, 31}, true}}, {2, 31},
-                             Fixture.Now);
+    applyEvents(Fixture.View, {{"servers/i-1", "", {2, 31}, true}}, {2, 31},
+                Fixture.Now);
     Fixture.View.resolveMissing(Fixture.Now + fromSeconds(20));
     CHECK_FALSE(Fixture.findState());
   }
@@ -156,11 +157,11 @@
 TEST_CASE("a server that drained and was removed is not used however long a "
           "backup lists it") {
   RestoreFixture Fixture;
-  Fixture.View.applyEvents(
-      {makeItem("servers/i-1", makeServer(8, "draining"), {1, 51})}, {1, 51},
-      Start);
-  Fixture.View.applyEvents({{"servers/i-1", "", {1, 52}, true}}, {1, 52},
-                           Start);
+  applyEvents(Fixture.View,
+              {makeItem("servers/i-1", makeServer(8, "draining"), {1, 51})},
+              {1, 51}, Start);
+  applyEvents(Fixture.View, {{"servers/i-1", "", {1, 52}, true}}, {1, 52},
+              Start);
   Fixture.restore({makeItem("servers/i-1", makeServer(7, "ready"), {2, 20})},
                   {2, 30});
   for (const double Seconds : {1.0, 10.0, 20.0, 300.0}) {
@@ -180,18 +181,18 @@
     CHECK_FALSE(Fixture.findState());
   }
   SUBCASE("it stays if it has written") {
-    Fixture.View.applyEvents(
-        {makeItem("servers/i-1", makeServer(9, "ready"), {2, 21})}, {2, 21},
-        Fixture.Now);
+    applyEvents(Fixture.View,
+                {makeItem("servers/i-1", makeServer(9, "ready"), {2, 21})},
+                {2, 21}, Fixture.Now);
     Fixture.View.resolveMissing(Fixture.Now + fromSeconds(20));
     CHECK(Fixture.findState() == ServerState::Active);
   }
   SUBCASE("a server that is removed after the restore is not kept") {
-    Fixture.View.applyEvents(
-        {makeItem("servers/i-1", makeServer(9, "ready"), {2, 21})}, {2, 21},
-        Fixture.Now);
-    Fixture.View.applyEvents({{"servers/i-1", "", {2, 22}, true}}, {2, 22},
-                             Fixture.Now + fromSeconds(7));
+    applyEvents(Fixture.View,
+                {makeItem("servers/i-1", makeServer(9, "ready"), {2, 21})},
+                {2, 21}, Fixture.Now);
+    applyEvents(Fixture.View, {{"servers/i-1", "", {2, 22}, true}}, {2, 22},
+                Fixture.Now + fromSeconds(7));
     CHECK_FALSE(Fixture.findState());
   }
 }
@@ -206,8 +207,8 @@
     CHECK(Fixture.View.listDaemons().empty());
   }
   SUBCASE("a daemon that writes again stays") {
-    Fixture.View.applyEvents({makeDaemonItem("d1", {2, 21})}, {2, 21},
-                             Fixture.Now);
+    applyEvents(Fixture.View, {makeDaemonItem("d1", {2, 21})}, {2, 21},
+                Fixture.Now);
     Fixture.View.resolveMissing(Fixture.Now + fromSeconds(10));
     CHECK(Fixture.View.listDaemons().size() == 1);
   }
@@ -222,13 +223,13 @@
     std::vector<StoreItem> All;
     for (size_t I = 0; I < Count; ++I)
       All.push_back(makeDaemonItem(MakeName(I), {1, 10 + I}));
-    View.replaceAll(All, {1, 1000}, Start);
+    replaceAll(View, All, {1, 1000}, Start);
     // The backup lists the first third of the daemons.
     const size_t ListedCount = Count / 3;
     for (size_t I = 0; I < ListedCount; ++I)
       All[I].At = {2, 10 + I};
     All.resize(ListedCount);
-    View.replaceAll(All, {2, 500}, Start);
+    replaceAll(View, All, {2, 500}, Start);
     CHECK(View.listDaemons().size() == Count);
     // Three daemons have died; the others write again within Count / 100
     // seconds.
@@ -241,8 +242,8 @@
                               static_cast<double>(MissingCount));
       View.resolveMissing(Now);
       const StorePosition At(2, 501 + I);
-      View.applyEvents({makeDaemonItem(MakeName(ListedCount + I), At)}, At,
-                       Now);
+      applyEvents(View, {makeDaemonItem(MakeName(ListedCount + I), At)}, At,
+                  Now);
       REQUIRE(View.listDaemons().size() == Count);
     }
     View.resolveMissing(Start + fromSeconds(10));
@@ -253,29 +254,29 @@
 TEST_CASE("a peer of an earlier epoch is never ahead and changes nothing") {
   RestoreFixture Fixture;
   FleetView EarlierPeer({70}, fromSeconds(2));
-  EarlierPeer.replaceAll(
-      {makeItem("op/config", makeSettings(5), {1, 48}),
-       makeItem("servers/i-9", makeServer(1, "ready"), {1, 90})},
-      {1, 900}, Start);
+  replaceAll(EarlierPeer,
+             {makeItem("op/config", makeSettings(5), {1, 48}),
+              makeItem("servers/i-9", makeServer(1, "ready"), {1, 90})},
+             {1, 900}, Start);
   Fixture.restore({makeItem("op/config", makeSettings(5), {2, 10})}, {2, 20});
   CHECK(Fixture.View.getAsOf() > EarlierPeer.getAsOf());
   const ItemChanges Sent = EarlierPeer.getChangesAfter(Fixture.View.getAsOf());
-  CHECK_FALSE(Fixture.View.applyChanges(Sent, Fixture.Now));
+  CHECK_FALSE(Fixture.View.apply(Sent, Fixture.Now).IsChanged);
   CHECK(Fixture.View.getAsOf() == StorePosition(2, 20));
 }
 
 TEST_CASE("a peer of a later epoch sends all items, over the wire too") {
   RestoreFixture Fixture;
   FleetView LaterPeer({70}, fromSeconds(2));
-  LaterPeer.replaceAll(
-      {makeItem("op/config", makeSettings(6), {2, 10}),
-       makeItem("servers/i-1", makeServer(8, "draining"), {2, 11})},
-      {2, 20}, Start);
+  replaceAll(LaterPeer,
+             {makeItem("op/config", makeSettings(6), {2, 10}),
+              makeItem("servers/i-1", makeServer(8, "draining"), {2, 11})},
+             {2, 20}, Start);
   const ItemChanges Sent = LaterPeer.getChangesAfter(Fixture.View.getAsOf());
   CHECK(Sent.IsFull);
   const Result<ItemChanges> Received = decodeChanges(encodeChanges(Sent));
   REQUIRE(Received);
-  CHECK(Fixture.View.applyChanges(Received.value(), Fixture.Now));
+  CHECK(Fixture.View.apply(Received.value(), Fixture.Now).IsChanged);
   CHECK(Fixture.View.getAsOf() == StorePosition(2, 20));
   CHECK(Fixture.View.compileConfig()->Version == 6);
   CHECK(Fixture.findState() == ServerState::Draining);
