--- a/unittests/PlatformAdapter/StoreWatcherTest.cpp
+++ b/unittests/PlatformAdapter/StoreWatcherTest.cpp
@@ -13,6 +13,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "PlatformAdapter/StoreWatcherFixture.h"
+#include "PlatformAdapter/ViewChanges.h"
 #include "canvaswick/StandIn/RelayStandIn.h"
 #include "canvaswick/Support/TextCompression.h"
 #include "platform/DaemonRegistration.h"
@@ -231,6 +232,33 @@
   CHECK(IsWritten(WatchRole::Lead, 0, fromSeconds(12)));
 }
 
+TEST_CASE(
+    "a daemon that learned the rest from peers replaces the snapshot that "
+    "it started from") {
+  WatcherFixture Fixture;
+  const uint64_t Before =
+      Fixture.Store.put(DaemonKey, encodeDaemon(Fixture.Self));
+  Fixture.Store.put("canvaswick/copy", makeSnapshot(Fixture, Before));
+  Fixture.Watcher.runRound();
+  CHECK(Fixture.View.getAsOf() == StorePosition(1, Before));
+  const uint64_t After =
+      Fixture.Store.put("canvaswick/daemons/d2", encodeDaemon(Fixture.Self));
+  applyEvents(Fixture.View,
+              {{"canvaswick/daemons/d2",
+                encodeDaemon(Fixture.Self),
+                {1, After},
+                false}},
+              {1, After}, readSteadyClock());
+  SnapshotWriter Writer(Fixture.Client, Fixture.View);
+  const TimePoint Start = readSteadyClock();
+  Writer.runRound(WatchRole::Lead, 0, Start);
+  Writer.runRound(WatchRole::Lead, 0, Start + fromSeconds(5));
+  const Result<ItemChanges> Snapshot =
+      decodeSnapshot(Fixture.Store.peek("canvaswick/copy"));
+  REQUIRE(Snapshot);
+  CHECK(Snapshot.value().Items.size() == 2);
+}
+
 TEST_CASE(
     "if two daemons write the snapshot at once, one is refused and waits") {
   WatcherFixture Fixture;
