Replicas at the same position are compared, and one that is wrong is renewed

A replica that had lost a removal stayed wrong until its process ended, and nothing showed it. Now the messages between daemons carry a digest of keys and positions (up to 20 digits), valid where nothing newer is known. A daemon compares it with its own at that position, of the last 32. Watchers that differ from another watcher, or from two daemons, read the store, at most every 10 s. Followers copy a watcher that has differed for 0.5 s, at most every 3 s; a wrong watcher has read the store by then. replica_mismatches counts, replica-mismatch names the peer and what was renewed.

Ruled out: copying at once (a wrong watcher would spread), reading the store from every daemon (1,000 daemons, hundreds of calls each). Tests: ReplicaAudit (decisions, RapidCheck: the digest depends on the content alone), ReplicaMismatch (a follower drops the server it has too many within 2 s; a watcher reads once).

--- a/include/canvaswick/Daemon/PeerMessage.h
+++ b/include/canvaswick/Daemon/PeerMessage.h
@@ -46,6 +46,8 @@
   std::string Hall;
   /// The position of the source's replica of the store.
   StorePosition AsOf;
+  /// The digest of that replica, if it can be compared at AsOf.
+  std::optional<uint64_t> Digest;
   /// How long ago the store last answered the source, in whole milliseconds, if
   /// the source watches the store itself. A watcher proves nothing by watching
   /// alone: the store may not have answered it since.
--- a/include/canvaswick/Directory/ItemTable.h
+++ b/include/canvaswick/Directory/ItemTable.h
@@ -22,6 +22,7 @@
 #define CANVASWICK_DIRECTORY_ITEMTABLE_H
 
 #include "canvaswick/Directory/RemovalLog.h"
+#include "canvaswick/Directory/ReplicaAudit.h"
 #include "canvaswick/Directory/StorePosition.h"
 #include "canvaswick/Support/Error.h"
 #include "canvaswick/Support/TextDelta.h"
@@ -155,6 +156,10 @@
   ItemChanges getChangesAfter(const StorePosition &After,
                               const ItemPositions &Held = {}) const;
 
+  /// Returns a digest of the keys and positions of all items, or nothing while
+  /// some are known that are newer than what the table is complete up to.
+  std::optional<ReplicaDigest> getDigest() const;
+
   /// Returns the positions of the large items in the table.
   ItemPositions listLarge() const;
 
@@ -188,6 +193,9 @@
   /// of earlier versions leave them out without a word.
   StorePosition LeftOutUnlistedUpTo;
   RemovalLog Removals;
+  /// The digests of all items combined, and the newest change known.
+  uint64_t CombinedDigest = 0;
+  StorePosition NewestAt;
   /// True from markStale until the next full changes.
   bool IsStale = false;
 };
--- a/include/canvaswick/Directory/WatchElection.h
+++ b/include/canvaswick/Directory/WatchElection.h
@@ -40,6 +40,8 @@
   /// When the store last answered a read or watch of this daemon; TimePoint{}
   /// if never.
   TimePoint HeardAt{};
+  /// The digest of its replica at AsOf, if it can be compared.
+  std::optional<uint64_t> Digest;
 };
 
 /// The role of a daemon in watching the store.
--- a/include/canvaswick/Metrics/Counters.h
+++ b/include/canvaswick/Metrics/Counters.h
@@ -86,6 +86,8 @@
   /// Connections to servers for peers, and those that were refused to them.
   TunnelsCarried,
   TunnelsRefused,
+  /// Messages by which a peer's replica of the store differed from this one.
+  ReplicaMismatches,
   /// Requests that were not sent, because their server had begun to leave.
   SendsWithdrawn,
   /// Requests that began to wait for a retry, and how their waits ended.
--- a/lib/Daemon/PeerLink.cpp
+++ b/lib/Daemon/PeerLink.cpp
@@ -148,6 +148,7 @@
   Message.IsCutOff = this->IsCutOff;
   std::lock_guard<std::mutex> Lock(this->Mutex);
   Message.AsOf = this->Store.AsOf;
+  Message.Digest = this->Store.Digest;
   return Message;
 }
 
--- a/lib/Daemon/PeerMessage.cpp
+++ b/lib/Daemon/PeerMessage.cpp
@@ -102,6 +102,8 @@
         static_cast<Json::UInt64>(toMillis(*Message.SinceStoreAnswer));
   Value["as-of"] = static_cast<Json::UInt64>(Message.AsOf.Revision);
   Value["epoch"] = static_cast<Json::UInt64>(Message.AsOf.Epoch);
+  if (Message.Digest)
+    Value["digest"] = static_cast<Json::UInt64>(*Message.Digest);
   Value["seq"] = static_cast<Json::UInt64>(Message.Sequence);
   Value["seen"] = Json::arrayValue;
   for (const Observation &Each : Message.Observations) {
@@ -305,6 +307,8 @@
                      "peer message without a revision");
   Message.AsOf.Revision = Value["as-of"].asUInt64();
   BOOST_OUTCOME_TRY(Message.AsOf.Epoch, decodeEpoch(Value["epoch"]));
+  if (Value["digest"].isUInt64())
+    Message.Digest = Value["digest"].asUInt64();
   BOOST_OUTCOME_TRY(Message.SinceStoreAnswer, decodeAge(Value["heard-ms"]));
   Message.IsCutOff = Value["cut-off"].isBool() && Value["cut-off"].asBool();
   Message.IsRelayed = Value["relayed"].isBool() && Value["relayed"].asBool();
--- a/lib/Directory/ItemTable.cpp
+++ b/lib/Directory/ItemTable.cpp
@@ -14,6 +14,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Directory/ItemTable.h"
+#include "canvaswick/Support/Hash.h"
 
 #include <algorithm>
 #include <set>
@@ -21,6 +22,19 @@
 
 namespace canvaswick {
 
+/// Returns the part of an item in the digest of a table. The order of items
+/// must not matter.
+static uint64_t digestItem(const StoreItem &Item) {
+  return hashText(Item.Key, Item.At.Revision);
+}
+
+std::optional<ReplicaDigest> ItemTable::getDigest() const {
+  const StorePosition &Complete = this->Position.Complete;
+  if (Complete.isNone() || this->NewestAt > Complete || !this->Missing.empty())
+    return std::nullopt;
+  return ReplicaDigest{Complete, this->CombinedDigest};
+}
+
 /// Returns whether the table already reflects an update or something newer.
 bool ItemTable::isContained(const StoreItem &Update) const {
   if (Update.At <= this->Position.Complete ||
@@ -50,8 +64,12 @@
 /// what this table never held.
 bool ItemTable::remove(const StoreItem &Update) {
   this->Removals.record(Update.Key, Update.At);
-  if (this->Items.erase(Update.Key) == 0)
+  this->NewestAt = std::max(this->NewestAt, Update.At);
+  const auto Found = this->Items.find(Update.Key);
+  if (Found == this->Items.end())
     return false;
+  this->CombinedDigest ^= digestItem(Found->second);
+  this->Items.erase(Found);
   this->ChangedKeys.insert(Update.Key);
   this->LastDeltas.erase(Update.Key);
   return true;
@@ -59,7 +77,12 @@
 
 void ItemTable::put(const StoreItem &Update) {
   this->Removals.forget(Update.Key);
-  StoreItem &Known = this->Items[Update.Key];
+  const auto [Entry, IsNew] = this->Items.try_emplace(Update.Key);
+  StoreItem &Known = Entry->second;
+  if (!IsNew)
+    this->CombinedDigest ^= digestItem(Known);
+  this->CombinedDigest ^= digestItem(Update);
+  this->NewestAt = std::max(this->NewestAt, Update.At);
   this->ChangedKeys.insert(Update.Key);
   this->recordDelta(Known, Update);
   Known = Update;
@@ -279,8 +302,12 @@
   this->LeftOutUnlistedUpTo = {};
   this->Removals.reset();
   this->LastDeltas.clear();
-  for (auto &[Key, Item] : this->Items)
+  this->NewestAt = {};
+  this->CombinedDigest = 0;
+  for (auto &[Key, Item] : this->Items) {
     Item.At = {};
+    this->CombinedDigest ^= digestItem(Item);
+  }
   this->IsStale = true;
 }
 
--- a/lib/Metrics/Counters.cpp
+++ b/lib/Metrics/Counters.cpp
@@ -78,6 +78,7 @@
     {Counter::TunnelsLost, "tunnels_lost"},
     {Counter::TunnelsCarried, "tunnels_carried"},
     {Counter::TunnelsRefused, "tunnels_refused"},
+    {Counter::ReplicaMismatches, "replica_mismatches"},
     {Counter::SendsWithdrawn, "sends_withdrawn"},
     {Counter::WaitsBegun, "waits_begun"},
     {Counter::WaitsServed, "waits_served"},
