--- a/include/canvaswick/Daemon/DirectoryCalls.h
+++ b/include/canvaswick/Daemon/DirectoryCalls.h
@@ -21,7 +21,7 @@
 #ifndef CANVASWICK_DAEMON_DIRECTORYCALLS_H
 #define CANVASWICK_DAEMON_DIRECTORYCALLS_H
 
-#include "canvaswick/Directory/ItemTable.h"
+#include "canvaswick/Daemon/DirectoryEncoding.h"
 #include "canvaswick/Rpc/PeerCaller.h"
 
 #include <functional>
@@ -30,29 +30,6 @@
 
 namespace canvaswick {
 
-/// A peer's request for changes.
-struct ChangesRequest {
-  /// The position up to which the peer's replica is complete; none if it has no
-  /// replica.
-  StorePosition After;
-  /// Whether the peer accepts large values, too.
-  bool WantsLarge = true;
-  /// The large items that the peer holds: they are not sent again, and their
-  /// changes may be sent as deltas. All positions have the epoch of After.
-  ItemPositions Held;
-  /// Whether the request names an epoch. A peer of a version without epochs
-  /// names none; its request is then read as one in the responder's epoch.
-  bool HasEpoch = true;
-  /// Whether the peer decodes large values that are packed one by one. A peer
-  /// of an earlier version does not.
-  bool AcceptsPackedValues = true;
-  /// Names the answer for confirmReceipt; 0 if the peer does not confirm.
-  uint64_t Receipt = 0;
-  /// Whether the peer lacks so much that it wants only the operators' settings
-  /// now. The answer does not complete its replica.
-  bool WantsOnlySettings = false;
-};
-
 /// Returns the changes that the peer lacks.
 using ChangesSource = std::function<ItemChanges(const ChangesRequest &)>;
 
@@ -142,22 +119,6 @@
 /// one. A failure is ignored: the peer stops counting the answer after a while.
 void confirmReceipt(PeerCaller &Caller, const Endpoint &Peer, uint64_t Receipt);
 
-Json::Value encodeRequest(const ChangesRequest &Request);
-
-/// Fails with InvalidArgument if the request is malformed.
-Result<ChangesRequest> decodeRequest(const Json::Value &Params);
-
-Json::Value encodeChanges(const ItemChanges &Changes);
-
-/// Replaces the items of encoded changes by their compressed text if that text
-/// is long.
-Json::Value packChanges(Json::Value Encoded);
-
-/// Accepts both forms. The position after which the changes begin is not part
-/// of them: it is that of the request. Fails with InvalidArgument if the value
-/// is malformed.
-Result<ItemChanges> decodeChanges(const Json::Value &Value);
-
 } // namespace canvaswick
 
 #endif // CANVASWICK_DAEMON_DIRECTORYCALLS_H
--- a/include/canvaswick/Directory/ItemTable.h
+++ b/include/canvaswick/Directory/ItemTable.h
@@ -21,11 +21,10 @@
 #ifndef CANVASWICK_DIRECTORY_ITEMTABLE_H
 #define CANVASWICK_DIRECTORY_ITEMTABLE_H
 
+#include "canvaswick/Directory/ItemChanges.h"
 #include "canvaswick/Directory/RemovalLog.h"
 #include "canvaswick/Directory/ReplicaAudit.h"
 #include "canvaswick/Directory/StorePosition.h"
-#include "canvaswick/Support/Error.h"
-#include "canvaswick/Support/TextDelta.h"
 
 #include <cstdint>
 #include <map>
@@ -36,68 +35,6 @@
 
 namespace canvaswick {
 
-/// One item of the store, or the removal of one.
-struct StoreItem {
-  std::string Key;
-  std::string Value;
-  /// The revision of the last change of the item, in the epoch in which it was
-  /// read.
-  StorePosition At;
-  bool IsRemoved = false;
-
-  bool operator==(const StoreItem &) const = default;
-};
-
-/// Values longer than this are large: above the record of a server or daemon,
-/// below a configuration of twenty routes.
-inline constexpr size_t LargeValueBytes = 4096;
-
-inline bool isLarge(const StoreItem &Item) {
-  return Item.Value.size() > LargeValueBytes;
-}
-
-/// A large item as the difference from the item that it replaced.
-struct ItemDelta {
-  std::string Key;
-  StorePosition At;
-  /// Position of the replaced item.
-  StorePosition Base;
-  TextDelta Change;
-
-  bool operator==(const ItemDelta &) const = default;
-};
-
-/// Positions of items by key.
-using ItemPositions = std::map<std::string, StorePosition>;
-
-/// Which of the items between two positions some changes contain.
-enum class ChangesExtent : uint8_t {
-  /// Some. They are valid, but no position is reached by them.
-  Excerpt,
-  /// All but the large ones, and all removals.
-  Small,
-  All,
-};
-
-/// Changes of a replica.
-struct ItemChanges {
-  /// The position after which the changes begin. Has no meaning if IsFull.
-  StorePosition After;
-  /// Whether Items contains all items that exist, so that the others do not.
-  bool IsFull = false;
-  ChangesExtent Extent = ChangesExtent::All;
-  std::vector<StoreItem> Items;
-  /// Items that are sent as differences.
-  std::vector<ItemDelta> Deltas;
-  /// The large items that are left out, if the sender lists them. Without the
-  /// list, full changes of small items do not show what was removed.
-  std::optional<ItemPositions> Omitted;
-  /// The position up to which the changes are complete.
-  StorePosition AsOf;
-  /// Where the changes come from, for logs.
-  std::string Source;
-};
-
 /// The positions that a replica has reached.
 struct ReplicaPosition {
   /// Everything up to here is known.
--- a/unittests/Daemon/DirectoryCallsTest.cpp
+++ b/unittests/Daemon/DirectoryCallsTest.cpp
@@ -53,16 +53,6 @@
   return Replica;
 }
 
-static ItemChanges makeChanges(const StorePosition &After,
-                               std::vector<StoreItem> Items,
-                               const StorePosition &AsOf) {
-  ItemChanges Changes;
-  Changes.After = After;
-  Changes.Items = std::move(Items);
-  Changes.AsOf = AsOf;
-  return Changes;
-}
-
 static const ItemChanges SmallChanges =
     makeChanges({}, {{"k", "v", {0, 7}, false}}, {0, 7});
 
@@ -269,11 +259,7 @@
                    std::string(100, 'x'),
                    {2, 10 + I},
                    false});
-  ItemChanges Read;
-  Read.IsFull = true;
-  Read.Items = All;
-  Read.AsOf = {2, 110};
-  Table.apply(Read);
+  Table.apply(makeFullChanges(All, {2, 110}));
   Table.apply(makeChanges(
       {2, 110}, {{"servers/new", std::string(3000, 'y'), {2, 111}, false}},
       {2, 111}));
--- a/unittests/Directory/ItemTableTest.cpp
+++ b/unittests/Directory/ItemTableTest.cpp
@@ -20,23 +20,6 @@
 
 using namespace canvaswick;
 
-static ItemChanges makeChanges(const StorePosition &After,
-                               std::vector<StoreItem> Items,
-                               const StorePosition &AsOf) {
-  ItemChanges Changes;
-  Changes.After = After;
-  Changes.Items = std::move(Items);
-  Changes.AsOf = AsOf;
-  return Changes;
-}
-
-static ItemChanges makeFull(std::vector<StoreItem> Items,
-                            const StorePosition &AsOf) {
-  ItemChanges Changes = makeChanges({}, std::move(Items), AsOf);
-  Changes.IsFull = true;
-  return Changes;
-}
-
 TEST_CASE("an update older than the known item changes nothing") {
   ItemTable Table;
   CHECK(Table.apply({"a", "new", {0, 5}, false}));
@@ -75,13 +58,13 @@
   ItemTable Table;
   Table.apply({"old", "x", {0, 3}, false});
   Table.apply({"newer", "y", {0, 12}, false});
-  CHECK(Table.apply(makeFull({{"other", "z", {0, 8}, false}}, {0, 10}))
+  CHECK(Table.apply(makeFullChanges({{"other", "z", {0, 8}, false}}, {0, 10}))
             .IsChanged);
   CHECK(Table.find("old") == nullptr);
   CHECK(Table.find("newer"));
   CHECK(Table.find("other"));
   CHECK(Table.getPosition().Complete == StorePosition(0, 10));
-  CHECK_FALSE(Table.apply(makeFull({}, {0, 9})).IsChanged);
+  CHECK_FALSE(Table.apply(makeFullChanges({}, {0, 9})).IsChanged);
   CHECK(Table.find("other"));
 }
 
@@ -131,8 +114,8 @@
 TEST_CASE("only keys that were written or removed are reported as changed") {
   ItemTable Table;
   using Keys = std::set<std::string>;
-  Table.apply(
-      makeFull({{"a", "1", {1, 2}, false}, {"b", "1", {1, 3}, false}}, {1, 5}));
+  Table.apply(makeFullChanges(
+      {{"a", "1", {1, 2}, false}, {"b", "1", {1, 3}, false}}, {1, 5}));
   CHECK(Table.drainChangedKeys() == Keys{"a", "b"});
   CHECK(Table.drainChangedKeys().empty());
   Table.apply({"a", "2", {1, 6}, false});
@@ -143,7 +126,7 @@
   Table.apply({"b", "", {1, 8}, true});
   CHECK(Table.drainChangedKeys() == Keys{"b"});
   // A complete read reports what it replaces and what it no longer lists.
-  Table.apply(makeFull({{"d", "1", {1, 9}, false}}, {1, 10}));
+  Table.apply(makeFullChanges({{"d", "1", {1, 9}, false}}, {1, 10}));
   CHECK(Table.drainChangedKeys() == Keys{"a", "d"});
 }
 
@@ -159,28 +142,28 @@
 
 TEST_CASE("a removal heard ahead outlasts a snapshot from before it") {
   ItemTable Table;
-  Table.apply(makeFull({{"a", "x", {1, 90}, false}}, {1, 100}));
+  Table.apply(makeFullChanges({{"a", "x", {1, 90}, false}}, {1, 100}));
   Table.apply({"a", "", {1, 150}, true});
-  Table.apply(makeFull({{"a", "x", {1, 90}, false}}, {1, 120}));
+  Table.apply(makeFullChanges({{"a", "x", {1, 90}, false}}, {1, 120}));
   CHECK_FALSE(holds(Table, "a"));
 }
 
 TEST_CASE("a replica passes on the removal of what it never held") {
   ItemTable Lagging;
-  Lagging.apply(makeFull({{"a", "x", {1, 51}, false}}, {1, 188}));
+  Lagging.apply(makeFullChanges({{"a", "x", {1, 51}, false}}, {1, 188}));
   ItemTable Restarted;
-  Restarted.apply(makeFull({}, {1, 23}));
+  Restarted.apply(makeFullChanges({}, {1, 23}));
   Restarted.apply(makeChanges({1, 23}, {{"a", "", {1, 202}, true}}, {1, 204}));
   CHECK_FALSE(holds(follow(Lagging, Restarted), "a"));
 }
 
 TEST_CASE("a replica passes on a removal that it heard before a full read") {
   ItemTable Lagging;
-  Lagging.apply(makeFull({{"a", "x", {1, 90}, false}}, {1, 130}));
+  Lagging.apply(makeFullChanges({{"a", "x", {1, 90}, false}}, {1, 130}));
   ItemTable Table;
-  Table.apply(makeFull({{"a", "x", {1, 90}, false}}, {1, 100}));
+  Table.apply(makeFullChanges({{"a", "x", {1, 90}, false}}, {1, 100}));
   Table.apply({"a", "", {1, 150}, true});
-  Table.apply(makeFull({{"a", "x", {1, 90}, false}}, {1, 120}));
+  Table.apply(makeFullChanges({{"a", "x", {1, 90}, false}}, {1, 120}));
   Table.apply(makeChanges({1, 120}, {{"a", "", {1, 150}, true}}, {1, 150}));
   CHECK_FALSE(holds(follow(Lagging, Table), "a"));
 }
@@ -188,11 +171,11 @@
 TEST_CASE("what is missing from a full list of small items is removed") {
   ItemTable Table;
   const std::string Large(LargeValueBytes + 1, 'x');
-  Table.apply(makeFull({{"a", "x", {1, 90}, false},
-                        {"config", Large, {1, 91}, false},
-                        {"old-config", Large, {1, 92}, false}},
-                       {1, 100}));
-  ItemChanges Small = makeFull({{"b", "x", {1, 110}, false}}, {1, 120});
+  Table.apply(makeFullChanges({{"a", "x", {1, 90}, false},
+                               {"config", Large, {1, 91}, false},
+                               {"old-config", Large, {1, 92}, false}},
+                              {1, 100}));
+  ItemChanges Small = makeFullChanges({{"b", "x", {1, 110}, false}}, {1, 120});
   Small.Extent = ChangesExtent::Small;
   // A peer that does not list what it leaves out proves nothing.
   CHECK(Table.apply(Small).IsUnconnected);
@@ -212,7 +195,7 @@
 
 TEST_CASE("changes that do not follow what is known move no position") {
   ItemTable Table;
-  Table.apply(makeFull({{"a", "x", {1, 90}, false}}, {1, 100}));
+  Table.apply(makeFullChanges({{"a", "x", {1, 90}, false}}, {1, 100}));
   const ItemChanges Later =
       makeChanges({1, 110}, {{"b", "x", {1, 115}, false}}, {1, 120});
   CHECK(Table.apply(Later).IsUnconnected);
@@ -221,7 +204,7 @@
   Table.markStale();
   CHECK(Table.apply(Later).IsUnconnected);
   CHECK(Table.getPosition().Small.isNone());
-  Table.apply(makeFull({{"b", "z", {1, 80}, false}}, {1, 85}));
+  Table.apply(makeFullChanges({{"b", "z", {1, 80}, false}}, {1, 85}));
   CHECK_FALSE(holds(Table, "a"));
   CHECK(Table.find("b")->Value == "z");
 }
--- a/unittests/Directory/ReplicaAuditTest.cpp
+++ b/unittests/Directory/ReplicaAuditTest.cpp
@@ -65,22 +65,18 @@
   CHECK(rc::check([] {
     ItemTable InOrder;
     ItemTable AtOnce;
-    ItemChanges All;
     const auto Writes =
         *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 12));
     for (const int Write : Writes) {
       const std::string Key(1, static_cast<char>('a' + Write % 4));
-      ItemChanges Next;
-      Next.After = InOrder.getPosition().Complete;
-      Next.AsOf = {1, Next.After.Revision + 1};
-      Next.Items = {{Key, "v", Next.AsOf, Write >= 8}};
-      InOrder.apply(Next);
+      const StorePosition After = InOrder.getPosition().Complete;
+      const StorePosition At{1, After.Revision + 1};
+      InOrder.apply(makeChanges(After, {{Key, "v", At, Write >= 8}}, At));
     }
-    All.IsFull = true;
-    All.AsOf = InOrder.getPosition().Complete;
+    std::vector<StoreItem> Items;
     for (const auto &[Key, Item] : InOrder.getItems())
-      All.Items.push_back(Item);
-    AtOnce.apply(All);
+      Items.push_back(Item);
+    AtOnce.apply(makeFullChanges(Items, InOrder.getPosition().Complete));
     RC_ASSERT(InOrder.getDigest() == AtOnce.getDigest());
     // An item that was heard ahead hides what the replica was.
     AtOnce.apply({"z", "v", {1, 1000}, false});
--- a/unittests/LargeSettings/LargeSettingsTest.cpp
+++ b/unittests/LargeSettings/LargeSettingsTest.cpp
@@ -150,10 +150,8 @@
   ItemTable Table;
   Table.apply({ConfigKey, makeConfig(12, 1400), {0, 3}, false});
   Table.apply({ConfigKey, makeConfig(14, 2800), {0, 6}, false});
-  ItemChanges Last;
-  Last.Items = {{"servers/i-1", "leaves", {0, 7}, false}};
-  Last.AsOf = {0, 7};
-  Table.apply(Last);
+  Table.apply(
+      makeChanges({}, {{"servers/i-1", "leaves", {0, 7}, false}}, {0, 7}));
   ChangesResponder Responder(
       [&Table](const ChangesRequest &Request) {
         return Table.getChangesAfter(Request.After, Request.Held);
--- a/unittests/PlatformAdapter/ViewChanges.h
+++ b/unittests/PlatformAdapter/ViewChanges.h
@@ -22,21 +22,13 @@
 /// anything changed.
 inline bool applyEvents(FleetView &View, const std::vector<StoreItem> &Events,
                         const StorePosition &AsOf, TimePoint Now) {
-  ItemChanges Changes;
-  Changes.After = View.getAsOf();
-  Changes.Items = Events;
-  Changes.AsOf = AsOf;
-  return View.apply(Changes, Now).IsChanged;
+  return View.apply(makeChanges(View.getAsOf(), Events, AsOf), Now).IsChanged;
 }
 
 /// Applies a read of all items. Returns whether anything changed.
 inline bool replaceAll(FleetView &View, const std::vector<StoreItem> &Items,
                        const StorePosition &AsOf, TimePoint Now) {
-  ItemChanges Changes;
-  Changes.IsFull = true;
-  Changes.Items = Items;
-  Changes.AsOf = AsOf;
-  return View.apply(Changes, Now).IsChanged;
+  return View.apply(makeFullChanges(Items, AsOf), Now).IsChanged;
 }
 
 } // namespace canvaswick::platform
--- a/unittests/ReplicaModel/Replica.h
+++ b/unittests/ReplicaModel/Replica.h
@@ -40,21 +40,13 @@
   /// Applies the answer of a watch.
   void applyEvents(const std::vector<StoreItem> &Events,
                    const StorePosition &Before, const StorePosition &AsOf) {
-    ItemChanges Changes;
-    Changes.After = Before;
-    Changes.Items = Events;
-    Changes.AsOf = AsOf;
-    this->Table.apply(Changes);
+    this->Table.apply(makeChanges(Before, Events, AsOf));
   }
 
   /// Applies a read of the whole store, or a snapshot.
   void applyAll(const std::vector<StoreItem> &Items,
                 const StorePosition &AsOf) {
-    ItemChanges Changes;
-    Changes.IsFull = true;
-    Changes.Items = Items;
-    Changes.AsOf = AsOf;
-    this->Table.apply(Changes);
+    this->Table.apply(makeFullChanges(Items, AsOf));
   }
 
   std::vector<StoreItem> listAll() const {
