--- a/include/canvaswick/Directory/ItemChanges.h
+++ b/include/canvaswick/Directory/ItemChanges.h
@@ -83,6 +83,9 @@
   std::optional<ItemPositions> Omitted;
   /// The position up to which the changes are complete.
   StorePosition AsOf;
+  /// The newest change that full changes may reflect, if that is after AsOf: a
+  /// list that was read in parts may lack what was removed meanwhile.
+  StorePosition NewestAt;
   /// Where the changes come from, for logs.
   std::string Source;
 };
--- a/lib/Daemon/DirectoryEncoding.cpp
+++ b/lib/Daemon/DirectoryEncoding.cpp
@@ -67,6 +67,11 @@
   Value["as-of"] = static_cast<Json::UInt64>(Changes.AsOf.Revision);
   Value["epoch"] = static_cast<Json::UInt64>(Changes.AsOf.Epoch);
   Value["all"] = Changes.IsFull;
+  if (Changes.NewestAt > Changes.AsOf) {
+    Value["newest"].append(static_cast<Json::UInt64>(Changes.NewestAt.Epoch));
+    Value["newest"].append(
+        static_cast<Json::UInt64>(Changes.NewestAt.Revision));
+  }
   Value["partial"] = Changes.Extent != ChangesExtent::All;
   Value["items"] = Json::arrayValue;
   for (const StoreItem &Item : Changes.Items)
@@ -171,6 +176,12 @@
   return outcome::success();
 }
 
+/// Returns whether a value is [epoch, revision].
+static bool isPosition(const Json::Value &Value) {
+  return Value.isArray() && Value.size() == 2 && Value[0].isUInt64() &&
+         Value[1].isUInt64();
+}
+
 /// Decodes the list of the large items that are left out, if there is one.
 static Result<std::optional<ItemPositions>>
 decodeOmitted(const Json::Value &Rows, uint64_t Epoch) {
@@ -203,6 +214,9 @@
   Changes.IsFull = Value["all"].asBool();
   Changes.Extent =
       Value["partial"].asBool() ? ChangesExtent::Small : ChangesExtent::All;
+  if (isPosition(Value["newest"]))
+    Changes.NewestAt = {Value["newest"][0].asUInt64(),
+                        Value["newest"][1].asUInt64()};
   BOOST_OUTCOME_TRY(Changes.Omitted, decodeOmitted(Value["omitted"], Epoch));
   BOOST_OUTCOME_TRY(Json::Value Rows, readRows(Value));
   for (const Json::Value &Row : Rows) {
--- a/lib/Directory/ItemTable.cpp
+++ b/lib/Directory/ItemTable.cpp
@@ -194,6 +194,10 @@
   return true;
 }
 
+static bool isOmitted(const ItemChanges &Changes, const std::string &Key) {
+  return Changes.Omitted && Changes.Omitted->count(Key) > 0;
+}
+
 /// Removes the items that do not exist by a list of all.
 bool ItemTable::removeUnlisted(const ItemChanges &Changes) {
   std::set<std::string> Listed;
@@ -204,7 +208,7 @@
   std::vector<std::string> Gone;
   for (const auto &[Key, Item] : this->Items)
     if (Item.At <= Changes.AsOf && Listed.count(Key) == 0 &&
-        !(Changes.Omitted && Changes.Omitted->count(Key) > 0))
+        !isOmitted(Changes, Key))
       Gone.push_back(Key);
   // When they were removed is not known: after the last complete position, and
   // not after the list was made.
@@ -219,6 +223,11 @@
   for (const StoreItem &Item : Changes.Items)
     IsChanged |= this->putListed(Item, Changes.AsOf);
   IsChanged |= this->removeUnlisted(Changes);
+  this->NewestAt = std::max({this->NewestAt, Changes.NewestAt, Changes.AsOf});
+  std::erase_if(this->Missing, [&Changes](const auto &Entry) {
+    const auto &[Key, At] = Entry;
+    return At <= Changes.AsOf && !isOmitted(Changes, Key);
+  });
   // What came and went before the list was made is in no log.
   if (Changes.Extent == ChangesExtent::All)
     this->Removals.forgetUpTo(Changes.AsOf);
@@ -286,8 +295,10 @@
   for (const auto &[Key, Item] : this->Items)
     if (Changes.IsFull || Item.At > After)
       Changes.Items.push_back(Item);
-  if (Changes.IsFull)
+  if (Changes.IsFull) {
+    Changes.NewestAt = this->NewestAt;
     return Changes;
+  }
   this->useDeltas(Changes, Held);
   this->Removals.visitAfter(
       After, [&Changes](const std::string &Key, const StorePosition &At) {
--- a/unittests/Directory/ItemTableTest.cpp
+++ b/unittests/Directory/ItemTableTest.cpp
@@ -193,6 +193,22 @@
   CHECK_FALSE(holds(Table, "a"));
 }
 
+TEST_CASE(
+    "a large item that was left out and then removed does not come back") {
+  ItemTable Table;
+  Table.apply(makeFullChanges({}, {1, 100}));
+  ItemChanges Small = makeChanges({1, 100}, {}, {1, 110});
+  Small.Extent = ChangesExtent::Small;
+  Small.Omitted = {{"config", {1, 105}}};
+  Table.apply(Small);
+  ItemChanges Later = makeFullChanges({}, {1, 120});
+  Later.Extent = ChangesExtent::Small;
+  Later.Omitted.emplace();
+  Table.apply(Later);
+  Table.apply({"config", "x", {1, 105}, false});
+  CHECK_FALSE(holds(Table, "config"));
+}
+
 TEST_CASE("changes that do not follow what is known move no position") {
   ItemTable Table;
   Table.apply(makeFullChanges({{"a", "x", {1, 90}, false}}, {1, 100}));
--- a/unittests/Directory/ReplicaAuditTest.cpp
+++ b/unittests/Directory/ReplicaAuditTest.cpp
@@ -61,6 +61,20 @@
   CHECK(Differ("w", true, 4.3) == AuditStep::CopyPeer);
 }
 
+TEST_CASE("a list that was read in parts is not compared at its position") {
+  ItemTable Table;
+  ItemChanges Read = makeFullChanges({{"a", "v", {1, 5}, false}}, {1, 10});
+  Read.NewestAt = {1, 12};
+  Table.apply(Read);
+  CHECK_FALSE(Table.getDigest().has_value());
+  // Nor is the replica that copies it.
+  ItemTable Copy;
+  Copy.apply(Table.getChangesAfter({}));
+  CHECK_FALSE(Copy.getDigest().has_value());
+  Table.apply(makeChanges({1, 10}, {}, {1, 12}));
+  CHECK(Table.getDigest().has_value());
+}
+
 TEST_CASE("the digest depends on what a replica holds, not on how it came") {
   CHECK(rc::check([] {
     ItemTable InOrder;
--- a/unittests/ReplicaModel/Replica.h
+++ b/unittests/ReplicaModel/Replica.h
@@ -35,6 +35,10 @@
   }
   size_t countItems() const { return this->Table.getItems().size(); }
 
+  std::optional<ReplicaDigest> getDigest() const {
+    return this->Table.getDigest();
+  }
+
   void markStale() { this->Table.markStale(); }
 
   /// Applies the answer of a watch.
@@ -43,14 +47,21 @@
     this->Table.apply(makeChanges(Before, Events, AsOf));
   }
 
-  /// Applies a read of the whole store, or a snapshot.
+  /// Applies a read of the whole store.
   void applyAll(const std::vector<StoreItem> &Items,
                 const StorePosition &AsOf) {
     this->Table.apply(makeFullChanges(Items, AsOf));
   }
 
-  std::vector<StoreItem> listAll() const {
-    return this->Table.getChangesAfter({}).Items;
+  /// Applies a snapshot that a daemon has written.
+  void applySnapshot(const ItemChanges &Snapshot) {
+    this->Table.apply(Snapshot);
+  }
+
+  /// Returns the snapshot that a daemon writes, as the next one reads it.
+  ItemChanges makeSnapshot() const {
+    return decodeChanges(encodeChanges(this->Table.getChangesAfter({})))
+        .value();
   }
 
   ChangesRequest makeRequest(bool WantsLarge) const {
--- a/unittests/ReplicaModel/ReplicaModelTest.cpp
+++ b/unittests/ReplicaModel/ReplicaModelTest.cpp
@@ -107,6 +107,7 @@
       else
         Items[Each.Key] = Each;
     std::vector<StoreItem> All;
+    All.reserve(Items.size());
     for (auto &[Key, Item] : Items)
       All.push_back(std::move(Item));
     return All;
@@ -138,12 +139,6 @@
   ItemChanges Changes;
 };
 
-/// The snapshot that daemons start from, as of one of its versions.
-struct Snapshot {
-  std::vector<StoreItem> Items;
-  StorePosition AsOf;
-};
-
 struct ModelDaemon {
   Replica Known;
   std::vector<PendingAnswer> Pending;
@@ -189,6 +184,7 @@
       this->perform(Each);
       for (ModelDaemon &Daemon : this->Daemons)
         this->check(Daemon);
+      this->checkDigests();
     }
     for (ModelDaemon &Daemon : this->Daemons) {
       this->watch(Daemon);
@@ -215,16 +211,13 @@
       return;
     case Action::WriteSnapshot:
       if (Daemon.Known.getComplete().Epoch == this->Store.AsOf.Epoch)
-        this->Snapshots.push_back(
-            {Daemon.Known.listAll(), Daemon.Known.getComplete()});
+        this->Snapshots.push_back(Daemon.Known.makeSnapshot());
       return;
     case Action::Restart:
       Daemon = ModelDaemon();
-      if (!this->Snapshots.empty()) {
-        const Snapshot &Loaded =
-            this->Snapshots[Each.Other % this->Snapshots.size()];
-        Daemon.Known.applyAll(Loaded.Items, Loaded.AsOf);
-      }
+      if (!this->Snapshots.empty())
+        Daemon.Known.applySnapshot(
+            this->Snapshots[Each.Other % this->Snapshots.size()]);
       return;
     case Action::Watch:
       this->watch(Daemon);
@@ -301,6 +294,19 @@
     }
   }
 
+  /// Checks that replicas do not seem to differ while none is wrong.
+  void checkDigests() const {
+    std::map<StorePosition, uint64_t> Digests;
+    for (const ModelDaemon &Daemon : this->Daemons) {
+      const std::optional<ReplicaDigest> Digest = Daemon.Known.getDigest();
+      if (!Digest || Digest->AsOf.Epoch != this->Store.AsOf.Epoch)
+        continue;
+      const auto [Entry, IsNew] = Digests.emplace(Digest->AsOf, Digest->Value);
+      const bool IsEqual = IsNew || Entry->second == Digest->Value;
+      RC_ASSERT(IsEqual);
+    }
+  }
+
   /// Checks that a replica holds a key as the store did at Position or later.
   void checkKnown(const Replica &Known, const std::string &Key,
                   const StorePosition &Position, bool CoversLarge) const {
@@ -340,7 +346,8 @@
   }
 
   ModelStore Store;
-  std::vector<Snapshot> Snapshots;
+  /// All versions of the snapshot that daemons start from.
+  std::vector<ItemChanges> Snapshots;
   std::array<ModelDaemon, ReplicaCount> Daemons;
 };
 
