--- /dev/null
+++ b/unittests/ReplicaSoak/ReplicaSoakTest.cpp
@@ -0,0 +1,160 @@
+//===- ReplicaSoakTest.cpp - Servers are replaced while daemons restart ---===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// Runs whole daemons in two halls, one of them alone, and starts some of them
+/// again while servers join and leave. Replicas of every age bring each other
+/// up to date. Afterwards all of them must list what the store lists.
+///
+/// SOAK_SEED, SOAK_SEEDS and SOAK_SECONDS select longer runs.
+///
+//===----------------------------------------------------------------------===//
+
+#include "PlatformAdapter/HallFixture.h"
+
+#include <cstdlib>
+#include <random>
+#include <set>
+
+using namespace canvaswick;
+using namespace canvaswick::platform;
+
+namespace {
+
+/// Time after the last change within which the fleet must converge.
+constexpr std::chrono::seconds ConvergenceTime(4);
+
+constexpr size_t ServerCount = 12;
+
+int readSetting(const char *Name, int Default) {
+  const char *Text = std::getenv(Name);
+  return Text ? std::atoi(Text) : Default;
+}
+
+class SoakRun {
+public:
+  explicit SoakRun(uint64_t Seed)
+      : Random(Seed), Fixture({"h", "h", "h", "h", "h", "g"}) {
+    this->Fixture.writeConfig(2);
+    while (this->Listed.size() < ServerCount)
+      this->addServer();
+    for (const std::unique_ptr<Member> &Each : this->Fixture.Members)
+      this->Fixture.waitFor(
+          [&] { return this->listServers(*Each).size() > 0; });
+  }
+
+  void run(Duration Length) {
+    const TimePoint Until = readSteadyClock() + Length;
+    while (readSteadyClock() < Until) {
+      this->replaceServer();
+      for (int I = 0; I < 6; ++I)
+        this->renewServer();
+      if (this->draw(0, 2) == 0)
+        this->restartSome();
+      std::this_thread::sleep_for(
+          std::chrono::milliseconds(this->draw(20, 250)));
+    }
+    const TimePoint GiveUpAt = readSteadyClock() + ConvergenceTime;
+    while (!this->hasConverged() && readSteadyClock() < GiveUpAt)
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    for (const std::unique_ptr<Member> &Each : this->Fixture.Members) {
+      CAPTURE(Each->Config.Name);
+      CHECK(this->listServers(*Each) == this->Listed);
+    }
+  }
+
+private:
+  int draw(int Min, int Max) {
+    return std::uniform_int_distribution<int>(Min, Max)(this->Random);
+  }
+
+  std::string drawServer() {
+    return *std::next(this->Listed.begin(),
+                      this->draw(0, static_cast<int>(this->Listed.size()) - 1));
+  }
+
+  void writeServer(const std::string &Id, const char *State) {
+    this->Fixture.Store.put(
+        "servers/" + Id,
+        fmt::format(
+            R"({{"address": "127.0.0.1:9", "info": {{"service": "s",
+            "version": "v1", "zone": "h", "slots": 3}},
+            "status": {{"state": "{}", "seq": {}, "warmupLeftS": 0}}}})",
+            State, ++this->Sequence));
+  }
+
+  void addServer() {
+    const std::string Id = fmt::format("i-{}", ++this->LastId);
+    this->Listed.insert(Id);
+    this->writeServer(Id, "ready");
+  }
+
+  /// A server leaves, with or without a word, and another one joins.
+  void replaceServer() {
+    const std::string Id = this->drawServer();
+    if (this->draw(0, 1) == 0)
+      this->writeServer(Id, "draining");
+    this->Fixture.Store.remove("servers/" + Id);
+    this->Listed.erase(Id);
+    this->addServer();
+  }
+
+  void renewServer() { this->writeServer(this->drawServer(), "ready"); }
+
+  void restartSome() {
+    std::vector<Member *> Chosen;
+    for (const std::unique_ptr<Member> &Each : this->Fixture.Members)
+      if (this->draw(0, 2) == 0)
+        Chosen.push_back(Each.get());
+    for (Member *Each : Chosen)
+      Each->stop();
+    for (Member *Each : Chosen)
+      Each->start();
+  }
+
+  /// Returns the names of the servers that a daemon uses.
+  std::set<std::string> listServers(const Member &Daemon) {
+    const std::string Label = "canvaswick_share{service=\"s\",server=\"";
+    const std::string Metrics =
+        this->Fixture.get(Daemon.Config.Ready, "/metrics").Body;
+    std::set<std::string> Names;
+    for (size_t At = Metrics.find(Label); At != std::string::npos;
+         At = Metrics.find(Label, At)) {
+      At += Label.size();
+      Names.insert(Metrics.substr(At, Metrics.find('"', At) - At));
+    }
+    return Names;
+  }
+
+  bool hasConverged() {
+    return std::all_of(this->Fixture.Members.begin(),
+                       this->Fixture.Members.end(), [this](const auto &Each) {
+                         return this->listServers(*Each) == this->Listed;
+                       });
+  }
+
+  std::mt19937_64 Random;
+  Hall Fixture;
+  /// The servers that the store lists.
+  std::set<std::string> Listed;
+  int LastId = 0;
+  int Sequence = 0;
+};
+
+} // namespace
+
+TEST_CASE("no daemon goes on listing a server that has gone, however often "
+          "daemons start again") {
+  const int First = readSetting("SOAK_SEED", 1);
+  const int Seeds = readSetting("SOAK_SEEDS", 1);
+  const int Seconds = readSetting("SOAK_SECONDS", 10);
+  for (int Seed = First; Seed < First + Seeds; ++Seed) {
+    CAPTURE(Seed);
+    SoakRun(static_cast<uint64_t>(Seed)).run(fromSeconds(Seconds));
+  }
+}
