--- a/unittests/FarBehind/FarBehindTest.cpp
+++ b/unittests/FarBehind/FarBehindTest.cpp
@@ -26,9 +26,17 @@
 
 static constexpr const char *ConfigKey = "op/config";
 
-/// More changes than a daemon asks a peer for.
+/// More changes, and more items, than a daemon asks a peer for.
 static constexpr uint64_t ManyChanges = 600;
 
+/// Returns the items of a large fleet as of the first revision.
+static std::vector<StoreItem> makeManyItems() {
+  std::vector<StoreItem> Items;
+  for (uint64_t I = 0; I < ManyChanges; ++I)
+    Items.push_back({fmt::format("canvaswick/other-{}", I), "", {0, 1}, false});
+  return Items;
+}
+
 static constexpr Duration SettingsTime = fromSeconds(2);
 
 TEST_CASE("a daemon that lacks hundreds of changes has new settings in time") {
@@ -113,7 +121,7 @@
               {0, ManyChanges + 1}, readSteadyClock());
   CounterTable Counters;
   FleetView View{{70}, fromSeconds(2)};
-  replaceAll(View, {}, {0, 1}, readSteadyClock());
+  replaceAll(View, makeManyItems(), {0, 1}, readSteadyClock());
   PeerFollower Follower({"a", "h", {}, {}}, {}, {}, View, Counters, [] {});
   Follower.setDaemons({{"peer", "h", {"127.0.0.1", Peer.Server.getPort()}, {}}},
                       readSteadyClock());
@@ -137,3 +145,34 @@
   CHECK(Peer.SettingsAsked >= 1);
   CHECK(Peer.SettingsAsked <= 3);
 }
+
+TEST_CASE("a daemon of a small fleet that starts from an old snapshot stops "
+          "using a server that has left since") {
+  CountingPeer Peer;
+  const std::string Ready = "{}";
+  replaceAll(Peer.View, {{"servers/i-1", Ready, {0, 2}, false}}, {0, 2},
+             readSteadyClock());
+  applyEvents(Peer.View,
+              {{"servers/i-1", "", {0, 5}, true},
+               {"servers/i-2", Ready, {0, ManyChanges}, false}},
+              {0, ManyChanges + 1}, readSteadyClock());
+  CounterTable Counters;
+  FleetView View{{70}, fromSeconds(2)};
+  replaceAll(View, {{"servers/i-1", Ready, {0, 2}, false}}, {0, 2},
+             readSteadyClock());
+  PeerFollower Follower({"a", "h", {}, {}}, {}, {}, View, Counters, [] {});
+  Follower.setDaemons({{"peer", "h", {"127.0.0.1", Peer.Server.getPort()}, {}}},
+                      readSteadyClock());
+  PeerMessage Message;
+  Message.Source = "peer";
+  Message.Hall = "h";
+  Message.AsOf = Peer.View.getAsOf();
+  const TimePoint GiveUpAt = readSteadyClock() + SettingsTime;
+  while (View.findItem("servers/i-1") && readSteadyClock() < GiveUpAt) {
+    Follower.handleMessage(Message, readSteadyClock());
+    Follower.runRound(readSteadyClock());
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  CHECK_FALSE(View.findItem("servers/i-1").has_value());
+  CHECK(View.findItem("servers/i-2").has_value());
+}
