One grammar of heads, for requests, answers, interim answers and trailers

Cause: what a header line may be was asked of requests only, after they had been read (findRequestFault). The reader of heads took any bytes before a colon as a name; for answers nobody asked again. A length line that is not read as one makes an answer that ends with its connection, which the platform allows.

Ruled out: the relay (it framed what it was given) and the body reader (it read as the head said).

The mend: names and values are checked where a line is read, which is the one way for requests, answers, interim answers, trailers, a tunnel's answer, the store's and peers' answers. HeadGrammar has what delimits a message, for both directions, in place of three copies; findResponseFault has what an answer may not say besides: a status over 599, control bytes in the reason, a body that 1xx and 204 announce, chunks in HTTP/1.0, connection options that name the host or what describes the content. Such an answer ends its connection, counts against its server, and is never said not to have run. Connection options are found in every line.

--- a/include/canvaswick/Http/BodyReader.h
+++ b/include/canvaswick/Http/BodyReader.h
@@ -65,9 +65,6 @@
 /// Takes a piece of a body. Returns false if it wants no more.
 using BodyReceiver = std::function<bool(const char *, size_t)>;
 
-/// Returns whether a text is a length of a body as headers state it.
-bool isBodyLength(const std::string &Text);
-
 /// Returns how headers delimit a body that may end with its connection, if they
 /// state neither length nor chunks.
 BodyFraming findBodyFraming(const httplib::Headers &Headers);
--- a/include/canvaswick/Http/MessageHead.h
+++ b/include/canvaswick/Http/MessageHead.h
@@ -33,6 +33,10 @@
   TooLong,
   /// A line does not end in CR LF, is no header field or is folded.
   Malformed,
+  /// The name of a header field is no token.
+  FieldName,
+  /// The value of a header field holds a control byte.
+  FieldValue,
 };
 
 /// Returns the name of End as it appears in answers.
@@ -62,7 +66,8 @@
 /// Reads the head of a message.
 HeadEnd readMessageHead(LineReader &Lines, MessageHead &Head);
 
-/// Reads the lines of header fields up to an empty one.
+/// Reads the lines of header fields up to an empty one. All of them are
+/// well-formed if it returns Whole.
 HeadEnd readHeaderFields(LineReader &Lines, httplib::Headers &Headers);
 
 /// Fills the method, target, version and headers of a request. Returns false if
@@ -70,7 +75,8 @@
 bool parseRequestHead(MessageHead Head, httplib::Request &Request);
 
 /// Fills the version, status, reason and headers of a response. Returns false
-/// if its first line is not one of HTTP/1.0 or HTTP/1.1.
+/// if its first line is not one of HTTP/1.0 or HTTP/1.1. The status is any
+/// number of three digits.
 bool parseResponseHead(MessageHead Head, httplib::Response &Response);
 
 } // namespace canvaswick
--- a/lib/Http/BodyReader.cpp
+++ b/lib/Http/BodyReader.cpp
@@ -13,16 +13,15 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Http/BodyReader.h"
+#include "canvaswick/Http/HeadGrammar.h"
 #include "canvaswick/Http/MessageHead.h"
 #include "canvaswick/Support/EnumNames.h"
-#include "canvaswick/Support/Text.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <array>
 #include <cassert>
-#include <cctype>
 #include <charconv>
 #include <cstdlib>
 
@@ -37,9 +36,6 @@
 /// The bytes that are passed on at once at the most.
 static constexpr size_t PieceBytes = 16384;
 
-/// Digits of a length that fits in 64 bits.
-static constexpr size_t MaxLengthDigits = 18;
-
 static constexpr EnumNames<BodyEnd, 7> BodyEndNames = {{
     {BodyEnd::Whole, "whole"},
     {BodyEnd::Unread, "unread"},
@@ -52,28 +48,13 @@
 
 const char *getName(BodyEnd End) { return getEnumName(BodyEndNames, End); }
 
-bool isBodyLength(const std::string &Text) {
-  return !Text.empty() && Text.size() <= MaxLengthDigits &&
-         std::all_of(Text.begin(), Text.end(), [](char Byte) {
-           return std::isdigit(static_cast<unsigned char>(Byte));
-         });
-}
-
 BodyFraming findBodyFraming(const httplib::Headers &Headers) {
-  const size_t Lengths = Headers.count("Content-Length");
-  const size_t Encodings = Headers.count("Transfer-Encoding");
-  if (Lengths + Encodings == 0)
-    return BodyFraming::UntilClose;
-  if (Lengths + Encodings > 1)
+  if (findFramingFault(Headers))
     return BodyFraming::Ambiguous;
-  if (Encodings == 1) {
-    const std::string &Encoding = Headers.find("Transfer-Encoding")->second;
-    return equalsIgnoringCase(Encoding, "chunked") ? BodyFraming::Chunked
-                                                   : BodyFraming::Ambiguous;
-  }
-  return isBodyLength(Headers.find("Content-Length")->second)
-             ? BodyFraming::Length
-             : BodyFraming::Ambiguous;
+  if (Headers.count("Transfer-Encoding") > 0)
+    return BodyFraming::Chunked;
+  return Headers.count("Content-Length") > 0 ? BodyFraming::Length
+                                             : BodyFraming::UntilClose;
 }
 
 std::string makeChunk(const char *Data, size_t Size) {
@@ -176,6 +157,8 @@
   case HeadEnd::TooLong:
     return BodyEnd::TooLong;
   case HeadEnd::Malformed:
+  case HeadEnd::FieldName:
+  case HeadEnd::FieldValue:
     break;
   }
   return BodyEnd::Malformed;
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -17,9 +17,9 @@
 
 #include "canvaswick/Http/HttpServer.h"
 #include "canvaswick/Http/BodyReader.h"
+#include "canvaswick/Http/HeadGrammar.h"
 #include "canvaswick/Http/ListenSocket.h"
 #include "canvaswick/Http/MessageHead.h"
-#include "canvaswick/Http/RequestFault.h"
 #include "canvaswick/Http/ResponseWriter.h"
 #include "canvaswick/Support/Exceptions.h"
 #include "canvaswick/Support/Text.h"
@@ -224,6 +224,8 @@
 static int getStatus(HeadEnd End) {
   switch (End) {
   case HeadEnd::Malformed:
+  case HeadEnd::FieldName:
+  case HeadEnd::FieldValue:
     return 400;
   case HeadEnd::TooLong:
     return 431;
--- a/lib/Http/MessageHead.cpp
+++ b/lib/Http/MessageHead.cpp
@@ -12,6 +12,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Http/MessageHead.h"
+#include "canvaswick/Http/HeadGrammar.h"
 #include "canvaswick/Support/EnumNames.h"
 
 #include <algorithm>
@@ -20,11 +21,13 @@
 
 namespace canvaswick {
 
-static constexpr EnumNames<HeadEnd, 4> HeadEndNames = {{
+static constexpr EnumNames<HeadEnd, 6> HeadEndNames = {{
     {HeadEnd::Whole, "whole"},
     {HeadEnd::Cut, "head-cut"},
     {HeadEnd::TooLong, "head-too-long"},
     {HeadEnd::Malformed, "malformed-head"},
+    {HeadEnd::FieldName, "header-name"},
+    {HeadEnd::FieldValue, "header-value"},
 }};
 
 const char *getName(HeadEnd End) { return getEnumName(HeadEndNames, End); }
@@ -53,29 +56,37 @@
 
 static bool isBlank(char Byte) { return Byte == ' ' || Byte == '\t'; }
 
-/// Splits a header line at its colon. Returns false if there is none, or the
-/// line continues the one before.
-static bool addHeaderField(const std::string &Line, httplib::Headers &Headers) {
+/// Splits a header line at its colon and adds the field. Returns what is wrong
+/// with it, or Whole.
+static HeadEnd addHeaderField(const std::string &Line,
+                              httplib::Headers &Headers) {
   const size_t Colon = Line.find(':');
-  if (Colon == std::string::npos || Colon == 0 || isBlank(Line[0]))
-    return false;
+  if (Colon == std::string::npos || isBlank(Line[0]))
+    return HeadEnd::Malformed;
+  std::string Name = Line.substr(0, Colon);
+  if (!isToken(Name))
+    return HeadEnd::FieldName;
   const auto Begin = std::find_if_not(
       Line.begin() + static_cast<ptrdiff_t>(Colon) + 1, Line.end(), isBlank);
   const auto End = std::find_if_not(Line.rbegin(),
                                     std::make_reverse_iterator(Begin), isBlank)
                        .base();
-  Headers.emplace(Line.substr(0, Colon), std::string(Begin, End));
-  return true;
+  std::string Value(Begin, End);
+  if (hasControlByte(Value))
+    return HeadEnd::FieldValue;
+  Headers.emplace(std::move(Name), std::move(Value));
+  return HeadEnd::Whole;
 }
 
 HeadEnd readHeaderFields(LineReader &Lines, httplib::Headers &Headers) {
   std::string Line;
   while (true) {
-    const HeadEnd End = Lines.readLine(Line);
+    HeadEnd End = Lines.readLine(Line);
     if (End != HeadEnd::Whole || Line.empty())
       return End;
-    if (!addHeaderField(Line, Headers))
-      return HeadEnd::Malformed;
+    End = addHeaderField(Line, Headers);
+    if (End != HeadEnd::Whole)
+      return End;
   }
 }
 
@@ -113,8 +124,7 @@
   const char *Begin = Line.data() + VersionLength + 1;
   const auto [Last, Failure] =
       std::from_chars(Begin, Begin + StatusLength, Response.status);
-  if (Failure != std::errc() || Last != Begin + StatusLength ||
-      Response.status < 100)
+  if (Failure != std::errc() || Last != Begin + StatusLength)
     return false;
   if (Line.size() >= ReasonAt && Line[ReasonAt - 1] != ' ')
     return false;
--- a/lib/Http/RequestExchange.cpp
+++ b/lib/Http/RequestExchange.cpp
@@ -13,8 +13,8 @@
 //===----------------------------------------------------------------------===//
 
 #include "RequestExchange.h"
+#include "canvaswick/Http/HeadGrammar.h"
 #include "canvaswick/Http/MessageHead.h"
-#include "canvaswick/Support/Text.h"
 
 #include <fmt/format.h>
 
@@ -107,9 +107,11 @@
         (!parseResponseHead(std::move(Head), this->Response) ||
          this->Response.status == SwitchingProtocols))
       End = HeadEnd::Malformed;
-    if (End == HeadEnd::Malformed || End == HeadEnd::TooLong)
+    if (End == HeadEnd::Whole)
+      Result.Fault = findResponseFault(this->Response);
+    else if (End != HeadEnd::Cut)
       Result.Fault = getName(End);
-    if (End != HeadEnd::Whole)
+    if (End != HeadEnd::Whole || Result.Fault)
       return false;
     if (this->Response.status >= FirstFinalStatus)
       return true;
@@ -195,8 +197,7 @@
 bool RequestExchange::allowsReuse() const {
   return this->IsWhole && this->Framing != BodyFraming::UntilClose &&
          this->Response.version == "HTTP/1.1" &&
-         !equalsIgnoringCase(this->Response.get_header_value("Connection"),
-                             "close");
+         !hasConnectionOption(this->Response.headers, "close");
 }
 
 } // namespace canvaswick
--- a/lib/Http/Tunnel.cpp
+++ b/lib/Http/Tunnel.cpp
@@ -13,6 +13,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Http/Tunnel.h"
+#include "canvaswick/Http/HeadGrammar.h"
 #include "canvaswick/Http/MessageHead.h"
 
 #include <fmt/format.h>
@@ -45,7 +46,7 @@
   MessageHead Head;
   httplib::Response Answer;
   if (readMessageHead(Lines, Head) != HeadEnd::Whole ||
-      !parseResponseHead(std::move(Head), Answer))
+      !parseResponseHead(std::move(Head), Answer) || findResponseFault(Answer))
     Answer.status = NoAnswer;
   return Answer;
 }
--- a/unittests/Proxy/RawBackend.h
+++ b/unittests/Proxy/RawBackend.h
@@ -87,6 +87,13 @@
     return Done;
   }
 
+  /// Makes the end of the connection a reset.
+  void resetAtEnd() {
+    const linger Abort{1, 0};
+    ::setsockopt(this->Descriptor, SOL_SOCKET, SO_LINGER, &Abort,
+                 sizeof(Abort));
+  }
+
   void endSending() { ::shutdown(this->Descriptor, SHUT_WR); }
 
   /// Reads all until the other side closes.
@@ -241,7 +248,9 @@
         fmt::format("[region r]\n[service s]\nregion = r\nfloor-percent = 0\n"
                     "[server s/b1]\naddress = 127.0.0.1:{0}\nhall = a\n"
                     "[server s/b2]\naddress = 127.0.0.1:{0}\nhall = a\n"
-                    "[route read]\nprefix = /\nservice = s\n",
+                    "[route read]\nprefix = /\nservice = s\n"
+                    "[route once]\nprefix = /once\nservice = s\n"
+                    "class = once\n",
                     this->Raw.getPort()),
         "test.ini");
     REQUIRE(Tree);
