A success must prove by one stamp and one id that it answers its request

What callers saw: a 2xx whose stamp was empty, or that had two that differ, or whose Connection header named the stamp, which was then taken off; likewise for the id of the request, where one of two could be another request's (MIXED).

Cause: isAuthentic asked whether stamp and id are there, not what they are; the first line of several was looked at.

The mend: every line that names a request must name this one; stamp, id and the mark that a request did not run stand once, are not empty (but for the mark) and do not belong to the connection. Log: a try's ":answer=" says "unproved" or "other-request" now, where only "failed" stood.

--- a/include/canvaswick/Proxy/ResponseRelay.h
+++ b/include/canvaswick/Proxy/ResponseRelay.h
@@ -102,6 +102,10 @@
   ResponseVerdict getVerdict() const { return this->Verdict; }
   int getStatus() const { return this->Status; }
 
+  /// Returns why the head of the response was not accepted although it is
+  /// well-formed, as it appears in logs, or null.
+  const char *getFault() const { return this->Fault; }
+
   /// Returns the number of requests that run or wait at the server, as its
   /// response reported, or -1.
   int getLoad() const { return this->Load; }
@@ -127,7 +131,7 @@
   const ResponseCopy &getCopy() const { return this->Copy; }
 
 private:
-  ResponseVerdict classifyHead(const httplib::Response &Response) const;
+  ResponseVerdict classifyHead(const httplib::Response &Response);
   bool continuesResponse(const httplib::Response &Response) const;
   bool isAuthentic(const httplib::Response &Response) const;
   void parseLoad(const httplib::Response &Response);
@@ -142,6 +146,7 @@
   RelayOptions Options;
   std::string RequestId;
   ResponseVerdict Verdict = ResponseVerdict::None;
+  const char *Fault = nullptr;
   int Status = 0;
   bool HeadWritten = false;
   /// Head holds the response head without the headers that frame the body;
@@ -162,6 +167,11 @@
   bool IsCopyTruncated = false;
 };
 
+/// Returns whether every line of a response that names a request names this
+/// one. A response without such a line may be one to it.
+bool isAnswerTo(const httplib::Response &Response, const std::string &IdHeader,
+                const std::string &RequestId);
+
 /// Returns whether a header applies to a single connection and must not be
 /// forwarded (RFC 9110, 7.6.1), or is replaced when the message is forwarded.
 bool isHopByHopHeader(const std::string &Name, const httplib::Headers &All);
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -268,8 +268,7 @@
                                       const std::string &RequestId,
                                       const httplib::Response &Response) {
   const HeaderNames &Names = this->Options.Headers;
-  const std::string Echo = Response.get_header_value(Names.RequestId);
-  if (!Echo.empty() && Echo != RequestId)
+  if (!isAnswerTo(Response, Names.RequestId, RequestId))
     return;
   if (Response.status == MisdirectedStatus) {
     this->handleMisdirection(Request, Current, RequestId);
--- a/lib/Proxy/RequestOutcomes.cpp
+++ b/lib/Proxy/RequestOutcomes.cpp
@@ -54,7 +54,7 @@
                                               const ResponseRelay &Relay,
                                               const ExchangeResult &Result) {
   Request.WasFailed = true;
-  Request.AnswerFault = Result.Fault;
+  Request.AnswerFault = Result.Fault ? Result.Fault : Relay.getFault();
   if (Result.Fault)
     this->Counters.add(Counter::MalformedAnswers);
   Request.WasTimeout = Result.End == ExchangeEnd::Timeout;
--- a/lib/Proxy/ResponseRelay.cpp
+++ b/lib/Proxy/ResponseRelay.cpp
@@ -14,6 +14,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Proxy/ResponseRelay.h"
+#include "canvaswick/Http/HeadGrammar.h"
 #include "canvaswick/Proxy/RequestProxy.h"
 #include "canvaswick/Support/Text.h"
 
@@ -22,7 +23,6 @@
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
-#include <sstream>
 
 namespace canvaswick {
 
@@ -34,19 +34,30 @@
   for (const char *Known : ConnectionHeaders)
     if (equalsIgnoringCase(Name, Known))
       return true;
-  // Headers that a Connection header lists apply to that connection, too.
-  const auto Range = All.equal_range("Connection");
-  for (auto Each = Range.first; Each != Range.second; ++Each) {
-    std::istringstream Stream(Each->second);
-    std::string Listed;
-    while (std::getline(Stream, Listed, ',')) {
-      Listed.erase(std::remove(Listed.begin(), Listed.end(), ' '),
-                   Listed.end());
-      if (equalsIgnoringCase(Name, Listed))
-        return true;
-    }
-  }
-  return false;
+  return hasConnectionOption(All, Name);
+}
+
+bool isAnswerTo(const httplib::Response &Response, const std::string &IdHeader,
+                const std::string &RequestId) {
+  const auto Range = Response.headers.equal_range(IdHeader);
+  return std::all_of(Range.first, Range.second, [&](const auto &Field) {
+    return Field.second == RequestId;
+  });
+}
+
+/// Returns whether a header stands once in a response and is meant for the
+/// caller, not only for this connection.
+static bool hasSingleHeader(const httplib::Response &Response,
+                            const std::string &Name) {
+  return Response.get_header_value_count(Name) == 1 &&
+         !isHopByHopHeader(Name, Response.headers);
+}
+
+/// Returns whether such a header has a value.
+static bool hasSingleValue(const httplib::Response &Response,
+                           const std::string &Name) {
+  return hasSingleHeader(Response, Name) &&
+         !Response.get_header_value(Name).empty();
 }
 
 ResponseRelay::ResponseRelay(HttpExchange &Exchange, const HeaderNames &Names,
@@ -56,6 +67,7 @@
 void ResponseRelay::beginAttempt(const std::string &RequestId) {
   this->RequestId = RequestId;
   this->Verdict = ResponseVerdict::None;
+  this->Fault = nullptr;
   this->IsBuffering = false;
   this->BufferedBody.clear();
   this->Load = -1;
@@ -84,8 +96,8 @@
   if (impliesNotRun(Response.status))
     return false;
   const bool IsSuccess = Response.status >= 200 && Response.status < 300;
-  return !IsSuccess || (Response.has_header(this->Names.AnswerProof) &&
-                        Response.has_header(this->Names.RequestId));
+  return !IsSuccess || (hasSingleValue(Response, this->Names.AnswerProof) &&
+                        hasSingleValue(Response, this->Names.RequestId));
 }
 
 /// Upper bound of a reported load; larger values are clamped.
@@ -110,15 +122,15 @@
          Response.get_header_value("Content-Range") == Expected;
 }
 
-ResponseVerdict
-ResponseRelay::classifyHead(const httplib::Response &Response) const {
-  const std::string Echo = Response.get_header_value(this->Names.RequestId);
-  if (!Echo.empty() && Echo != this->RequestId)
+ResponseVerdict ResponseRelay::classifyHead(const httplib::Response &Response) {
+  if (!isAnswerTo(Response, this->Names.RequestId, this->RequestId)) {
+    this->Fault = "other-request";
     return ResponseVerdict::RequestIdMismatch;
+  }
   if (this->HeadWritten)
     return this->continuesResponse(Response) ? ResponseVerdict::Relayed
                                              : ResponseVerdict::ResumeMismatch;
-  const bool IsMarked = Response.has_header(this->Names.NotRun) &&
+  const bool IsMarked = hasSingleHeader(Response, this->Names.NotRun) &&
                         (this->Names.NotRunValue.empty() ||
                          Response.get_header_value(this->Names.NotRun) ==
                              this->Names.NotRunValue);
@@ -127,8 +139,10 @@
   if (!this->Names.ExpectedInstance.empty() &&
       Response.status == MisdirectedStatus)
     return ResponseVerdict::NotRun;
-  if (!this->isAuthentic(Response))
+  if (!this->isAuthentic(Response)) {
+    this->Fault = "unproved";
     return ResponseVerdict::Failed;
+  }
   if (Response.status >= 500 && this->Options.MayDiscardFailure)
     return ResponseVerdict::Failed;
   return ResponseVerdict::Relayed;
