An answer without content is passed on without a length

What callers saw: a 204 with the server's Content-Length, also one of 40 bytes that never come (refused since the grammar of heads). RFC 9110, 8.6: a 204 has no Content-Length. Cause: the relay took the length of any answer for one to state.

--- a/lib/Proxy/ResponseRelay.cpp
+++ b/lib/Proxy/ResponseRelay.cpp
@@ -26,6 +26,9 @@
 
 namespace canvaswick {
 
+static constexpr int NoContentStatus = 204;
+static constexpr int NotModifiedStatus = 304;
+
 static const char *const ConnectionHeaders[] = {
     "Connection", "Keep-Alive",        "Proxy-Connection", "TE",
     "Trailer",    "Transfer-Encoding", "Upgrade",          "Content-Length"};
@@ -179,10 +182,11 @@
 /// Prepares the head of the response to the caller.
 void ResponseRelay::prepareHead(const httplib::Response &Response) {
   const std::string Length = Response.get_header_value("Content-Length");
-  this->HasLength = !Length.empty();
+  this->HasLength = !Length.empty() && Response.status != NoContentStatus;
   this->Length = std::strtoull(Length.c_str(), nullptr, 10);
   this->Validator = Response.get_header_value("ETag");
-  this->IsBodyless = Response.status == 204 || Response.status == 304 ||
+  this->IsBodyless = Response.status == NoContentStatus ||
+                     Response.status == NotModifiedStatus ||
                      this->Exchange.Request.method == "HEAD";
   this->IsChunked = !this->IsBodyless && !this->HasLength;
   this->IsBuffering = this->Options.MaxBufferedBytes > 0 && !this->IsBodyless &&
