--- a/unittests/Proxy/SpoiltAnswers.h
+++ b/unittests/Proxy/SpoiltAnswers.h
@@ -17,8 +17,6 @@
 
 #include "RawBackend.h"
 
-#include <sys/socket.h>
-
 namespace canvaswick {
 
 /// The id of every request, which servers echo.
@@ -50,17 +48,23 @@
   }
 };
 
+/// What becomes of the server's connection after an answer.
+enum class AnswerEnd : uint8_t { Close, Reset, Keep };
+
 /// Gives the same bytes to every request.
 class SpoiltAnswers {
 public:
   explicit SpoiltAnswers(const ProxyOptions &Options = makeProvedOptions())
       : Front([this](RawSocket &Socket) { this->serve(Socket); }, Options) {}
 
-  /// Sets what the server answers, and whether the connection is reset after
-  /// it. Must not be called while a request runs.
-  void setAnswer(std::string Bytes, bool IsReset = false) {
+  /// Sets what the server answers, and how. If it pauses, it does so after so
+  /// many bytes.
+  void setAnswer(std::string Bytes, AnswerEnd End = AnswerEnd::Close,
+                 size_t PauseAfter = std::string::npos) {
+    std::lock_guard<std::mutex> Lock(this->Mutex);
     this->Bytes = std::move(Bytes);
-    this->IsReset = IsReset;
+    this->End = End;
+    this->PauseAfter = PauseAfter;
   }
 
   /// Sends one request. One to /once may run once only.
@@ -84,16 +88,25 @@
 private:
   void serve(RawSocket &Socket) {
     RawMessage Request;
-    if (!Socket.readMessage(Request))
-      return;
-    ++this->Arrivals;
-    Socket.write(this->Bytes);
-    if (this->IsReset)
-      Socket.resetAtEnd();
+    while (Socket.readMessage(Request)) {
+      ++this->Arrivals;
+      std::lock_guard<std::mutex> Lock(this->Mutex);
+      Socket.write(this->Bytes.substr(0, this->PauseAfter));
+      if (this->PauseAfter < this->Bytes.size()) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        Socket.write(this->Bytes.substr(this->PauseAfter));
+      }
+      if (this->End == AnswerEnd::Reset)
+        Socket.resetAtEnd();
+      if (this->End != AnswerEnd::Keep)
+        return;
+    }
   }
 
+  std::mutex Mutex;
   std::string Bytes;
-  bool IsReset = false;
+  AnswerEnd End = AnswerEnd::Close;
+  size_t PauseAfter = std::string::npos;
   std::atomic<size_t> Arrivals{0};
   RawProxy Front;
 };
