A caller that asks for its connection to be closed gets that

What callers saw: a request with 'Connection: close' was answered on a connection that stayed open until the idle limit; who reads to the end waited so long (RFC 9112, 9.6). Cause: the server never read its callers' connection options. Now such a request closes its connection, and the answer says so.

--- a/include/canvaswick/Http/HttpServer.h
+++ b/include/canvaswick/Http/HttpServer.h
@@ -65,7 +65,8 @@
   SocketStream &Stream;
   /// Whether the server is stopping. May become true at any time.
   const std::atomic<bool> &IsServerStopping;
-  /// Set by the handler if the connection must be closed after the response.
+  /// Whether the connection must be closed after the response: the caller asks
+  /// for that, or the handler.
   bool MustClose = false;
 
   /// Returns whether a part of the request's body has not been read.
--- a/lib/Http/HttpServer.cpp
+++ b/lib/Http/HttpServer.cpp
@@ -266,9 +266,9 @@
   if (equalsIgnoringCase(Request.get_header_value("Expect"), "100-continue"))
     Body.setInvitation(Invitation);
   httplib::Response Response;
-  HttpExchange Exchange{Request, Response,
-                        Framing == BodyFraming::None ? nullptr : &Body, Stream,
-                        this->Stopping};
+  HttpExchange Exchange{
+      Request, Response,       Framing == BodyFraming::None ? nullptr : &Body,
+      Stream,  this->Stopping, hasConnectionOption(Request.headers, "close")};
   if (Fault) {
     ++this->Counters.Malformed;
     Response.status = 400;
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -72,6 +72,39 @@
   CHECK(NoDelay != 0);
 }
 
+/// Returns all that a server answers to these bytes until it closes.
+static std::string readUntilClosed(const HttpServer &Server,
+                                   const std::string &Bytes) {
+  SocketStream Stream(connectTcp("127.0.0.1", Server.getPort(),
+                                 readSteadyClock() + fromSeconds(5)));
+  Stream.setDeadline(readSteadyClock() + fromSeconds(5));
+  static_cast<httplib::Stream &>(Stream).write(Bytes);
+  std::string All;
+  char Piece[4096];
+  for (ssize_t Count = 1; Count > 0;) {
+    Count = Stream.read(Piece, sizeof(Piece));
+    if (Count > 0)
+      All.append(Piece, static_cast<size_t>(Count));
+  }
+  // The deadline is not what ended it.
+  CHECK(Stream.getFailure() != StreamFailure::Timeout);
+  return All;
+}
+
+// Guards against callers that read to the end and wait for the idle limit.
+TEST_CASE("a connection is closed if its request asks for that") {
+  Gate Open{HttpServerLimits()};
+  Open.IsOpen = true;
+  for (const std::string Option : {"close", "CLOSE", "x-a ,\tClose"}) {
+    const std::string Answer =
+        readUntilClosed(Open.Server, "GET / HTTP/1.1\r\nHost: h\r\n"
+                                     "Connection: " +
+                                         Option + "\r\n\r\n");
+    CHECK(Answer.starts_with("HTTP/1.1 200"));
+    CHECK(Answer.find("\r\nConnection: close\r\n") != std::string::npos);
+  }
+}
+
 TEST_CASE("a burst of connections is accepted completely") {
   // The connections of a burst must wait in the listen queue of the kernel.
   HttpServerLimits Limits;
