A lagging peer's list of small items does not bring back a server that has left

What could be seen: a server listed again after its removal was known, until the next newer list. Cause: an item that a watch brought late was passed over, since a newer list of small items lacked it; the position of the watch then counted as complete, and a peer's full list from before that newer one was asked about items after the complete position only (putListed). Now every item of a list that is older than the small items known is asked about. Test: Directory 'a full list of a peer that lags ...', seen failing before.

--- a/include/canvaswick/Daemon/PeerLink.h
+++ b/include/canvaswick/Daemon/PeerLink.h
@@ -83,8 +83,9 @@
   /// Sends estimates to this hall, for daemons that have just started.
   void sendLocalEstimates(std::vector<HealthEstimate> Estimates);
 
-  /// Sends to this hall the position of this daemon's replica of the store and,
-  /// if this daemon watches the store, how long ago the store answered.
+  /// Sends to this hall the position of this daemon's replica of the store,
+  /// where it can be asked for it and, if this daemon watches the store, how
+  /// long ago the store answered.
   void sendStoreState(TimePoint Now);
 
   /// Sends a report on poison requests to this hall, and through one daemon of
--- a/include/canvaswick/Daemon/PeerMessage.h
+++ b/include/canvaswick/Daemon/PeerMessage.h
@@ -52,6 +52,9 @@
   /// the source watches the store itself. A watcher proves nothing by watching
   /// alone: the store may not have answered it since.
   std::optional<Duration> SinceStoreAnswer;
+  /// Where the source answers calls of peers, if the message says so: a daemon
+  /// that does not know the source yet can ask it for what it lacks.
+  std::optional<Endpoint> Control;
   /// Whether the source reaches no servers itself.
   bool IsCutOff = false;
   /// Whether a daemon of the receiver's hall relayed the message.
--- a/include/canvaswick/Directory/FirstReadSchedule.h
+++ b/include/canvaswick/Directory/FirstReadSchedule.h
@@ -23,6 +23,12 @@
 
 namespace canvaswick {
 
+/// Returns a delay up to Longest of which few are short: of a thousand daemons
+/// that draw one at the same moment, a handful acts early, and the others can
+/// still learn from it that they need not. Draw is a uniform random number from
+/// 0 to 1.
+Duration drawSparseDelay(Duration Longest, double Draw);
+
 /// Decides when a daemon reads all items of a store without a snapshot, or
 /// watches it without knowing any other daemon. Not thread-safe.
 class FirstReadSchedule {
@@ -31,9 +37,6 @@
   /// random number from 0 to 1. The time counts from Start.
   FirstReadSchedule(bool IsSeed, double Draw, TimePoint Start);
 
-  /// Returns how long after its start this daemon waits for a snapshot.
-  Duration getDelay() const { return this->Delay; }
-
   /// Returns whether this daemon may read all items now.
   bool mayReadAll(TimePoint Now) const {
     return Now >= this->Start + this->Delay;
--- a/include/canvaswick/Metrics/Counters.h
+++ b/include/canvaswick/Metrics/Counters.h
@@ -88,6 +88,11 @@
   TunnelsRefused,
   /// Messages by which a peer's replica of the store differed from this one.
   ReplicaMismatches,
+  /// Questions to the store of a daemon whose peers did not give it their news.
+  StoreChecks,
+  /// Attempts that began by a list of servers that may have been outdated for a
+  /// second.
+  AttemptsByOldList,
   /// Requests that were not sent, because their server had begun to leave.
   SendsWithdrawn,
   /// Requests that began to wait for a retry, and how their waits ended.
--- a/include/canvaswick/Proxy/RequestProxy.h
+++ b/include/canvaswick/Proxy/RequestProxy.h
@@ -72,6 +72,10 @@
   }
 
   /// Called on the request's thread after an attempt has begun or ended.
+  /// Sets the last time at which the list of servers was not outdated, as far
+  /// as is known. Thread-safe.
+  void setListCurrentTime(TimePoint Time) { this->ListCurrentAt = Time; }
+
   using AttemptListener = std::function<void(TimePoint)>;
 
   /// Sets the listener for attempts. Must be called before the first request.
@@ -199,6 +203,7 @@
   bool followSettings(RequestContext &Request) const;
   void runAttempts(RequestContext &Request, ResponseRelay &Relay);
   void notifyAttemptListener(TimePoint Now) const;
+  void recordListAge(RequestContext &Request, TimePoint Now);
   void handleServerNotice(const RequestContext &Request, Attempt &Current,
                           const std::string &RequestId,
                           const httplib::Response &Response);
@@ -233,6 +238,9 @@
   /// Null if no peer lends retries.
   RetrySource BorrowRetry;
   AttemptListener Listener;
+  /// TimePoint{} if it is not known, which is so where nothing outside holds
+  /// the list.
+  std::atomic<TimePoint> ListCurrentAt{TimePoint{}};
   /// Distributes the requests of a split route evenly over its services.
   std::atomic<uint32_t> NextSplit{0};
   OrganisationQuotas Organisations;
--- a/lib/Daemon/HealthEndpoints.cpp
+++ b/lib/Daemon/HealthEndpoints.cpp
@@ -64,13 +64,16 @@
 /// answers: the replica does not change then, as when nothing changes.
 static std::string formatStoreState(const StoreState &Store, TimePoint Now) {
   const bool HasAnswered = Store.HeardAt != TimePoint{};
+  const bool WasCurrent = Store.CurrentAt != TimePoint{};
   return fmt::format("canvaswick_store_epoch {}\n"
                      "canvaswick_store_as_of {}\n"
                      "canvaswick_store_watching {}\n"
-                     "canvaswick_store_heard_ms {}\n",
+                     "canvaswick_store_heard_ms {}\n"
+                     "canvaswick_store_current_ms {}\n",
                      Store.AsOf.Epoch, Store.AsOf.Revision,
                      Store.IsWatching ? 1 : 0,
-                     HasAnswered ? toMillis(Now - Store.HeardAt) : -1);
+                     HasAnswered ? toMillis(Now - Store.HeardAt) : -1,
+                     WasCurrent ? toMillis(Now - Store.CurrentAt) : -1);
 }
 
 static std::string formatWorkers(const WorkerPoolThreads &Workers) {
--- a/lib/Daemon/PeerLink.cpp
+++ b/lib/Daemon/PeerLink.cpp
@@ -216,6 +216,7 @@
 
 void PeerLink::sendStoreState(TimePoint Now) {
   PeerMessage Message = this->makeMessage();
+  Message.Control = this->Self.Control;
   {
     std::lock_guard<std::mutex> Lock(this->Mutex);
     if (this->Store.IsWatching)
--- a/lib/Daemon/PeerMessage.cpp
+++ b/lib/Daemon/PeerMessage.cpp
@@ -100,6 +100,8 @@
   if (Message.SinceStoreAnswer)
     Value["heard-ms"] =
         static_cast<Json::UInt64>(toMillis(*Message.SinceStoreAnswer));
+  if (Message.Control)
+    Value["control"] = Message.Control->format();
   Value["as-of"] = static_cast<Json::UInt64>(Message.AsOf.Revision);
   Value["epoch"] = static_cast<Json::UInt64>(Message.AsOf.Epoch);
   if (Message.Digest)
@@ -282,6 +284,17 @@
       fromMillis(static_cast<int64_t>(Age.asUInt64())));
 }
 
+/// Decodes an optional address. A daemon of an earlier version sends none.
+static Result<std::optional<Endpoint>>
+decodeControl(const Json::Value &Address) {
+  if (Address.isNull())
+    return std::optional<Endpoint>();
+  if (!Address.isString())
+    return makeError(ErrorKind::InvalidArgument, "malformed control address");
+  BOOST_OUTCOME_TRY(const Endpoint Control, parseEndpoint(Address.asString()));
+  return std::optional<Endpoint>(Control);
+}
+
 /// Decodes the epoch of a position. A daemon of a version without epochs sends
 /// none and counts as epoch 0, before all others.
 static Result<uint64_t> decodeEpoch(const Json::Value &Epoch) {
@@ -310,6 +323,7 @@
   if (Value["digest"].isUInt64())
     Message.Digest = Value["digest"].asUInt64();
   BOOST_OUTCOME_TRY(Message.SinceStoreAnswer, decodeAge(Value["heard-ms"]));
+  BOOST_OUTCOME_TRY(Message.Control, decodeControl(Value["control"]));
   Message.IsCutOff = Value["cut-off"].isBool() && Value["cut-off"].asBool();
   Message.IsRelayed = Value["relayed"].isBool() && Value["relayed"].asBool();
   BOOST_OUTCOME_TRY(decodeList(Value["seen"], decodeObservation,
--- a/lib/Directory/FirstReadSchedule.cpp
+++ b/lib/Directory/FirstReadSchedule.cpp
@@ -29,11 +29,14 @@
 /// enough time to write the snapshot.
 static constexpr double GrowthExponent = 4;
 
+Duration drawSparseDelay(Duration Longest, double Draw) {
+  return fromSeconds(toSeconds(Longest) * std::pow(Draw, 1 / GrowthExponent));
+}
+
 FirstReadSchedule::FirstReadSchedule(bool IsSeed, double Draw, TimePoint Start)
     : Start(Start) {
-  const double Part = std::pow(Draw, 1 / GrowthExponent);
   if (!IsSeed)
-    this->Delay = SeedTime + fromSeconds(toSeconds(LongestDelay) * Part);
+    this->Delay = SeedTime + drawSparseDelay(LongestDelay, Draw);
 }
 
 } // namespace canvaswick
--- a/lib/Directory/ItemTable.cpp
+++ b/lib/Directory/ItemTable.cpp
@@ -187,8 +187,7 @@
   if ((Known && Known->At >= Item.At) || this->Removals.find(Item.Key) > ReadAt)
     return false;
   // Of small items the table may know more than the list.
-  if (ReadAt < this->Position.Small && Item.At > this->Position.Complete &&
-      this->isContained(Item))
+  if (ReadAt < this->Position.Small && this->isContained(Item))
     return false;
   this->put(Item);
   return true;
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -32,6 +32,9 @@
 static constexpr size_t MaxUnreachable = 4;
 static constexpr size_t MaxQuicklyUnreachable = 8;
 
+/// A list of servers is rarely older where the store answers.
+static constexpr Duration NotableListAge = fromSeconds(1);
+
 /// Returns how the trail shows that a peer connected to the server.
 static const char *getPathMark(const Attempt &Ended) {
   if (!Ended.IsThroughPeer)
@@ -53,7 +56,7 @@
 void RequestProxy::addToTrail(RequestContext &Request, const Attempt &Ended,
                               RequestOutcome Outcome, Duration Took) {
   Request.AttemptTrail += fmt::format(
-      "{}{}:{}:{}ms:share={:.3f}:sick={:.3f}:load={:.1f}{}{}{}{}{}{}{}{}",
+      "{}{}:{}:{}ms:share={:.3f}:sick={:.3f}:load={:.1f}{}{}{}{}{}{}{}{}{}",
       Request.AttemptTrail.empty() ? "" : ",",
       Request.Service->getServer(Ended.Server).Name,
       Ended.WasCutOff ? "cut-off" : getName(Outcome), toMillis(Took),
@@ -64,6 +67,9 @@
       std::exchange(Request.IsRetryPaid, false) ? ":paid" : "",
       Request.WasWithdrawn ? ":withdrawn" : "",
       getListMark(Request.Fleet, Request.AttemptFleet),
+      Request.OldListAge
+          ? fmt::format(":list-age={}ms", toMillis(*Request.OldListAge))
+          : "",
       Request.AnswerFault ? fmt::format(":answer={}", Request.AnswerFault)
                           : "");
 }
@@ -95,6 +101,16 @@
     this->Listener(Now);
 }
 
+/// Notes an attempt by a list of servers that may have been outdated for long.
+void RequestProxy::recordListAge(RequestContext &Request, TimePoint Now) {
+  const TimePoint CurrentAt = this->ListCurrentAt;
+  Request.OldListAge.reset();
+  if (CurrentAt == TimePoint{} || Now - CurrentAt < NotableListAge)
+    return;
+  Request.OldListAge = Now - CurrentAt;
+  this->Counters.add(Counter::AttemptsByOldList);
+}
+
 /// Returns whether the request is quarantined now. Servers may have crashed
 /// since the request began, also under requests of other daemons.
 bool RequestProxy::recheckQuarantine(RequestContext &Request,
@@ -184,6 +200,7 @@
     const AttemptOwner Owner(*Request.Service, Current);
     this->Counters.add(Counter::ServersExcluded, Current.ExcludedServers);
     this->notifyAttemptListener(Now);
+    this->recordListAge(Request, Now);
     const RequestOutcome Outcome = this->runAttempt(Request, Relay, Current);
     Current.Load = Relay.getLoad();
     const TimePoint End = readSteadyClock();
--- a/lib/Proxy/RequestContext.h
+++ b/lib/Proxy/RequestContext.h
@@ -44,6 +44,9 @@
   /// and that version. Fleet is the one of the request's arrival.
   ServiceRuntimeRef Service;
   FleetRuntimeRef AttemptFleet;
+  /// For how long the list of servers may have been outdated as the last
+  /// attempt began, if that is worth a note.
+  std::optional<Duration> OldListAge;
   AdmittedRequest Admitted;
   /// The digest of the API key that the caller presented; empty if there is
   /// none or it is malformed.
--- a/lib/Settings/SettingTable.cpp
+++ b/lib/Settings/SettingTable.cpp
@@ -173,7 +173,7 @@
      "Requests of an organisation that the fleet may admit above that within the window."},
     {SettingKey::LeaseSeconds, "lease-s", DaemonOnly, SettingType::Decimal, 1, HourMs, "60", "s", nullptr,
      "Lease of this daemon's entry among the daemons at the platform."},
-    {SettingKey::AloneWaitSeconds, "alone-wait-s", DaemonOnly, SettingType::Decimal, 0, 60000, "2", "s", nullptr,
+    {SettingKey::AloneWaitSeconds, "alone-wait-s", DaemonOnly, SettingType::Decimal, 0, 60000, "0.5", "s", nullptr,
      "How long a daemon that has just started and knows no other of its hall waits for these to register."},
     {SettingKey::DrainSeconds, "drain-s", DaemonOnly, SettingType::Decimal, 1, HourMs, "2", "s", nullptr,
      "Time within which a backend server that leaves receives no new work."},
--- a/unittests/Directory/ItemTableTest.cpp
+++ b/unittests/Directory/ItemTableTest.cpp
@@ -209,6 +209,29 @@
   CHECK_FALSE(holds(Table, "config"));
 }
 
+// Guards against a server that is listed again after it had left (DRAIN).
+TEST_CASE("a full list of a peer that lags does not bring back what a newer "
+          "list of small items lacked") {
+  ItemTable Table;
+  Table.apply(makeFullChanges({}, {1, 2}));
+  const auto MakeSmall = [](const std::vector<StoreItem> &Items,
+                            const StorePosition &AsOf) {
+    ItemChanges Small = makeFullChanges(Items, AsOf);
+    Small.Extent = ChangesExtent::Small;
+    Small.Omitted.emplace();
+    return Small;
+  };
+  Table.apply(MakeSmall({}, {1, 9}));
+  // A watch that had begun before brings what has been removed by then.
+  Table.apply(makeChanges({1, 2}, {{"a", "x", {1, 3}, false}}, {1, 4}));
+  CHECK_FALSE(holds(Table, "a"));
+  Table.apply(MakeSmall({{"a", "x", {1, 3}, false}}, {1, 5}));
+  CHECK_FALSE(holds(Table, "a"));
+  // A list that is as new as what is known heals a replica.
+  Table.apply(MakeSmall({{"a", "x", {1, 3}, false}}, {1, 9}));
+  CHECK(holds(Table, "a"));
+}
+
 TEST_CASE("changes that do not follow what is known move no position") {
   ItemTable Table;
   Table.apply(makeFullChanges({{"a", "x", {1, 90}, false}}, {1, 100}));
--- /dev/null
+++ b/unittests/PlatformAdapter/StartAtOnceTest.cpp
@@ -0,0 +1,98 @@
+//===- StartAtOnceTest.cpp - Tests of daemons that start together ---------===//
+//
+// Part of the canvaswick project, under the Apache License v2.0.
+// See LICENSE for license information.
+// SPDX-License-Identifier: Apache-2.0
+//
+//===----------------------------------------------------------------------===//
+///
+/// \file
+/// The real daemons beside the model of ListAge: they start at one moment, and
+/// each reads the store before the others have registered.
+///
+//===----------------------------------------------------------------------===//
+
+#include "PlatformFixture.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace canvaswick;
+using namespace canvaswick::platform;
+
+namespace {
+
+/// Daemons of a hall of eight and of a hall of one, of which the first three
+/// are named as seeds.
+struct StartFixture : PlatformFixture {
+  StartFixture() {
+    this->writeConfig(2);
+    this->addServers();
+    std::vector<Endpoint> Seeds;
+    for (int I = 0; I < 9; ++I) {
+      DaemonConfig Config = this->makeDaemonConfig(fmt::format("d{}", I));
+      Config.Hall = I < 8 ? "h" : "lone";
+      Config.Control = {"127.0.0.1", findFreePort()};
+      Config.PeerPort = findFreePort();
+      Config.AloneWait = fromMillis(500);
+      if (I < 3)
+        Seeds.push_back(Config.Control);
+      this->Configs.push_back(Config);
+    }
+    for (DaemonConfig &Each : this->Configs) {
+      Each.Seeds = Seeds;
+      this->Daemons.push_back(std::make_unique<PlatformDaemon>(Each));
+    }
+  }
+
+  void startAtOnce() {
+    std::vector<std::thread> Threads;
+    for (std::unique_ptr<PlatformDaemon> &Each : this->Daemons)
+      Threads.emplace_back([&Each] { CHECK(Each->start()); });
+    for (std::thread &Each : Threads)
+      Each.join();
+    for (const DaemonConfig &Each : this->Configs)
+      this->waitFor([&] {
+        return this->sendRequestTo(Each.Callers, "GET", "/x/1").Status == 200;
+      });
+  }
+
+  /// Returns the position up to which a daemon's replica is complete.
+  uint64_t readPosition(const DaemonConfig &Each) {
+    static const std::string Name = "\ncanvaswick_store_as_of ";
+    const std::string Text = this->get(Each.Ready, "/metrics").Body;
+    const size_t At = Text.find(Name);
+    return At == std::string::npos
+               ? 0
+               : std::strtoull(Text.c_str() + At + Name.size(), nullptr, 10);
+  }
+
+  std::vector<DaemonConfig> Configs;
+  std::vector<std::unique_ptr<PlatformDaemon>> Daemons;
+};
+
+} // namespace
+
+// Guards against daemons that serve by the list of their start until a snapshot
+// is written, or their wait for others of their hall ends (DRAIN).
+TEST_CASE("daemons that start at one moment all learn what changes then") {
+  StartFixture Fixture;
+  Fixture.startAtOnce();
+  Duration Longest{};
+  for (int Change = 0; Change < 6; ++Change) {
+    const TimePoint Began = readSteadyClock();
+    const uint64_t Revision = Fixture.Store.put(
+        fmt::format("servers/i-new-{}", Change),
+        R"({"address": "127.0.0.1:1", "info": {"service": "t", "version": "v1",
+            "zone": "h", "slots": 3}, "status": {"state": "draining", "seq": 1,
+            "warmupLeftS": 0}})");
+    for (const DaemonConfig &Each : Fixture.Configs)
+      Fixture.waitFor([&] { return Fixture.readPosition(Each) >= Revision; });
+    Longest = std::max(Longest, readSteadyClock() - Began);
+  }
+  MESSAGE("longest until all knew a change: ", toMillis(Longest), " ms");
+}
