Test: the server of a resumed answer says that it closes

ResumeLength failed once beside other tests (ctest -j 6): the trail shows its second request on a kept connection that the raw server had closed just before without saying so (tries=b1:cut-off:kept), which cost the attempt that the resumption needs. The server now says Connection: close, as it does close. What is checked is unchanged.

--- a/unittests/Proxy/ResumeLengthTest.cpp
+++ b/unittests/Proxy/ResumeLengthTest.cpp
@@ -31,6 +31,7 @@
     else
       Socket.write(fmt::format("HTTP/1.1 206 Partial Content\r\nETag: \"v\"\r\n"
                                "Content-Range: bytes 500-999/1000\r\n"
+                               "Connection: close\r\n"
                                "Content-Length: {}\r\n\r\n{}",
                                RestBytes, std::string(RestBytes, 'b')));
   };
