A broken answer to what may run once is not resumed

Cause: the way of a retry after a response has begun asked whether the answer can be resumed, not whether the route lets the request run again.

--- a/lib/Proxy/RequestRetries.cpp
+++ b/lib/Proxy/RequestRetries.cpp
@@ -106,8 +106,10 @@
 /// the retry from the budget.
 bool RequestProxy::mayRetry(RequestContext &Request,
                             const ResponseRelay &Relay) {
+  // Asking for the rest runs the request again.
   if (Relay.hasBegun())
-    return Relay.canResume() && this->isKeyInForce(Request) &&
+    return isRetryable(*Request.Route) && Relay.canResume() &&
+           this->isKeyInForce(Request) &&
            this->takeRetry(Request, false, readSteadyClock());
   return !Request.WasBodySent && this->isKeyInForce(Request) &&
          this->takeNextRetry(Request);
--- a/unittests/Proxy/ResumeLengthTest.cpp
+++ b/unittests/Proxy/ResumeLengthTest.cpp
@@ -18,12 +18,16 @@
 using namespace canvaswick;
 
 /// Answers the first request with half of 1000 bytes, and the next one with a
-/// part of this many bytes which is said to be the rest.
-static RawProxy::Handler serveInParts(size_t RestBytes) {
-  return [RestBytes](RawSocket &Socket) {
+/// part of this many bytes which is said to be the rest. Counts both in Runs
+/// unless it is null.
+static RawProxy::Handler serveInParts(size_t RestBytes,
+                                      std::atomic<int> *Runs = nullptr) {
+  return [RestBytes, Runs](RawSocket &Socket) {
     RawMessage Request;
     if (!Socket.readMessage(Request))
       return;
+    if (Runs)
+      ++*Runs;
     if (RawSocket::getField(Request.Head, "range").empty())
       Socket.write("HTTP/1.1 200 OK\r\nETag: \"v\"\r\n"
                    "Content-Length: 1000\r\n\r\n" +
@@ -66,3 +70,16 @@
   CHECK(askTwice(100) == Received::Cut);
   CHECK(askTwice(900) == Received::Cut);
 }
+
+// Guards against the rest of an answer being asked for where that runs the
+// request again (TWICE).
+TEST_CASE("a broken answer to what may run once is cut, and not resumed") {
+  std::atomic<int> Runs{0};
+  RawProxy Front(serveInParts(500, &Runs));
+  RawSocket Caller(RawSocket::connectTo(Front.getPort()));
+  Caller.setTimeLimit(5);
+  CHECK(Caller.write("GET /once HTTP/1.1\r\nHost: h\r\n\r\n"));
+  RawMessage Answer;
+  CHECK(!Caller.readMessage(Answer));
+  CHECK(Runs == 1);
+}
