Who knows nobody asks how much it lacks before it watches

Seeds watch at once, as before.

Test: PlatformAdapter 'who knows nobody watches a store that changed little ...'.

--- a/include/canvaswick/Directory/FirstReadSchedule.h
+++ b/include/canvaswick/Directory/FirstReadSchedule.h
@@ -37,6 +37,9 @@
   /// random number from 0 to 1. The time counts from Start.
   FirstReadSchedule(bool IsSeed, double Draw, TimePoint Start);
 
+  /// Returns how long after its start this daemon waits for a snapshot.
+  Duration getDelay() const { return this->Delay; }
+
   /// Returns whether this daemon may read all items now.
   bool mayReadAll(TimePoint Now) const {
     return Now >= this->Start + this->Delay;
--- a/include/canvaswick/Directory/WatchElection.h
+++ b/include/canvaswick/Directory/WatchElection.h
@@ -71,6 +71,13 @@
   /// that the first in the order watch, until their first reports are overdue.
   void setHallDaemons(const std::vector<std::string> &Names, TimePoint Now);
 
+  /// Returns whether this daemon knows no other of its hall.
+  bool isAlone() const { return this->Order.size() <= 1; }
+
+  /// Replaces the time for which a daemon that knows no other of its hall
+  /// waits.
+  void setAloneWait(Duration Wait) { this->AloneWait = Wait; }
+
   /// Records that a daemon of this hall watches, and when the store last
   /// answered it. It may be one that is not among the hall's daemons yet.
   void recordWatcher(const std::string &Name, TimePoint HeardAt);
@@ -87,7 +94,7 @@
   void presumeWatchers(TimePoint Now);
 
   const std::string Self;
-  const Duration AloneWait;
+  Duration AloneWait;
   std::optional<TimePoint> FirstSetAt;
   /// The daemons of the hall, the first to watch first.
   std::vector<std::string> Order;
--- a/lib/Directory/WatchElection.cpp
+++ b/lib/Directory/WatchElection.cpp
@@ -116,9 +116,9 @@
 }
 
 WatchRole WatchElection::getRole(TimePoint Now, bool IsFarBehind) const {
-  const bool IsAlone = this->Order.size() <= 1 && this->FirstSetAt;
-  if (IsAlone && (Now - *this->FirstSetAt < this->AloneWait ||
-                  (IsFarBehind && this->hasWatcher(Now))))
+  if (this->isAlone() && this->FirstSetAt &&
+      (Now - *this->FirstSetAt < this->AloneWait ||
+       (IsFarBehind && this->hasWatcher(Now))))
     return WatchRole::Follow;
   const size_t Rank = this->getRank(this->Self);
   const Duration Step =
--- a/unittests/PlatformAdapter/StartAtOnceTest.cpp
+++ b/unittests/PlatformAdapter/StartAtOnceTest.cpp
@@ -103,3 +103,34 @@
   }
   MESSAGE("longest until a change was in force: ", toMillis(Longest), " ms");
 }
+
+/// Returns how often a daemon that knows no other of its hall watches the store
+/// while its wait for others ends, after so many changes.
+static size_t countWatches(int Changes) {
+  PlatformFixture Fixture;
+  Fixture.writeConfig(2);
+  Fixture.addServers();
+  DaemonConfig Config = Fixture.makeDaemonConfig("d1");
+  Config.Control = {"127.0.0.1", findFreePort()};
+  Config.PeerPort = findFreePort();
+  Config.AloneWait = fromSeconds(2);
+  // Nobody answers there.
+  Config.Seeds = {{"127.0.0.1", findFreePort()}};
+  PlatformDaemon Daemon(Config);
+  REQUIRE(Daemon.start());
+  Fixture.waitFor([&] {
+    return Fixture.sendRequestTo(Config.Callers, "GET", "/x/1").Status == 200;
+  });
+  for (int I = 0; I < Changes; ++I)
+    Fixture.Store.put(fmt::format("other/{}", I), "{}");
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  return Fixture.Store.countCalls("/kv-watch");
+}
+
+// Guards against a large fleet that starts, each of whose daemons asks the
+// store for all that its start has changed.
+TEST_CASE("who knows nobody watches a store that changed little, and waits for "
+          "the snapshot of one that changed much") {
+  CHECK(countWatches(10) > 0);
+  CHECK(countWatches(2000) == 0);
+}
