--- a/include/canvaswick/Directory/ReplicaAge.h
+++ b/include/canvaswick/Directory/ReplicaAge.h
@@ -1,5 +1,4 @@
-//===- ReplicaAge.h - How old a replica is --------------------- -*- C++
-//-*-===//
+//===- ReplicaAge.h - How old a replica is -------------------- -*- C++ -*-===//
 //
 // Part of the canvaswick project, under the Apache License v2.0.
 // See LICENSE for license information.
--- a/lib/Directory/ReplicaAge.cpp
+++ b/lib/Directory/ReplicaAge.cpp
@@ -18,7 +18,7 @@
 namespace canvaswick {
 
 /// How long peers may have news before a daemon that could not get them asks
-/// the store: two fetches that are not answered.
+/// the store: a fetch that is not answered takes as long.
 static constexpr Duration BehindLimit = fromMillis(600);
 
 /// Time between two questions to the store. The longer one keeps a hall that
--- a/unittests/ListAge/FleetStartModel.h
+++ b/unittests/ListAge/FleetStartModel.h
@@ -1,4 +1,4 @@
-//===- FleetStartModel.h - A fleet that starts, in virtual time - -*- C++ -*-=//
+//===- FleetStartModel.h - A fleet that starts, modelled ------ -*- C++ -*-===//
 //
 // Part of the canvaswick project, under the Apache License v2.0.
 // See LICENSE for license information.
--- a/unittests/Proxy/AnswerProofTest.cpp
+++ b/unittests/Proxy/AnswerProofTest.cpp
@@ -1,4 +1,4 @@
-//===- AnswerProofTest.cpp - Tests of what proves an answer -------------===//
+//===- AnswerProofTest.cpp - Tests of what proves an answer ---------------===//
 //
 // Part of the canvaswick project, under the Apache License v2.0.
 // See LICENSE for license information.
--- a/unittests/Proxy/NoContentTest.cpp
+++ b/unittests/Proxy/NoContentTest.cpp
@@ -1,4 +1,4 @@
-//===- NoContentTest.cpp - Tests of answers without content -------------===//
+//===- NoContentTest.cpp - Tests of answers without content ---------------===//
 //
 // Part of the canvaswick project, under the Apache License v2.0.
 // See LICENSE for license information.
