--- a/unittests/Proxy/AnswerHeadTest.cpp
+++ b/unittests/Proxy/AnswerHeadTest.cpp
@@ -110,9 +110,10 @@
 
 TEST_CASE("sound answers pass whole, whatever their heads allow") {
   for (const HeadCase &Each : makeSoundAnswers()) {
-    SpoiltAnswers Server;
-    Server.setAnswer(Each.Head + Each.Body);
     for (const std::string Target : {"/a", "/once"}) {
+      // The server closes without saying so: nothing must be kept from before.
+      SpoiltAnswers Server;
+      Server.setAnswer(Each.Head + Each.Body);
       CAPTURE(Each.Name);
       CAPTURE(Target);
       const SeenAnswer Seen = Server.ask(Target);
--- a/unittests/Proxy/NoContentTest.cpp
+++ b/unittests/Proxy/NoContentTest.cpp
@@ -16,8 +16,8 @@
 using namespace canvaswick;
 
 TEST_CASE("an answer without content passes without a length") {
-  SpoiltAnswers Server;
   for (const std::string Fields : {"", "Content-Length: 0\r\n"}) {
+    SpoiltAnswers Server;
     Server.setAnswer(makeHead(Fields, "204 No Content"));
     const SeenAnswer Seen = Server.ask("/a");
     CHECK(Seen.Head.starts_with("HTTP/1.1 204"));
