--- a/unittests/PlatformAdapter/StartAtOnceTest.cpp
+++ b/unittests/PlatformAdapter/StartAtOnceTest.cpp
@@ -13,6 +13,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "PlatformFixture.h"
+#include "platform/WireNames.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -134,3 +135,40 @@
   CHECK(countWatches(10) > 0);
   CHECK(countWatches(2000) == 0);
 }
+
+// Guards against a daemon alone in its hall that serves for seconds by the
+// fleet's snapshot, because a small store was often written since (DRAIN).
+TEST_CASE("who is alone in its hall watches a small store, however often it "
+          "changed since the snapshot") {
+  PlatformFixture Fixture;
+  Fixture.writeConfig(2);
+  Fixture.addServers();
+  DaemonConfig Seed = Fixture.makeDaemonConfig("d1");
+  Seed.Control = {"127.0.0.1", findFreePort()};
+  Seed.PeerPort = findFreePort();
+  Seed.Seeds = {Seed.Control};
+  {
+    PlatformDaemon Writer(Seed);
+    REQUIRE(Writer.start());
+    Fixture.waitFor(
+        [&] { return !Fixture.Store.peek(wire::SnapshotKey).empty(); });
+  }
+  for (int I = 0; I < 2000; ++I)
+    Fixture.Store.put("other", "{}");
+  DaemonConfig Config = Seed;
+  Config.Name = "d2";
+  Config.Hall = "lone";
+  Config.Callers = {"127.0.0.1", findFreePort()};
+  Config.Ready = {"127.0.0.1", findFreePort()};
+  Config.Control = {"127.0.0.1", findFreePort()};
+  Config.PeerPort = findFreePort();
+  PlatformDaemon Daemon(Config);
+  REQUIRE(Daemon.start());
+  Fixture.waitFor([&] {
+    return Fixture.sendRequestTo(Config.Callers, "GET", "/x/1").Status == 200;
+  });
+  Fixture.writeConfig(3, "/y/");
+  Fixture.waitFor([&] {
+    return Fixture.sendRequestTo(Config.Callers, "GET", "/y/1").Status == 200;
+  });
+}
