ReplicaSoak tells for how long a server that has left is still listed

The soak asks all daemons all the time which servers they use, and tells the longest time after an entry went for which a daemon that had run for 3 s listed its server. Daemons that start again have seeds now, as deployments have, and the halls differ with the seed (5 and 1; 4 and 2; 2, 1, 1, 1 and 1).

--- a/unittests/ReplicaSoak/ReplicaSoakTest.cpp
+++ b/unittests/ReplicaSoak/ReplicaSoakTest.cpp
@@ -7,11 +7,14 @@
 //===----------------------------------------------------------------------===//
 ///
 /// \file
-/// Runs whole daemons in two halls, one of them alone, and starts some of them
-/// again while servers join and leave. Replicas of every age bring each other
-/// up to date. Afterwards all of them must list what the store lists.
+/// Runs whole daemons in several halls, some of them alone, and starts some of
+/// them again while servers join and leave. Replicas of every age bring each
+/// other up to date. Afterwards all of them must list what the store lists. A
+/// run tells how long after its entry had gone a server was still listed by a
+/// daemon that had run for SettledTime.
 ///
-/// SOAK_SEED, SOAK_SEEDS and SOAK_SECONDS select longer runs.
+/// SOAK_SEED, SOAK_SEEDS and SOAK_SECONDS select longer runs. SOAK_MAX_MS, for
+/// runs by hand, bounds the time that a server is listed too long.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -20,8 +23,11 @@
 #include <algorithm>
 #include <cstdlib>
 #include <iterator>
+#include <map>
+#include <mutex>
 #include <random>
 #include <set>
+#include <thread>
 
 using namespace canvaswick;
 using namespace canvaswick::platform;
@@ -33,6 +39,21 @@
 
 constexpr size_t ServerCount = 12;
 
+constexpr size_t SeedCount = 3;
+
+/// The halls of the daemons, by the seed of a run.
+const std::vector<std::vector<std::string>> HallPlans = {
+    {"h", "h", "h", "h", "g", "g"},
+    {"h", "h", "h", "h", "h", "g"},
+    {"h", "h", "a", "b", "c", "d"},
+};
+
+/// After this time a daemon that has started counts as in touch.
+constexpr Duration SettledTime = fromSeconds(3);
+
+/// Departures longer ago are not looked for any more.
+constexpr Duration WatchedTime = fromSeconds(30);
+
 int readSetting(const char *Name, int Default) {
   const char *Text = std::getenv(Name);
   return Text ? std::atoi(Text) : Default;
@@ -47,19 +68,101 @@
   return fmt::format("{}", fmt::join(Others, " "));
 }
 
+/// How long servers were listed that had left. Thread-safe.
+class DepartureLog {
+public:
+  void recordDeparture(const std::string &Id) {
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    this->LeftAt[Id] = readSteadyClock();
+  }
+
+  void recordStart(const std::string &Daemon) {
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    this->StartedAt[Daemon] = readSteadyClock();
+  }
+
+  /// Records what a daemon listed at a time before its answer was asked for.
+  void recordList(const std::string &Daemon, const std::set<std::string> &Names,
+                  TimePoint Asked) {
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    const bool IsSettled = Asked - this->StartedAt[Daemon] >= SettledTime;
+    for (const std::string &Name : Names) {
+      const auto Left = this->LeftAt.find(Name);
+      if (!IsSettled || Left == this->LeftAt.end() ||
+          Asked - Left->second <= this->Longest)
+        continue;
+      this->Longest = Asked - Left->second;
+      this->LongestAt = Daemon;
+    }
+    std::erase_if(this->LeftAt, [&](const auto &Each) {
+      return Asked - Each.second > WatchedTime;
+    });
+  }
+
+  Duration getLongest() const {
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    return this->Longest;
+  }
+
+  std::string getLongestAt() const {
+    std::lock_guard<std::mutex> Lock(this->Mutex);
+    return this->LongestAt;
+  }
+
+private:
+  mutable std::mutex Mutex;
+  std::map<std::string, TimePoint> LeftAt;
+  std::map<std::string, TimePoint> StartedAt;
+  Duration Longest{};
+  std::string LongestAt;
+};
+
 class SoakRun {
 public:
   explicit SoakRun(uint64_t Seed)
-      : Random(Seed), Fixture({"h", "h", "h", "h", "h", "g"}) {
+      : Random(Seed), Fixture(HallPlans[Seed % HallPlans.size()]) {
     this->Fixture.writeConfig(2);
     while (this->Listed.size() < ServerCount)
       this->addServer();
     for (const std::unique_ptr<Member> &Each : this->Fixture.Members)
       this->Fixture.waitFor(
           [&] { return this->listServers(*Each).size() > 0; });
+    this->setSeeds();
+    for (const std::unique_ptr<Member> &Each : this->Fixture.Members)
+      this->Departures.recordStart(Each->Config.Name);
   }
 
   void run(Duration Length) {
+    std::atomic<bool> IsOver{false};
+    std::thread Looking([&] {
+      while (!IsOver)
+        this->lookAtLists();
+    });
+    this->replaceServers(Length);
+    IsOver = true;
+    Looking.join();
+    this->checkConvergence();
+    MESSAGE("listed for ", toMillis(this->Departures.getLongest()),
+            " ms after it had left, at most, by ",
+            this->Departures.getLongestAt());
+    const int MaxMs = readSetting("SOAK_MAX_MS", 0);
+    if (MaxMs > 0)
+      CHECK(toMillis(this->Departures.getLongest()) < MaxMs);
+  }
+
+private:
+  /// Makes the first daemons the seeds of those that start again.
+  void setSeeds() {
+    std::vector<Endpoint> Seeds;
+    for (size_t I = 0; I < SeedCount; ++I)
+      Seeds.push_back(this->Fixture.Members[I]->Config.Control);
+    for (const std::unique_ptr<Member> &Each : this->Fixture.Members) {
+      Each->Config.Seeds = Seeds;
+      Each->Config.AloneWait = fromMillis(500);
+    }
+  }
+
+  void replaceServers(Duration Length) {
     const TimePoint Until = readSteadyClock() + Length;
     while (readSteadyClock() < Until) {
       this->replaceServer();
@@ -70,6 +173,9 @@
       std::this_thread::sleep_for(
           std::chrono::milliseconds(this->draw(20, 250)));
     }
+  }
+
+  void checkConvergence() {
     const TimePoint GiveUpAt = readSteadyClock() + ConvergenceTime;
     while (!this->hasConverged() && readSteadyClock() < GiveUpAt)
       std::this_thread::sleep_for(std::chrono::milliseconds(50));
@@ -81,7 +187,15 @@
     }
   }
 
-private:
+  void lookAtLists() {
+    for (const std::unique_ptr<Member> &Each : this->Fixture.Members) {
+      const TimePoint Asked = readSteadyClock();
+      this->Departures.recordList(Each->Config.Name, this->listServers(*Each),
+                                  Asked);
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+
   int draw(int Min, int Max) {
     return std::uniform_int_distribution<int>(Min, Max)(this->Random);
   }
@@ -113,6 +227,7 @@
     if (this->draw(0, 1) == 0)
       this->writeServer(Id, "draining");
     this->Fixture.Store.remove("servers/" + Id);
+    this->Departures.recordDeparture(Id);
     this->Listed.erase(Id);
     this->addServer();
   }
@@ -126,8 +241,10 @@
         Chosen.push_back(Each.get());
     for (Member *Each : Chosen)
       Each->stop();
-    for (Member *Each : Chosen)
+    for (Member *Each : Chosen) {
       Each->start();
+      this->Departures.recordStart(Each->Config.Name);
+    }
   }
 
   /// Returns the names of the servers that a daemon uses.
@@ -153,6 +270,7 @@
 
   std::mt19937_64 Random;
   Hall Fixture;
+  DepartureLog Departures;
   /// The servers that the store lists.
   std::set<std::string> Listed;
   int LastId = 0;
