A stop goes by the grace time that was last loaded

Cause: the proxy went by the grace time of the daemon's start, the process by the new one. Ruled out: that the file was not loaded (the log has grace-ms=6000), and that requests came later than was allowed (refused at once with a start at 6 s). The mend: below canvaswickd nothing holds a grace time. Who begins a stop says when the process is ended. DaemonConfigFile reads the file once more at SIGTERM, since it may change without a signal.

--- a/include/canvaswick/Daemon/Gateway.h
+++ b/include/canvaswick/Daemon/Gateway.h
@@ -70,8 +70,9 @@
   /// Changes the limit on retries for the whole fleet.
   void setRetryLimit(const FleetRetryLimit &Limit);
 
-  /// Fails readiness checks. Responses from now on close their connections.
-  void beginStop();
+  /// Fails readiness checks. Responses from now on close their connections, and
+  /// all requests get theirs before KilledAt, when the process is ended.
+  void beginStop(TimePoint KilledAt);
 
   /// Waits for requests in flight, then stops. Returns whether all of them
   /// ended before Deadline. A second call does nothing and returns true, and a
--- a/lib/Daemon/Gateway.cpp
+++ b/lib/Daemon/Gateway.cpp
@@ -266,9 +266,9 @@
   this->Proxy.getQuarantine().forgetOld(Now);
 }
 
-void Gateway::Impl::beginStop() {
+void Gateway::Impl::beginStop(TimePoint KilledAt) {
   this->IsStopping = true;
-  this->Proxy.beginStop(readSteadyClock() + this->Config.Grace - StopMargin);
+  this->Proxy.beginStop(KilledAt - StopMargin);
   this->Callers->beginClosing();
   this->TunnelAnswers.beginStop();
   logInfo("daemon-stopping", "in-flight={}", this->Callers->countInFlight());
@@ -336,7 +336,9 @@
   this->Implementation->stopWaitingForSettings();
 }
 
-void Gateway::beginStop() { this->Implementation->beginStop(); }
+void Gateway::beginStop(TimePoint KilledAt) {
+  this->Implementation->beginStop(KilledAt);
+}
 
 bool Gateway::finishStop(TimePoint Deadline) {
   return this->Implementation->finishStop(Deadline);
--- a/lib/Daemon/GatewayImpl.h
+++ b/lib/Daemon/GatewayImpl.h
@@ -50,7 +50,7 @@
   }
   void setStoreState(const StoreState &State, bool ShouldNotify);
   void stopWaitingForSettings();
-  void beginStop();
+  void beginStop(TimePoint KilledAt);
   bool finishStop(TimePoint Deadline);
 
   ChangesSource Source;
--- a/tools/canvaswickd/canvaswickd.cpp
+++ b/tools/canvaswickd/canvaswickd.cpp
@@ -13,6 +13,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Daemon/Daemon.h"
+#include "canvaswick/Settings/DaemonConfigFile.h"
 #include "canvaswick/Settings/SettingsTree.h"
 #include "canvaswick/Support/Log.h"
 #include "canvaswick/Tool/Program.h"
@@ -88,37 +89,16 @@
 /// a signal.
 static constexpr int64_t FileCheckMillis = 1000;
 
-/// Applies the new content of the settings file if it is valid.
-static void reloadSettings(platform::PlatformDaemon &Server,
-                           const std::string &Path, DaemonConfig &Current) {
-  Result<DaemonConfig> Loaded = loadDaemonConfig(Path);
-  if (!Loaded) {
-    logError("reload-refused", "what={:?}", Loaded.error().Message);
-    return;
-  }
-  Server.reload(Loaded.value());
-  Current = Loaded.value();
-  logInfo("reloaded", "file={} grace-ms={} floor-percent={}", Path,
-          toMillis(Current.Grace), Current.FloorPercent);
-}
-
-/// Serves until a stop signal arrives. Returns the grace period in force at
-/// that time.
-static Duration serveUntilStopped(platform::PlatformDaemon &Server,
-                                  DaemonConfig Current) {
-  const std::string Path = findSettingsPath();
-  std::string Content = readFile(Path).value();
+/// Serves until a stop signal arrives. The settings then in force are those of
+/// the file at that time.
+static void serveUntilStopped(platform::PlatformDaemon &Server,
+                              DaemonConfigFile &File) {
   while (true) {
     const ProcessSignal Signal = waitForSignal(FileCheckMillis);
+    if (File.refresh(Signal == ProcessSignal::Reload))
+      Server.reload(File.getConfig());
     if (Signal == ProcessSignal::Stop)
-      return Current.Grace;
-    Result<std::string> Now = readFile(Path);
-    const bool IsChanged = Now && Now.value() != Content;
-    if (Signal == ProcessSignal::None && !IsChanged)
-      continue;
-    if (Now)
-      Content = Now.value();
-    reloadSettings(Server, Path, Current);
+      return;
   }
 }
 
@@ -131,13 +111,15 @@
     printError(ProgramName, Started.error());
     return toInt(ExitCode::Failure);
   }
-  const Duration Grace = serveUntilStopped(Server, Config);
-  const TimePoint Deadline = readSteadyClock() + Grace - ExitMargin;
-  Server.beginStop();
+  DaemonConfigFile File(findSettingsPath(), Config);
+  serveUntilStopped(Server, File);
+  const Duration Grace = File.getConfig().Grace;
+  const TimePoint KilledAt = readSteadyClock() + Grace;
+  Server.beginStop(KilledAt);
   const Duration Accepting = std::min(
       MaxAcceptingTime, fromSeconds(toSeconds(Grace) * AcceptingFraction));
   waitForSecondStopSignal(toMillis(Accepting));
-  const bool AllEnded = Server.finishStop(Deadline);
+  const bool AllEnded = Server.finishStop(KilledAt - ExitMargin);
   stopLogWriter();
   // Threads that still wait for the store or a request end with the process.
   std::_Exit(toInt(AllEnded ? ExitCode::Success : ExitCode::DrainIncomplete));
--- a/unittests/PlannedStop/PlannedStopTest.cpp
+++ b/unittests/PlannedStop/PlannedStopTest.cpp
@@ -24,7 +24,7 @@
   DaemonFixture Fixture(fromMillis(1200));
   Fixture.startServing();
   Fixture.setBehaviours(Behaviour::Slow);
-  Fixture.Daemon->beginStop();
+  Fixture.beginStop();
   const TimePoint StartTime = readSteadyClock();
   // The server takes longer than the daemon has left; the caller would wait.
   const ExchangeResult Result = Fixture.sendRequest("POST", "/pay/1", "x");
@@ -44,7 +44,7 @@
   DaemonFixture Fixture(fromMillis(2500));
   Fixture.startServing();
   Fixture.setBehaviours(Behaviour::Slow);
-  Fixture.Daemon->beginStop();
+  Fixture.beginStop();
   ExchangeResult First;
   std::thread Caller(
       [&] { First = Fixture.sendRequest("POST", "/pay/1", "x"); });
@@ -62,3 +62,18 @@
   // The request that was accepted before is served.
   CHECK(First.Status == 200);
 }
+
+// Guards against a stop that goes by the grace time of the daemon's start: what
+// it accepted late ran, and its connection ended without an answer (LOST).
+TEST_CASE("a stop goes by the grace time that was last loaded") {
+  DaemonFixture Fixture(fromSeconds(10));
+  Fixture.startServing();
+  Fixture.setBehaviours(Behaviour::Slow);
+  Fixture.Config.Grace = fromMillis(1200);
+  Fixture.Daemon->reload(Fixture.Config);
+  Fixture.beginStop();
+  const TimePoint StartTime = readSteadyClock();
+  const ExchangeResult Result = Fixture.sendRequest("POST", "/pay/1", "x");
+  CHECK(Result.Status == 504);
+  CHECK(readSteadyClock() - StartTime < Fixture.Config.Grace);
+}
--- a/unittests/PlatformAdapter/PlatformDaemonTest.cpp
+++ b/unittests/PlatformAdapter/PlatformDaemonTest.cpp
@@ -125,7 +125,7 @@
       [&] { return Fixture.One.Arrivals + Fixture.Two.Arrivals == 9; });
   // A daemon that is stopping leaves the request with its server until the
   // deadline.
-  Fixture.Daemon->beginStop();
+  Fixture.beginStop();
   Caller.join();
   CHECK(Result.Status == 504);
   CHECK(Fixture.readMetrics().find("canvaswick_repeats 0\n") !=
@@ -207,7 +207,7 @@
     "a planned stop fails the readiness check and still answers requests") {
   DaemonFixture Fixture;
   Fixture.startServing();
-  Fixture.Daemon->beginStop();
+  Fixture.beginStop();
   CHECK(Fixture.getReadyStatus() == 503);
   const ExchangeResult Late = Fixture.sendRequest("GET", "/x/1");
   CHECK(Late.Status == 200);
@@ -228,7 +228,7 @@
   Fixture.waitFor(
       [&] { return Fixture.One.Arrivals + Fixture.Two.Arrivals == 1; });
   if (Arrivals == 1)
-    Fixture.Daemon->beginStop();
+    Fixture.beginStop();
   Caller.join();
   CHECK(Fixture.One.Arrivals + Fixture.Two.Arrivals == Arrivals);
   if (Arrivals == 1)
--- a/unittests/PlatformAdapter/PlatformFixture.h
+++ b/unittests/PlatformAdapter/PlatformFixture.h
@@ -275,6 +275,11 @@
     return this->sendRequestTo(this->Config.Callers, Method, Target, Body);
   }
 
+  /// Begins a planned stop that lasts as long as the settings say.
+  void beginStop() {
+    this->Daemon->beginStop(readSteadyClock() + this->Config.Grace);
+  }
+
   int getReadyStatus() {
     return this->get(this->Config.Ready, "/ready").Status;
   }
