A silent server is awaited where nobody else can give the answer

Cause: stall-ms, made for downloads whose server freezes, ended every answer after 5 s without a byte, also where no other server could be asked. The mend: when the limit has passed, the proxy leaves the server only if another one can give the answer or its rest (repeatable, resumable or not begun, an attempt and a repeat left, no stop), and takes the repeat first. Otherwise it waits on, as long as the request has time. The head of a resumed answer goes by the same rule.

--- a/include/canvaswick/Http/HttpClient.h
+++ b/include/canvaswick/Http/HttpClient.h
@@ -78,6 +78,10 @@
   /// deadline of the head.
   Duration StallLimit = Duration::zero();
   TimePoint BodyDeadline = TimePoint::max();
+  /// Called when the stall limit has passed, with the time without a byte.
+  /// Returns how much longer to wait for one; the request times out if that is
+  /// nothing.
+  std::function<Duration(Duration)> ExtendStall;
   /// Called whenever a part of a collected body has arrived, unless empty.
   std::function<void()> OnBodyPart;
   /// Called when the deadline for the head has passed. Returns the new
--- a/include/canvaswick/Http/SocketStream.h
+++ b/include/canvaswick/Http/SocketStream.h
@@ -57,6 +57,11 @@
   /// Makes a single wait for the peer fail after Limit. Zero disables this.
   void setStallLimit(Duration Limit);
 
+  /// Sets a function that is called when nothing has happened for the stall
+  /// limit, with the time for which that is so. Returns how much longer to
+  /// wait; zero or less ends the wait. Null: the stall limit ends it.
+  void setStallExtension(std::function<Duration(Duration)> Extend);
+
   /// Makes reads and writes fail as soon as the peer of Descriptor disconnects.
   /// -1 disables this.
   void watchHangUp(int Descriptor);
@@ -134,6 +139,7 @@
 private:
   bool waitFor(short Events);
   bool extendDeadline();
+  TimePoint extendWait(TimePoint Began, TimePoint Until);
   ssize_t fill();
   bool takeReceived(size_t Count);
   ssize_t endInput(bool IsClosed);
@@ -145,6 +151,7 @@
   TimePoint Deadline = TimePoint::max();
   std::function<TimePoint()> Extend;
   Duration StallLimit = Duration::zero();
+  std::function<Duration(Duration)> ExtendStall;
   std::string Buffer;
   size_t BufferAt = 0;
   bool IsTunnel = false;
--- a/include/canvaswick/Proxy/RequestProxy.h
+++ b/include/canvaswick/Proxy/RequestProxy.h
@@ -163,6 +163,11 @@
                                   bool &IsSoftDeadline) const;
   TimePoint extendSoftDeadline(RequestContext &Request, const Attempt &Current,
                                bool &IsSoftDeadline);
+  static Duration getLongestSilence(const RequestContext &Request);
+  bool mayLeaveSilent(RequestContext &Request, const ResponseRelay &Relay,
+                      TimePoint Now);
+  Duration extendStall(RequestContext &Request, const ResponseRelay &Relay,
+                       Duration Silent);
   bool takeRetry(RequestContext &Request, bool IsNotRun, TimePoint Now);
   bool mayRetry(RequestContext &Request, const ResponseRelay &Relay);
   bool takeNextRetry(RequestContext &Request);
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -226,12 +226,14 @@
   Stream->beginMessage();
   Stream->setDeadline(Deadline);
   Stream->setDeadlineExtension(Outgoing.ExtendDeadline);
+  Stream->setStallExtension(Outgoing.ExtendStall);
   Stream->watchHangUp(HangUp);
   RequestExchange Exchange(*Stream, Endpoint, Outgoing, Sink);
   Exchange.run(Result);
   Stream->watchHangUp(-1);
   Stream->setStallLimit(Duration::zero());
   Stream->setDeadlineExtension(nullptr);
+  Stream->setStallExtension(nullptr);
   Result.WasTunnelLost = Stream->getFailure() == StreamFailure::TunnelLost;
   const httplib::Response &Response = Exchange.getResponse();
   // A request that may run once must not find a late repeat of a rejection.
--- a/lib/Http/SocketStream.cpp
+++ b/lib/Http/SocketStream.cpp
@@ -59,6 +59,22 @@
 
 void SocketStream::setStallLimit(Duration Limit) { this->StallLimit = Limit; }
 
+void SocketStream::setStallExtension(std::function<Duration(Duration)> Extend) {
+  this->ExtendStall = std::move(Extend);
+}
+
+/// Returns until when to wait after a wait that began at Began has reached
+/// Until, or Until if it is over.
+TimePoint SocketStream::extendWait(TimePoint Began, TimePoint Until) {
+  if (Until == this->Deadline)
+    return this->extendDeadline() ? this->Deadline : Until;
+  if (!this->ExtendStall)
+    return Until;
+  const TimePoint Now = readSteadyClock();
+  const Duration More = this->ExtendStall(Now - Began);
+  return More > Duration::zero() ? std::min(this->Deadline, Now + More) : Until;
+}
+
 void SocketStream::watchHangUp(int Descriptor) {
   this->WatchedDescriptor = Descriptor;
 }
@@ -103,14 +119,18 @@
 /// failure otherwise.
 bool SocketStream::waitFor(short Events) {
   TimePoint Until = this->Deadline;
-  if (this->StallLimit > Duration::zero())
-    Until = std::min(Until, readSteadyClock() + this->StallLimit);
+  TimePoint Began{};
+  if (this->StallLimit > Duration::zero()) {
+    Began = readSteadyClock();
+    Until = std::min(Until, Began + this->StallLimit);
+  }
   while (true) {
     const Duration Left = Until == TimePoint::max() ? fromSeconds(3600)
                                                     : Until - readSteadyClock();
     if (Left <= Duration::zero()) {
-      if (Until == this->Deadline && this->extendDeadline()) {
-        Until = this->Deadline;
+      const TimePoint Later = this->extendWait(Began, Until);
+      if (Later > Until) {
+        Until = Later;
         continue;
       }
       this->Failure = StreamFailure::Timeout;
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -328,6 +328,9 @@
     Outgoing.ExtendDeadline = [this, &Request, &Current, &IsSoftDeadline] {
       return this->extendSoftDeadline(Request, Current, IsSoftDeadline);
     };
+  Outgoing.ExtendStall = [this, &Request, &Relay](Duration Silent) {
+    return this->extendStall(Request, Relay, Silent);
+  };
   // A claimed request runs only once, so that its response is needed even if
   // this caller has disconnected.
   const bool MayCancel = Request.IsBodyBuffered && !Request.HasClaim;
--- a/lib/Proxy/RequestRetries.cpp
+++ b/lib/Proxy/RequestRetries.cpp
@@ -34,6 +34,14 @@
   return Configured > 0 ? std::min(Configured, MaxAttempts) : MaxAttempts;
 }
 
+/// Returns how long a server may be silent within an answer at most: the whole
+/// time of a request, or the service's limit if that is longer. What ends an
+/// answer sooner loses work that the server has done.
+Duration RequestProxy::getLongestSilence(const RequestContext &Request) {
+  return std::max(fromMillis(Request.Service->getConfig().StallMs),
+                  Request.Deadline - Request.Began);
+}
+
 /// Returns the deadline of an attempt. It is a soft deadline if the request can
 /// be retried: a slow request is sent to another server while that can still
 /// help.
@@ -43,8 +51,11 @@
                                               bool &IsSoftDeadline) const {
   IsSoftDeadline = false;
   // A resumed response needs a deadline for its head.
-  if (Relay.hasBegun())
-    return Now + fromMillis(Request.Service->getConfig().StallMs);
+  if (Relay.hasBegun()) {
+    const TimePoint Until = Now + getLongestSilence(Request);
+    return Request.HasCallerDeadline ? std::min(Until, Request.Deadline)
+                                     : Until;
+  }
   const bool IsLast = Request.AttemptCount + 1 >= this->getMaxAttempts(Request);
   if (IsLast || !Request.IsBodyBuffered || !isRetryable(*Request.Route))
     return Request.Deadline;
@@ -87,6 +98,33 @@
   return Request.Deadline;
 }
 
+/// Returns whether an attempt may be given up because its server has fallen
+/// silent within the answer: another server can give the answer or the rest of
+/// it, and a retry has been taken for that. A daemon that is stopping does not
+/// leave servers that are at work.
+bool RequestProxy::mayLeaveSilent(RequestContext &Request,
+                                  const ResponseRelay &Relay, TimePoint Now) {
+  if (this->IsStopping || !isRetryable(*Request.Route) ||
+      Request.AttemptCount + 1 >= this->getMaxAttempts(Request))
+    return false;
+  const bool HasWay =
+      Relay.hasBegun() ? Relay.canResume() : Request.IsBodyBuffered;
+  return HasWay &&
+         (Request.Permit.isHeld() || this->takeRetry(Request, false, Now));
+}
+
+/// Called when a server has been silent within its answer for the stall limit
+/// of the service, and again after each further one. Returns how much longer to
+/// wait.
+Duration RequestProxy::extendStall(RequestContext &Request,
+                                   const ResponseRelay &Relay,
+                                   Duration Silent) {
+  if (this->mayLeaveSilent(Request, Relay, readSteadyClock()))
+    return Duration::zero();
+  return std::min(fromMillis(Request.Service->getConfig().StallMs),
+                  getLongestSilence(Request) - Silent);
+}
+
 /// Takes a retry for the request from this daemon's budget, or borrows one from
 /// a peer. Returns whether the request holds one. IsNotRun: the server declined
 /// to run the request.
@@ -110,7 +148,8 @@
   if (Relay.hasBegun())
     return isRetryable(*Request.Route) && Relay.canResume() &&
            this->isKeyInForce(Request) &&
-           this->takeRetry(Request, false, readSteadyClock());
+           (Request.Permit.isHeld() ||
+            this->takeRetry(Request, false, readSteadyClock()));
   return !Request.WasBodySent && this->isKeyInForce(Request) &&
          this->takeNextRetry(Request);
 }
--- a/lib/Settings/SettingTable.cpp
+++ b/lib/Settings/SettingTable.cpp
@@ -70,7 +70,8 @@
     {SettingKey::DeadlineMs, "deadline-ms", Service, SettingType::Integer, 1, HourMs, "10000", "ms", nullptr,
      "Time within which a request must be answered when its caller states none."},
     {SettingKey::StallMs, "stall-ms", Service, SettingType::Integer, 1, HourMs, "5000", "ms", nullptr,
-     "Time without a byte after which a body counts as stalled."},
+     "Time without a byte of an answer after which another backend server is asked for it, or for the rest, if that is "
+     "possible and a repeat is left."},
     {SettingKey::SlowAfterMs, "slow-after-ms", Service, SettingType::Integer, 0, HourMs, "0", "ms", nullptr,
      "An answer later than this counts as slow. 0: three times the service's usual time."},
     {SettingKey::ColdStartMs, "cold-start-ms", Service, SettingType::Integer, 0, HourMs, "10000", "ms", nullptr,
--- a/unittests/Proxy/RawBackend.h
+++ b/unittests/Proxy/RawBackend.h
@@ -242,16 +242,18 @@
 public:
   using Handler = std::function<void(RawSocket &)>;
 
-  explicit RawProxy(Handler Serve, const ProxyOptions &Options = {})
+  /// ServiceKeys are further settings of the service.
+  explicit RawProxy(Handler Serve, const ProxyOptions &Options = {},
+                    const std::string &ServiceKeys = "")
       : ProxyFixture("", 3, "", Options), Raw(std::move(Serve)) {
     Result<SettingsTree> Tree = SettingsTree::parse(
         fmt::format("[region r]\n[service s]\nregion = r\nfloor-percent = 0\n"
-                    "[server s/b1]\naddress = 127.0.0.1:{0}\nhall = a\n"
+                    "{1}[server s/b1]\naddress = 127.0.0.1:{0}\nhall = a\n"
                     "[server s/b2]\naddress = 127.0.0.1:{0}\nhall = a\n"
                     "[route read]\nprefix = /\nservice = s\n"
                     "[route once]\nprefix = /once\nservice = s\n"
                     "class = once\n",
-                    this->Raw.getPort()),
+                    this->Raw.getPort(), ServiceKeys),
         "test.ini");
     REQUIRE(Tree);
     this->setConfig(compileFleetConfig(Tree.value(), 99));
