No connection on which a request was rejected carries another one

A server had rejected a look-up twice, the second time late, and the second rejection, which carries no id, was taken for the answer to the once-only request that had been sent on the same connection meanwhile. Cause: an answer is attributed by where it arrives. The own interface used any kept connection, and answers carry no id there: a late 200 was taken, too. Ruled out: the relay's check of ids (a copy with an id is an unknown outcome). The mend: who may say that a request did not run (408, 421, 429, 503; one predicate, which the relay asks too) closes the connection; once-only requests use a connection again only after a success; on the own interface they always go on a new one.

--- a/include/canvaswick/Http/HttpClient.h
+++ b/include/canvaswick/Http/HttpClient.h
@@ -52,6 +52,10 @@
 /// Returns the name of End as it appears in logs and reports.
 const char *getName(ExchangeEnd End);
 
+/// Returns whether a response of this status may say that its request did not
+/// run.
+bool isRejection(int Status);
+
 /// Callbacks that receive a response as it arrives.
 struct AnswerSink {
   /// Called once with the status and headers. Returning false cancels the
@@ -100,7 +104,8 @@
   /// Uses a new connection and closes it after the exchange.
   bool WantsFreshConnection = false;
   /// The longest idle time of a kept connection that may be used. If it is
-  /// limited, the connection is kept for no longer after the exchange.
+  /// limited, the connection must have been left after a success, and is kept
+  /// for no longer after the exchange.
   Duration MaxIdle = Duration::max();
   /// Connects to the server through a peer. Such a connection is new and is
   /// closed after the exchange.
@@ -177,6 +182,8 @@
     /// The time at which the server may close the connection, according to its
     /// Keep-Alive header.
     TimePoint Until;
+    /// Whether the last response on it was a success.
+    bool IsAfterSuccess = false;
   };
   struct Address {
     /// The server instance to which the idle connections lead.
@@ -200,7 +207,7 @@
   takeIdle(Address &Entry, Duration MaxIdle, TimePoint Now);
   void setServerInstance(Address &Entry, const std::string &ServerInstance);
   void giveBack(const Endpoint &Endpoint, const std::string &ServerInstance,
-                std::unique_ptr<SocketStream> Stream, Duration IdleLimit);
+                IdleConnection Left);
   void drop(const Endpoint &Endpoint, std::unique_ptr<SocketStream> Stream);
 
   const size_t PerAddress;
--- a/include/canvaswick/Proxy/ProxyOptions.h
+++ b/include/canvaswick/Proxy/ProxyOptions.h
@@ -81,11 +81,13 @@
   /// The longest body of a response that states no length. One that is longer
   /// has no end, and is cut.
   uint64_t MaxUnsizedAnswerBytes = uint64_t(1) << 30;
-  /// Whether requests that must not run twice use a new connection, which
-  /// proves that the server is reachable before anything is sent.
-  bool UsesFreshConnections = false;
+  /// Whether requests that must not run twice use a new connection. It proves
+  /// that the server is reachable before anything is sent, and no late response
+  /// to another request arrives on it.
+  bool UsesFreshConnections = true;
   /// The idle time in milliseconds up to which such a request may use a kept
-  /// connection nevertheless. 0: never.
+  /// connection nevertheless, in services with many servers and after a
+  /// success. Responses must then carry the id of their request. 0: never.
   int MaxRecentIdleMs = 0;
   /// Timeout for a connection to a server, in milliseconds.
   int ConnectMs = 1000;
--- a/include/canvaswick/Proxy/RequestProxy.h
+++ b/include/canvaswick/Proxy/RequestProxy.h
@@ -71,13 +71,13 @@
     this->BorrowRetry = std::move(Source);
   }
 
-  /// Called on the request's thread after an attempt has begun or ended.
   /// Sets the last time at which the list of servers was not outdated, as far
   /// as is known. Thread-safe.
   void setListCurrentTime(TimePoint Time) { this->ListCurrentAt = Time; }
 
   TimePoint getListCurrentTime() const { return this->ListCurrentAt; }
 
+  /// Called on the request's thread after an attempt has begun or ended.
   using AttemptListener = std::function<void(TimePoint)>;
 
   /// Sets the listener for attempts. Must be called before the first request.
--- a/lib/Http/HttpClient.cpp
+++ b/lib/Http/HttpClient.cpp
@@ -37,6 +37,12 @@
   return getEnumName(ExchangeEndNames, End);
 }
 
+bool isRejection(int Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
+static constexpr int FirstFailureStatus = 400;
+
 /// Fraction of the idle timeout announced by a server during which a connection
 /// is reused.
 static constexpr double IdleTimeoutFraction = 0.8;
@@ -74,8 +80,10 @@
 /// the mutex.
 std::unique_ptr<SocketStream>
 ConnectionPool::takeIdle(Address &Entry, Duration MaxIdle, TimePoint Now) {
+  const bool TakesAny = MaxIdle == Duration::max();
   // The last one has been idle for the shortest time.
-  while (!Entry.Idle.empty() && Now - Entry.Idle.back().Since <= MaxIdle) {
+  while (!Entry.Idle.empty() && Now - Entry.Idle.back().Since <= MaxIdle &&
+         (TakesAny || Entry.Idle.back().IsAfterSuccess)) {
     const bool IsKept = Now < Entry.Idle.back().Until;
     std::unique_ptr<SocketStream> Stream = std::move(Entry.Idle.back().Stream);
     Entry.Idle.pop_back();
@@ -173,13 +181,11 @@
 
 void ConnectionPool::giveBack(const Endpoint &Endpoint,
                               const std::string &ServerInstance,
-                              std::unique_ptr<SocketStream> Stream,
-                              Duration IdleLimit) {
-  const TimePoint Now = readSteadyClock();
+                              IdleConnection Left) {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   Address &Entry = this->Addresses[Endpoint.format()];
   if (Entry.ServerInstance == ServerInstance)
-    Entry.Idle.push_back({std::move(Stream), Now, Now + IdleLimit});
+    Entry.Idle.push_back(std::move(Left));
   else
     --Entry.Open;
 }
@@ -236,17 +242,22 @@
   Stream->setStallExtension(nullptr);
   Result.WasTunnelLost = Stream->getFailure() == StreamFailure::TunnelLost;
   const httplib::Response &Response = Exchange.getResponse();
-  // A request that may run once must not find a late repeat of a rejection.
-  const bool MayKeep =
-      Outgoing.MaxIdle == Duration::max() || Response.status < 400;
-  const bool IsReusable = Exchange.allowsReuse() && MayKeep &&
+  // A late repeat of a rejection must not be found by the next request, of
+  // which it would say the same.
+  const bool IsReusable = Exchange.allowsReuse() &&
+                          !isRejection(Response.status) &&
                           !Outgoing.WantsFreshConnection && !Outgoing.Through &&
                           !Stream->hasUnexpectedInput();
-  if (IsReusable)
-    this->giveBack(Endpoint, Outgoing.ServerInstance, std::move(Stream),
-                   std::min(parseIdleLimit(Response), Outgoing.MaxIdle));
-  else
+  if (!IsReusable) {
     this->drop(Endpoint, std::move(Stream));
+    return Result;
+  }
+  const TimePoint Now = readSteadyClock();
+  const Duration IdleLimit =
+      std::min(parseIdleLimit(Response), Outgoing.MaxIdle);
+  this->giveBack(Endpoint, Outgoing.ServerInstance,
+                 {std::move(Stream), Now, Now + IdleLimit,
+                  Response.status < FirstFailureStatus});
   return Result;
 }
 
--- a/lib/Proxy/ResponseRelay.cpp
+++ b/lib/Proxy/ResponseRelay.cpp
@@ -81,13 +81,6 @@
   this->IsCopyTruncated = false;
 }
 
-/// Returns whether a status tells the caller that its request was not run. Only
-/// a server that marks its response with the NotRun header may report that.
-static bool impliesNotRun(int Status) {
-  return Status == 408 || Status == MisdirectedStatus || Status == 429 ||
-         Status == 503;
-}
-
 /// Returns whether a response provably comes from the server itself and is not
 /// encoded.
 bool ResponseRelay::isAuthentic(const httplib::Response &Response) const {
@@ -96,7 +89,8 @@
   // Requests never ask for a content encoding.
   if (Response.has_header("Content-Encoding"))
     return false;
-  if (impliesNotRun(Response.status))
+  // Only a server that marks its response may report that.
+  if (isRejection(Response.status))
     return false;
   const bool IsSuccess = Response.status >= 200 && Response.status < 300;
   return !IsSuccess || (hasSingleValue(Response, this->Names.AnswerProof) &&
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -18,6 +18,8 @@
 
 #include <doctest/doctest.h>
 
+#include <fmt/format.h>
+
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -105,6 +107,39 @@
   }
 }
 
+// Guards against a request that is run although its caller has closed.
+TEST_CASE("nothing that follows a request which asks for the close is run, "
+          "however that is answered") {
+  const std::string Next = "GET /next HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (const int Status : {200, 404, 503}) {
+    CAPTURE(Status);
+    std::atomic<int> Runs{0};
+    HttpServer Server(HttpServerLimits(), [&](HttpExchange &Exchange) {
+      ++Runs;
+      Exchange.Response.status = Status;
+    });
+    REQUIRE(Server.start({"127.0.0.1", 0}));
+    const std::string Answer =
+        readUntilClosed(Server, "GET / HTTP/1.1\r\nHost: h\r\n"
+                                "Connection: close\r\n\r\n" +
+                                    Next);
+    CHECK(Answer.starts_with(fmt::format("HTTP/1.1 {}", Status)));
+    CHECK(Answer.find("\r\nConnection: close\r\n") != std::string::npos);
+    CHECK(Answer.find("HTTP/1.1", 1) == std::string::npos);
+    CHECK(Runs == 1);
+  }
+  Gate Open{HttpServerLimits()};
+  Open.IsOpen = true;
+  const std::string Refused = readUntilClosed(
+      Open.Server, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                   "Content-Length: 1\r\nContent-Length: 2\r\n\r\n" +
+                       Next);
+  CHECK(Refused.starts_with("HTTP/1.1 400"));
+  CHECK(Refused.find("\r\nConnection: close\r\n") != std::string::npos);
+  CHECK(Refused.find("HTTP/1.1", 1) == std::string::npos);
+  CHECK(Open.Entered == 0);
+}
+
 TEST_CASE("a burst of connections is accepted completely") {
   // The connections of a burst must wait in the listen queue of the kernel.
   HttpServerLimits Limits;
--- a/unittests/Http/KeptConnectionTest.cpp
+++ b/unittests/Http/KeptConnectionTest.cpp
@@ -15,6 +15,7 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <thread>
 
 using namespace canvaswick;
@@ -78,6 +79,35 @@
   CHECK(Pool.countOpen(Address) == 1);
 }
 
+// Guards against a late repeat of a response that is taken for the response to
+// the next request.
+TEST_CASE("a connection is left to others by what was answered on it") {
+  std::atomic<int> Status{200};
+  HttpServer Server(HttpServerLimits(), [&](HttpExchange &Exchange) {
+    Exchange.Response.status = Status;
+    Exchange.Response.set_content("x", "text/plain");
+  });
+  REQUIRE(Server.start({"127.0.0.1", 0}));
+  const Endpoint Address{"127.0.0.1", Server.getPort()};
+  for (const int Each : {200, 404, 500, 408, 421, 429, 503}) {
+    CAPTURE(Each);
+    Status = Each;
+    ConnectionPool Pool(0);
+    const auto Send = [&](Duration MaxIdle) {
+      OutgoingRequest Request;
+      Request.MaxIdle = MaxIdle;
+      return Pool.exchange(Address, Request, readSteadyClock() + fromSeconds(5),
+                           -1, nullptr);
+    };
+    REQUIRE(Send(Duration::max()).Status == Each);
+    const bool IsRejection =
+        Each == 408 || Each == 421 || Each == 429 || Each == 503;
+    CHECK(Pool.countOpen(Address) == (IsRejection ? 0 : 1));
+    CHECK(Send(fromSeconds(100)).WasKept == (Each == 200));
+    CHECK(Send(Duration::max()).WasKept == !IsRejection);
+  }
+}
+
 TEST_CASE("a recent connection that its server has closed is not used") {
   auto Server = std::make_unique<HttpServer>(
       HttpServerLimits(), [&](HttpExchange &Exchange) {
--- a/unittests/Proxy/RequestProxyTest.cpp
+++ b/unittests/Proxy/RequestProxyTest.cpp
@@ -308,7 +308,6 @@
 
 TEST_CASE("once-only requests share a connection if they follow closely") {
   ProxyOptions Options;
-  Options.UsesFreshConnections = true;
   CHECK(leavesOpenAfterPaying(Options, Duration::zero(), 0, 0));
   Options.MaxRecentIdleMs = 60'000;
   CHECK(leavesOpenAfterPaying(Options, fromMillis(20), 1, 2));
