A settings file that changes while the daemon starts is noticed

Cause: canvaswickd took the file's content for comparison after the daemon had started. A change without a signal in between, which takes up to seconds, was what the file was compared with, and never loaded. Seen by reading the change before; no caller reported it, and no test plays the window itself. DaemonConfigFile now reads the content before it loads the settings, so that a change after that is seen the next time; its tests (loaded with and without a signal, refused files) are as before.

--- a/include/canvaswick/Settings/DaemonConfigFile.h
+++ b/include/canvaswick/Settings/DaemonConfigFile.h
@@ -24,8 +24,8 @@
 /// Holds the configuration that was last loaded. Not thread-safe.
 class DaemonConfigFile {
 public:
-  /// Loaded is what the file at Path held just before.
-  DaemonConfigFile(std::string Path, DaemonConfig Loaded);
+  /// Loads the file at Path. Fails as loadDaemonConfig does.
+  static Result<DaemonConfigFile> load(const std::string &Path);
 
   /// Loads the file if it has changed, or in any case if MustLoad is set. A
   /// file that cannot be used leaves the configuration as it is and is logged.
@@ -35,8 +35,11 @@
   const DaemonConfig &getConfig() const { return this->Config; }
 
 private:
-  const std::string Path;
-  /// What was last read, also if it could not be used.
+  DaemonConfigFile(std::string Path, std::string Content, DaemonConfig Config);
+
+  std::string Path;
+  /// What was last read, also if it could not be used. It is read before the
+  /// file is loaded: a change in between is seen the next time.
   std::string Content;
   DaemonConfig Config;
 };
--- a/lib/Settings/DaemonConfigFile.cpp
+++ b/lib/Settings/DaemonConfigFile.cpp
@@ -19,10 +19,16 @@
 
 namespace canvaswick {
 
-DaemonConfigFile::DaemonConfigFile(std::string Path, DaemonConfig Loaded)
-    : Path(std::move(Path)), Config(std::move(Loaded)) {
-  if (Result<std::string> Text = readFile(this->Path))
-    this->Content = std::move(Text.value());
+DaemonConfigFile::DaemonConfigFile(std::string Path, std::string Content,
+                                   DaemonConfig Config)
+    : Path(std::move(Path)), Content(std::move(Content)),
+      Config(std::move(Config)) {}
+
+Result<DaemonConfigFile> DaemonConfigFile::load(const std::string &Path) {
+  Result<std::string> Text = readFile(Path);
+  BOOST_OUTCOME_TRY(DaemonConfig Loaded, loadDaemonConfig(Path));
+  return DaemonConfigFile(Path, Text ? std::move(Text.value()) : std::string(),
+                          std::move(Loaded));
 }
 
 bool DaemonConfigFile::refresh(bool MustLoad) {
--- a/tools/canvaswickd/canvaswickd.cpp
+++ b/tools/canvaswickd/canvaswickd.cpp
@@ -104,14 +104,13 @@
 
 /// Runs a daemon on the users' platform. Returns only if the daemon cannot
 /// start.
-static int runPlatformDaemon(const DaemonConfig &Config) {
-  platform::PlatformDaemon Server(Config);
+static int runPlatformDaemon(DaemonConfigFile &File) {
+  platform::PlatformDaemon Server(File.getConfig());
   Result<void> Started = Server.start();
   if (!Started) {
     printError(ProgramName, Started.error());
     return toInt(ExitCode::Failure);
   }
-  DaemonConfigFile File(findSettingsPath(), Config);
   serveUntilStopped(Server, File);
   const Duration Grace = File.getConfig().Grace;
   const TimePoint KilledAt = readSteadyClock() + Grace;
@@ -130,12 +129,13 @@
   parseCommandLine(&Count, &Values,
                    "Serves callers in front of backend servers.\n"
                    "canvaswickd --settings daemon.ini");
-  Result<DaemonConfig> Config = loadDaemonConfig(findSettingsPath());
-  if (!Config) {
-    printError(ProgramName, Config.error());
+  Result<DaemonConfigFile> File = DaemonConfigFile::load(findSettingsPath());
+  if (!File) {
+    printError(ProgramName, File.error());
     return toInt(ExitCode::BadSettings);
   }
-  Result<void> Checked = checkSettings(Config.value());
+  const DaemonConfig &Config = File.value().getConfig();
+  Result<void> Checked = checkSettings(Config);
   if (!Checked) {
     printError(ProgramName, Checked.error());
     return toInt(ExitCode::BadSettings);
@@ -145,7 +145,7 @@
     return toInt(ExitCode::Success);
   }
   startLogWriter({});
-  if (Config.value().Source == SettingsSource::Platform)
-    return runPlatformDaemon(Config.value());
-  return runDaemon(Config.value());
+  if (Config.Source == SettingsSource::Platform)
+    return runPlatformDaemon(File.value());
+  return runDaemon(Config);
 }
--- a/unittests/Settings/DaemonConfigFileTest.cpp
+++ b/unittests/Settings/DaemonConfigFileTest.cpp
@@ -35,7 +35,7 @@
   }
 
   DaemonConfigFile load() const {
-    return {this->Path, loadDaemonConfig(this->Path).value()};
+    return DaemonConfigFile::load(this->Path).value();
   }
 
   const std::string Path =
