Test: a daemon that is far behind goes on using servers that have left (fails)

What callers see: requests sent to servers that said seconds ago that they leave, after a start of all or a pause, where the store is large. Ruled out: the peer does not know (its view lists both as gone).

--- a/unittests/FarBehind/FarBehindTest.cpp
+++ b/unittests/FarBehind/FarBehindTest.cpp
@@ -146,6 +146,56 @@
   CHECK(Peer.SettingsAsked <= 3);
 }
 
+/// Returns the entry of a server, written for the given time.
+static std::string makeServer(const char *State, int Sequence) {
+  return fmt::format(R"({{"address": "127.0.0.1:9", "info": {{"service": "s",
+      "version": "v1", "zone": "h", "slots": 3}},
+      "status": {{"state": "{}", "seq": {}, "warmupLeftS": 0}}}})",
+                     State, Sequence);
+}
+
+/// Returns whether a daemon that holds this view would still use a server.
+static bool isInUse(const FleetView &View, const std::string &Id) {
+  const std::optional<StoreItem> Entry = View.findItem("servers/" + Id);
+  return Entry && Entry->Value.find("draining") == std::string::npos;
+}
+
+// Guards against requests to servers that have left or said so, while a large
+// store's snapshot is waited for (DRAIN).
+TEST_CASE("a daemon that is far behind stops using servers that have left or "
+          "said so, however often other entries were written") {
+  CountingPeer Peer;
+  std::vector<StoreItem> Items = makeManyItems();
+  for (const char *Id : {"servers/i-1", "servers/i-2", "servers/i-3"})
+    Items.push_back({Id, makeServer("ready", 1), {0, 1}, false});
+  replaceAll(Peer.View, Items, {0, 2}, readSteadyClock());
+  applyEvents(Peer.View,
+              {{"servers/i-1", "", {0, 5}, true},
+               {"servers/i-2", makeServer("draining", 2), {0, 6}, false},
+               {"servers/i-3", makeServer("ready", 9), {0, 900}, false}},
+              {0, 900}, readSteadyClock());
+  CounterTable Counters;
+  FleetView View{{70}, fromSeconds(2)};
+  replaceAll(View, Items, {0, 2}, readSteadyClock());
+  PeerFollower Follower({"a", "h", {}, {}}, {}, {}, View, Counters, [] {});
+  Follower.setDaemons({{"peer", "h", {"127.0.0.1", Peer.Server.getPort()}, {}}},
+                      readSteadyClock());
+  PeerMessage Message;
+  Message.Source = "peer";
+  Message.Hall = "h";
+  Message.AsOf = Peer.View.getAsOf();
+  const TimePoint GiveUpAt = readSteadyClock() + SettingsTime;
+  while ((isInUse(View, "i-1") || isInUse(View, "i-2")) &&
+         readSteadyClock() < GiveUpAt) {
+    Follower.handleMessage(Message, readSteadyClock());
+    Follower.runRound(readSteadyClock());
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  CHECK_FALSE(isInUse(View, "i-1"));
+  CHECK_FALSE(isInUse(View, "i-2"));
+  CHECK(isInUse(View, "i-3"));
+}
+
 TEST_CASE("a daemon of a small fleet that starts from an old snapshot stops "
           "using a server that has left since") {
   CountingPeer Peer;
