--- a/include/canvaswick/Metrics/Counters.h
+++ b/include/canvaswick/Metrics/Counters.h
@@ -88,6 +88,8 @@
   TunnelsRefused,
   /// Messages by which a peer's replica of the store differed from this one.
   ReplicaMismatches,
+  /// Times at which this daemon found that its peers were far ahead of it.
+  FarBehind,
   /// Questions to the store of a daemon whose peers did not give it their news.
   StoreChecks,
   /// Attempts that began by a list of servers that may have been outdated for a
--- a/lib/Metrics/Counters.cpp
+++ b/lib/Metrics/Counters.cpp
@@ -79,6 +79,7 @@
     {Counter::TunnelsCarried, "tunnels_carried"},
     {Counter::TunnelsRefused, "tunnels_refused"},
     {Counter::ReplicaMismatches, "replica_mismatches"},
+    {Counter::FarBehind, "far_behind"},
     {Counter::StoreChecks, "store_checks"},
     {Counter::AttemptsByOldList, "attempts_by_old_list"},
     {Counter::SendsWithdrawn, "sends_withdrawn"},
