A daemon that is behind learns what has left first, whatever else it lacks

Class: a bound on work stood where a bound on age is promised; rewritten entries were counted, not what is missing.

Departures (removals, entries of servers that leave) have a position of their own.

Tests whose ReplicaPosition has a third value compare that too; FarBehind still allows no other question. Ruled out: a larger limit (any number is seconds of a larger store).

--- a/include/canvaswick/Daemon/DirectoryEncoding.h
+++ b/include/canvaswick/Daemon/DirectoryEncoding.h
@@ -21,6 +21,15 @@
 
 namespace canvaswick {
 
+/// Which changes a peer asks for.
+enum class ChangesScope : uint8_t {
+  All,
+  /// The operators' settings alone. They do not complete the peer's replica.
+  Settings,
+  /// What has left, whatever else was written.
+  Departures,
+};
+
 /// A peer's request for changes.
 struct ChangesRequest {
   /// The position up to which the peer's replica is complete; none if it has no
@@ -39,9 +48,7 @@
   bool AcceptsPackedValues = true;
   /// Names the answer for confirmReceipt; 0 if the peer does not confirm.
   uint64_t Receipt = 0;
-  /// Whether the peer lacks so much that it wants only the operators' settings
-  /// now. The answer does not complete its replica.
-  bool WantsOnlySettings = false;
+  ChangesScope Scope = ChangesScope::All;
 };
 
 Json::Value encodeRequest(const ChangesRequest &Request);
--- a/include/canvaswick/Directory/ItemChanges.h
+++ b/include/canvaswick/Directory/ItemChanges.h
@@ -63,11 +63,16 @@
 enum class ChangesExtent : uint8_t {
   /// Some. They are valid, but no position is reached by them.
   Excerpt,
+  /// All removals, and the items of the servers that leave.
+  Departures,
   /// All but the large ones, and all removals.
   Small,
   All,
 };
 
+/// Returns the name of an extent in logs.
+const char *getName(ChangesExtent Extent);
+
 /// Changes of a replica.
 struct ItemChanges {
   /// The position after which the changes begin. Has no meaning if IsFull.
--- a/include/canvaswick/Directory/ItemTable.h
+++ b/include/canvaswick/Directory/ItemTable.h
@@ -41,6 +41,8 @@
   StorePosition Complete;
   /// All but large items are known up to here; not before Complete.
   StorePosition Small;
+  /// What has left up to here is known; not before Small.
+  StorePosition Departures;
 
   bool operator==(const ReplicaPosition &) const = default;
 };
@@ -93,6 +95,12 @@
   ItemChanges getChangesAfter(const StorePosition &After,
                               const ItemPositions &Held = {}) const;
 
+  /// Returns what has left after After: the removals, and the items of Leaving,
+  /// the keys of the servers that leave. The changes are full, and empty, if
+  /// this table does not know all removals since then.
+  ItemChanges getDeparturesAfter(const StorePosition &After,
+                                 const std::set<std::string> &Leaving) const;
+
   /// Returns a digest of the keys and positions of all items, or nothing while
   /// some are known that are newer than what the table is complete up to.
   std::optional<ReplicaDigest> getDigest() const;
@@ -115,6 +123,7 @@
   void move(const ItemChanges &Changes, ChangesExtent Extent);
   void recordMissing(const std::string &Key, const StorePosition &At);
   void forgetMissing();
+  void listRemovals(ItemChanges &Changes) const;
   void recordDelta(const StoreItem &Known, const StoreItem &Update);
   void useDeltas(ItemChanges &Changes, const ItemPositions &Held) const;
 
--- a/lib/Daemon/DirectoryCalls.cpp
+++ b/lib/Daemon/DirectoryCalls.cpp
@@ -81,6 +81,8 @@
       !this->tryBeginLarge(Request, Now))
     return makeCallError({ErrorKind::Unavailable, "no room for large values"});
   ItemChanges Changes = this->Source(Request);
+  if (Request.Scope == ChangesScope::Departures)
+    return packChanges(encodeChanges(Changes));
   StorePosition After = Request.After;
   if (!Request.HasEpoch)
     After.Epoch = Changes.AsOf.Epoch;
@@ -93,7 +95,7 @@
   const bool HasLarge =
       std::any_of(Changes.Items.begin(), Changes.Items.end(), isLarge);
   // Neither cached nor complete.
-  if (Request.WantsOnlySettings)
+  if (Request.Scope == ChangesScope::Settings)
     return this->encodeLarge(std::move(Changes));
   if (HasLarge && !(Request.WantsLarge && HasRoom)) {
     omitLarge(Changes);
@@ -177,8 +179,10 @@
       Caller.call(Peer, MethodName, encodeRequest(Request), Limits, Traffic));
   BOOST_OUTCOME_TRY(ItemChanges Changes, decodeChanges(Answer));
   Changes.After = Request.After;
-  if (Request.WantsOnlySettings)
+  if (Request.Scope == ChangesScope::Settings)
     Changes.Extent = ChangesExtent::Excerpt;
+  if (Request.Scope == ChangesScope::Departures)
+    Changes.Extent = ChangesExtent::Departures;
   return Changes;
 }
 
--- a/lib/Daemon/DirectoryEncoding.cpp
+++ b/lib/Daemon/DirectoryEncoding.cpp
@@ -241,8 +241,10 @@
   Params["epoch"] = static_cast<Json::UInt64>(Request.After.Epoch);
   Params["large"] = Request.WantsLarge;
   Params["packed-values"] = Request.AcceptsPackedValues;
-  if (Request.WantsOnlySettings)
+  if (Request.Scope == ChangesScope::Settings)
     Params["only-settings"] = true;
+  if (Request.Scope == ChangesScope::Departures)
+    Params["only-departures"] = true;
   if (Request.Receipt != 0)
     Params["receipt"] = static_cast<Json::UInt64>(Request.Receipt);
   Params["held"] = Json::objectValue;
@@ -260,6 +262,8 @@
       (Params.isMember("receipt") && !Params["receipt"].isUInt64()) ||
       (Params.isMember("packed-values") && !Params["packed-values"].isBool()) ||
       (Params.isMember("only-settings") && !Params["only-settings"].isBool()) ||
+      (Params.isMember("only-departures") &&
+       !Params["only-departures"].isBool()) ||
       (Params.isMember("held") && !Params["held"].isObject()))
     return makeError(ErrorKind::InvalidArgument, "not a request for changes");
   Request.HasEpoch = Params.isMember("epoch");
@@ -267,7 +271,10 @@
   Request.WantsLarge = !Params.isMember("large") || Params["large"].asBool();
   Request.AcceptsPackedValues = Params["packed-values"].asBool();
   Request.Receipt = Params["receipt"].asUInt64();
-  Request.WantsOnlySettings = Params["only-settings"].asBool();
+  if (Params["only-settings"].asBool())
+    Request.Scope = ChangesScope::Settings;
+  if (Params["only-departures"].asBool())
+    Request.Scope = ChangesScope::Departures;
   const Json::Value &Held = Params["held"];
   for (const std::string &Key : Held.getMemberNames()) {
     if (!Held[Key].isUInt64())
--- a/lib/Directory/ItemChanges.cpp
+++ b/lib/Directory/ItemChanges.cpp
@@ -12,11 +12,23 @@
 //===----------------------------------------------------------------------===//
 
 #include "canvaswick/Directory/ItemChanges.h"
+#include "canvaswick/Support/EnumNames.h"
 
 #include <utility>
 
 namespace canvaswick {
 
+static constexpr EnumNames<ChangesExtent, 4> ChangesExtentNames = {{
+    {ChangesExtent::Excerpt, "excerpt"},
+    {ChangesExtent::Departures, "departures"},
+    {ChangesExtent::Small, "small"},
+    {ChangesExtent::All, "all"},
+}};
+
+const char *getName(ChangesExtent Extent) {
+  return getEnumName(ChangesExtentNames, Extent);
+}
+
 ItemChanges makeChanges(const StorePosition &After,
                         std::vector<StoreItem> Items,
                         const StorePosition &AsOf) {
--- a/lib/Directory/ItemTable.cpp
+++ b/lib/Directory/ItemTable.cpp
@@ -125,9 +125,9 @@
     Applied.IsChanged |= this->apply(Item);
   for (const ItemDelta &Delta : Applied.UnknownBases)
     this->recordMissing(Delta.Key, Delta.At);
-  const bool IsAll =
-      Changes.Extent == ChangesExtent::All && Applied.UnknownBases.empty();
-  this->move(Changes, IsAll ? ChangesExtent::All : ChangesExtent::Small);
+  const bool LacksLarge =
+      Changes.Extent == ChangesExtent::All && !Applied.UnknownBases.empty();
+  this->move(Changes, LacksLarge ? ChangesExtent::Small : Changes.Extent);
   return Applied;
 }
 
@@ -136,22 +136,29 @@
 bool ItemTable::follows(const ItemChanges &Changes) const {
   if (Changes.Extent == ChangesExtent::Excerpt)
     return false;
+  const bool IsOneEpoch =
+      Changes.After.isNone() || Changes.After.Epoch == Changes.AsOf.Epoch;
+  if (Changes.Extent == ChangesExtent::Departures)
+    return !this->IsStale && IsOneEpoch && !Changes.IsFull &&
+           Changes.After <= this->Position.Departures;
   const bool IsSmall = Changes.Extent == ChangesExtent::Small;
   if (Changes.IsFull)
     return Changes.AsOf >= this->Position.Complete &&
            (!IsSmall || Changes.Omitted);
-  const bool IsOneEpoch =
-      Changes.After.isNone() || Changes.After.Epoch == Changes.AsOf.Epoch;
   return !this->IsStale && IsOneEpoch && Changes.After <= this->Position.Small;
 }
 
 /// Moves the positions after changes that follow the table were applied.
 void ItemTable::move(const ItemChanges &Changes, ChangesExtent Extent) {
   ReplicaPosition &Reached = this->Position;
+  Reached.Departures = std::max(Reached.Departures, Changes.AsOf);
+  if (Changes.Extent == ChangesExtent::Departures)
+    return;
   if (Extent == ChangesExtent::All &&
       (Changes.IsFull || Changes.After <= Reached.Complete))
     Reached.Complete = std::max(Reached.Complete, Changes.AsOf);
   Reached.Small = std::max({Reached.Small, Changes.AsOf, Reached.Complete});
+  Reached.Departures = std::max(Reached.Departures, Reached.Small);
   if (Changes.Omitted)
     for (const auto &[Key, At] : *Changes.Omitted)
       this->recordMissing(Key, At);
@@ -299,10 +306,32 @@
     return Changes;
   }
   this->useDeltas(Changes, Held);
-  this->Removals.visitAfter(
-      After, [&Changes](const std::string &Key, const StorePosition &At) {
-        Changes.Items.push_back({Key, "", At, true});
-      });
+  this->listRemovals(Changes);
+  return Changes;
+}
+
+/// Adds the removals after the position after which the changes begin.
+void ItemTable::listRemovals(ItemChanges &Changes) const {
+  this->Removals.visitAfter(Changes.After, [&Changes](const std::string &Key,
+                                                      const StorePosition &At) {
+    Changes.Items.push_back({Key, "", At, true});
+  });
+}
+
+ItemChanges
+ItemTable::getDeparturesAfter(const StorePosition &After,
+                              const std::set<std::string> &Leaving) const {
+  ItemChanges Changes;
+  Changes.After = After;
+  Changes.AsOf = this->Position.Departures;
+  Changes.Extent = ChangesExtent::Departures;
+  Changes.IsFull = After < this->Removals.getSince();
+  if (Changes.IsFull)
+    return Changes;
+  for (const std::string &Key : Leaving)
+    if (const StoreItem *Item = this->find(Key); Item && Item->At > After)
+      Changes.Items.push_back(*Item);
+  this->listRemovals(Changes);
   return Changes;
 }
 
--- a/unittests/FarBehind/FarBehindTest.cpp
+++ b/unittests/FarBehind/FarBehindTest.cpp
@@ -83,13 +83,8 @@
   CountingPeer()
       : Responder(
             [this](const ChangesRequest &Request) {
-              ++(Request.WantsOnlySettings ? this->SettingsAsked
-                                           : this->OthersAsked);
-              return Request.WantsOnlySettings
-                         ? this->View.getSettingsAfter(Request.After,
-                                                       Request.Held)
-                         : this->View.getChangesAfter(Request.After,
-                                                      Request.Held);
+              this->count(Request.Scope);
+              return this->View.listChanges(Request);
             },
             [] { return true; }),
         Server(HttpServerLimits{}, [this](HttpExchange &Exchange) {
@@ -100,7 +95,21 @@
     replaceAll(this->View, {}, {0, 1}, readSteadyClock());
   }
 
+  void count(ChangesScope Scope) {
+    switch (Scope) {
+    case ChangesScope::Settings:
+      ++this->SettingsAsked;
+      return;
+    case ChangesScope::Departures:
+      ++this->DeparturesAsked;
+      return;
+    case ChangesScope::All:
+      ++this->OthersAsked;
+    }
+  }
+
   std::atomic<int> SettingsAsked{0};
+  std::atomic<int> DeparturesAsked{0};
   std::atomic<int> OthersAsked{0};
   FleetView View{{70}, fromSeconds(2)};
   JsonRpcDispatcher Dispatcher;
@@ -144,6 +153,9 @@
   CHECK(Peer.OthersAsked == 0);
   CHECK(Peer.SettingsAsked >= 1);
   CHECK(Peer.SettingsAsked <= 3);
+  // What has left is asked for as long as the peer is ahead with that.
+  CHECK(Peer.DeparturesAsked >= 1);
+  CHECK(Peer.DeparturesAsked <= 5);
 }
 
 /// Returns the entry of a server, written for the given time.
--- a/unittests/ReplicaModel/Replica.h
+++ b/unittests/ReplicaModel/Replica.h
@@ -23,6 +23,13 @@
 
 namespace canvaswick {
 
+/// What the value of an item begins with whose server leaves.
+inline constexpr const char *LeavingMark = "leaving";
+
+inline bool isLeaving(const StoreItem &Item) {
+  return !Item.IsRemoved && Item.Value.starts_with(LeavingMark);
+}
+
 /// One daemon's replica, without threads or sockets.
 class Replica {
 public:
@@ -30,6 +37,9 @@
     return this->Table.getPosition().Complete;
   }
   StorePosition getSmall() const { return this->Table.getPosition().Small; }
+  StorePosition getDepartures() const {
+    return this->Table.getPosition().Departures;
+  }
   const StoreItem *find(const std::string &Key) const {
     return this->Table.find(Key);
   }
@@ -64,6 +74,14 @@
         .value();
   }
 
+  ChangesRequest makeDeparturesRequest() const {
+    ChangesRequest Request;
+    Request.WantsLarge = false;
+    Request.Scope = ChangesScope::Departures;
+    Request.After = this->getDepartures();
+    return Request;
+  }
+
   ChangesRequest makeRequest(bool WantsLarge) const {
     ChangesRequest Request;
     Request.WantsLarge = WantsLarge;
@@ -77,7 +95,10 @@
     const ChangesRequest Request = decodeRequest(encodeRequest(Asked)).value();
     ChangesResponder Responder(
         [this](const ChangesRequest &Each) {
-          return this->Table.getChangesAfter(Each.After, Each.Held);
+          return Each.Scope == ChangesScope::Departures
+                     ? this->Table.getDeparturesAfter(Each.After,
+                                                      this->listLeaving())
+                     : this->Table.getChangesAfter(Each.After, Each.Held);
         },
         [] { return true; });
     Result<ItemChanges> Changes =
@@ -89,10 +110,20 @@
   /// Applies a peer's answer.
   void applyAnswer(ItemChanges Changes, const ChangesRequest &Request) {
     Changes.After = Request.After;
+    if (Request.Scope == ChangesScope::Departures)
+      Changes.Extent = ChangesExtent::Departures;
     this->Table.apply(Changes);
   }
 
 private:
+  std::set<std::string> listLeaving() const {
+    std::set<std::string> Keys;
+    for (const auto &[Key, Item] : this->Table.getItems())
+      if (isLeaving(Item))
+        Keys.insert(Key);
+    return Keys;
+  }
+
   ItemTable Table;
 };
 
--- a/unittests/ReplicaModel/ReplicaModelTest.cpp
+++ b/unittests/ReplicaModel/ReplicaModelTest.cpp
@@ -46,10 +46,13 @@
 class ModelStore {
 public:
   void put(size_t Index, bool IsLarge) {
-    const std::string Key = makeKey(Index);
     ++this->AsOf.Revision;
-    this->History.push_back(
-        {Key, makeValue(this->AsOf.Revision, IsLarge), this->AsOf, false});
+    this->write(Index, makeValue(this->AsOf.Revision, IsLarge));
+  }
+
+  void leave(size_t Index) {
+    ++this->AsOf.Revision;
+    this->write(Index, LeavingMark + makeValue(this->AsOf.Revision, false));
   }
 
   void remove(size_t Index) {
@@ -129,6 +132,10 @@
   StorePosition AsOf{1, 1};
 
 private:
+  void write(size_t Index, const std::string &Value) {
+    this->History.push_back({makeKey(Index), Value, this->AsOf, false});
+  }
+
   std::vector<StoreItem> History;
   uint64_t HistorySince = 0;
 };
@@ -150,6 +157,7 @@
 enum class Action : uint8_t {
   WriteSmall,
   WriteLarge,
+  Leave,
   Remove,
   WriteSnapshot,
   Restart,
@@ -157,6 +165,7 @@
   Read,
   AskSmall,
   AskLarge,
+  AskDepartures,
   Receive,
   RestoreEpoch,
   RestoreSilently,
@@ -170,9 +179,10 @@
 
 std::ostream &operator<<(std::ostream &Out, const Step &Each) {
   static constexpr std::array Names = {
-      "write-small", "write-large", "remove",    "write-snapshot",
-      "restart",     "watch",       "read",      "ask-small",
-      "ask-large",   "receive",     "new-epoch", "lose-silently"};
+      "write-small",    "write-large",  "leave",          "remove",
+      "write-snapshot", "restart",      "watch",          "read",
+      "ask-small",      "ask-large",    "ask-departures", "receive",
+      "new-epoch",      "lose-silently"};
   return Out << Names.at(static_cast<size_t>(Each.Kind)) << ' ' << Each.Index
              << ' ' << Each.Other;
 }
@@ -206,6 +216,9 @@
     case Action::WriteLarge:
       this->Store.put(std::max(Key, KeyCount - 2), true);
       return;
+    case Action::Leave:
+      this->Store.leave(std::min(Key, KeyCount - 2));
+      return;
     case Action::Remove:
       this->Store.remove(Key);
       return;
@@ -227,7 +240,11 @@
       return;
     case Action::AskSmall:
     case Action::AskLarge:
-      this->ask(Daemon, Peer, Each.Kind == Action::AskLarge);
+      this->ask(Daemon, Peer,
+                Daemon.Known.makeRequest(Each.Kind == Action::AskLarge));
+      return;
+    case Action::AskDepartures:
+      this->ask(Daemon, Peer, Daemon.Known.makeDeparturesRequest());
       return;
     case Action::Receive:
       this->receive(Daemon, Each.Other);
@@ -251,10 +268,10 @@
       Daemon.Known.applyAll(this->Store.readAll(), this->Store.AsOf);
   }
 
-  void ask(ModelDaemon &Daemon, const ModelDaemon &Peer, bool WantsLarge) {
+  void ask(ModelDaemon &Daemon, const ModelDaemon &Peer,
+           const ChangesRequest &Request) {
     if (&Daemon == &Peer || Daemon.Known.getComplete().isNone())
       return;
-    const ChangesRequest Request = Daemon.Known.makeRequest(WantsLarge);
     if (Peer.Known.getComplete() > Request.After)
       Daemon.Pending.push_back({Request, Peer.Known.answer(Request)});
   }
@@ -290,6 +307,7 @@
       const std::string Key = makeKey(I);
       this->checkKnown(Daemon.Known, Key, Daemon.Known.getComplete(), true);
       this->checkKnown(Daemon.Known, Key, Daemon.Known.getSmall(), false);
+      this->checkDeparture(Daemon.Known, Key, Daemon.Known.getDepartures());
       this->checkOrder(Daemon, Key);
     }
   }
@@ -328,6 +346,18 @@
     RC_ASSERT(IsCurrent);
   }
 
+  /// Checks that a replica does not hold what had left at Position as if it had
+  /// not.
+  void checkDeparture(const Replica &Known, const std::string &Key,
+                      const StorePosition &Position) const {
+    const StoreItem *Last = this->Store.findAt(Key, Position);
+    const StoreItem *Held = Known.find(Key);
+    if (!Held || !Last || !(Last->IsRemoved || isLeaving(*Last)))
+      return;
+    const bool IsCurrent = Held->At >= Last->At;
+    RC_ASSERT(IsCurrent);
+  }
+
   /// Checks that no item goes back, and that none that was removed comes back.
   void checkOrder(ModelDaemon &Daemon, const std::string &Key) const {
     const StoreItem *Held = Daemon.Known.find(Key);
@@ -355,6 +385,7 @@
   const auto Actions =
       rc::gen::weightedElement<Action>({{4, Action::WriteSmall},
                                         {2, Action::WriteLarge},
+                                        {2, Action::Leave},
                                         {4, Action::Remove},
                                         {2, Action::WriteSnapshot},
                                         {2, Action::Restart},
@@ -362,6 +393,7 @@
                                         {1, Action::Read},
                                         {5, Action::AskSmall},
                                         {3, Action::AskLarge},
+                                        {4, Action::AskDepartures},
                                         {7, Action::Receive},
                                         {1, Action::RestoreEpoch},
                                         {1, Action::RestoreSilently}});
--- a/unittests/ReplicaSoak/ReplicaSoakTest.cpp
+++ b/unittests/ReplicaSoak/ReplicaSoakTest.cpp
@@ -13,8 +13,11 @@
 /// run tells how long after its entry had gone a server was still listed by a
 /// daemon that had run for SettledTime.
 ///
-/// SOAK_SEED, SOAK_SEEDS and SOAK_SECONDS select longer runs. SOAK_MAX_MS, for
-/// runs by hand, bounds the time that a server is listed too long.
+/// SOAK_SEED, SOAK_SEEDS and SOAK_SECONDS select longer runs. With more
+/// SOAK_SERVERS, each of which writes its entry every HeartbeatInterval, the
+/// store is one of a large fleet. With SOAK_START_ALL_S, all daemons start
+/// again at one moment so often. SOAK_MAX_MS, for runs by hand, bounds the time
+/// that a server is listed too long.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -37,7 +40,16 @@
 /// Time after the last change within which the fleet must converge.
 constexpr std::chrono::seconds ConvergenceTime(4);
 
-constexpr size_t ServerCount = 12;
+constexpr int DefaultServerCount = 12;
+
+/// How often each server of a large store writes its entry.
+constexpr Duration HeartbeatInterval = fromSeconds(2);
+
+/// Daemons that start again together do so within this time.
+constexpr int MaxStartWaitMs = 400;
+
+/// What one answer of a large store holds at most.
+constexpr size_t LargeAnswerItems = 500;
 
 constexpr size_t SeedCount = 3;
 
@@ -48,6 +60,10 @@
     {"h", "h", "a", "b", "c", "d"},
 };
 
+/// The halls of daemons before a large store.
+const std::vector<std::string> LargeHallPlan = {"h", "h", "h", "h", "h", "h",
+                                                "g", "g", "g", "g", "f", "f"};
+
 /// After this time a daemon that has started counts as in touch.
 constexpr Duration SettledTime = fromSeconds(3);
 
@@ -120,9 +136,18 @@
 class SoakRun {
 public:
   explicit SoakRun(uint64_t Seed)
-      : Random(Seed), Fixture(HallPlans[Seed % HallPlans.size()]) {
+      : Random(Seed), ServerCount(static_cast<size_t>(
+                          readSetting("SOAK_SERVERS", DefaultServerCount))),
+        IsLarge(this->ServerCount > DefaultServerCount),
+        StartAllInterval(fromSeconds(readSetting("SOAK_START_ALL_S", 0))),
+        Fixture(this->IsLarge ? LargeHallPlan
+                              : HallPlans[Seed % HallPlans.size()]) {
+    if (this->IsLarge) {
+      this->Fixture.Store.setMaxEvents(LargeAnswerItems);
+      this->Fixture.Store.setPageItems(LargeAnswerItems);
+    }
     this->Fixture.writeConfig(2);
-    while (this->Listed.size() < ServerCount)
+    while (this->Listed.size() < this->ServerCount)
       this->addServer();
     for (const std::unique_ptr<Member> &Each : this->Fixture.Members)
       this->Fixture.waitFor(
@@ -138,9 +163,14 @@
       while (!IsOver)
         this->lookAtLists();
     });
+    std::thread Renewing([&] {
+      while (this->IsLarge && !IsOver)
+        this->renewAll();
+    });
     this->replaceServers(Length);
     IsOver = true;
     Looking.join();
+    Renewing.join();
     this->checkConvergence();
     MESSAGE("listed for ", toMillis(this->Departures.getLongest()),
             " ms after it had left, at most, by ",
@@ -164,7 +194,18 @@
 
   void replaceServers(Duration Length) {
     const TimePoint Until = readSteadyClock() + Length;
+    TimePoint StartAllAt = readSteadyClock() + this->StartAllInterval;
     while (readSteadyClock() < Until) {
+      if (this->StartAllInterval > Duration::zero()) {
+        if (readSteadyClock() >= StartAllAt) {
+          this->restartAll();
+          StartAllAt = readSteadyClock() +
+                       this->StartAllInterval * this->draw(70, 130) / 100;
+        }
+        this->replaceServer();
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        continue;
+      }
       this->replaceServer();
       for (int I = 0; I < 6; ++I)
         this->renewServer();
@@ -205,6 +246,24 @@
                       this->draw(0, static_cast<int>(this->Listed.size()) - 1));
   }
 
+  /// Writes the entries of all listed servers, spread over HeartbeatInterval.
+  void renewAll() {
+    const TimePoint Began = readSteadyClock();
+    std::vector<std::string> Ids;
+    {
+      std::lock_guard<std::mutex> Lock(this->ListMutex);
+      Ids.assign(this->Listed.begin(), this->Listed.end());
+    }
+    for (size_t I = 0; I < Ids.size(); ++I) {
+      std::this_thread::sleep_until(Began + HeartbeatInterval *
+                                                static_cast<int>(I) /
+                                                static_cast<int>(Ids.size()));
+      std::lock_guard<std::mutex> Lock(this->ListMutex);
+      if (this->Listed.count(Ids[I]) > 0)
+        this->writeServer(Ids[I], "ready");
+    }
+  }
+
   void writeServer(const std::string &Id, const char *State) {
     this->Fixture.Store.put(
         "servers/" + Id,
@@ -223,6 +282,7 @@
 
   /// A server leaves, with or without a word, and another one joins.
   void replaceServer() {
+    std::lock_guard<std::mutex> Lock(this->ListMutex);
     const std::string Id = this->drawServer();
     if (this->draw(0, 1) == 0)
       this->writeServer(Id, "draining");
@@ -234,17 +294,36 @@
 
   void renewServer() { this->writeServer(this->drawServer(), "ready"); }
 
+  void restartAll() {
+    std::vector<Member *> All;
+    for (const std::unique_ptr<Member> &Each : this->Fixture.Members)
+      All.push_back(Each.get());
+    this->restart(All);
+  }
+
   void restartSome() {
     std::vector<Member *> Chosen;
     for (const std::unique_ptr<Member> &Each : this->Fixture.Members)
       if (this->draw(0, 2) == 0)
         Chosen.push_back(Each.get());
+    this->restart(Chosen);
+  }
+
+  void restart(const std::vector<Member *> &Chosen) {
+    std::vector<std::thread> Stopping;
     for (Member *Each : Chosen)
-      Each->stop();
-    for (Member *Each : Chosen) {
-      Each->start();
-      this->Departures.recordStart(Each->Config.Name);
-    }
+      Stopping.emplace_back([Each] { Each->stop(); });
+    for (std::thread &Each : Stopping)
+      Each.join();
+    std::vector<std::thread> Starting;
+    for (Member *Each : Chosen)
+      Starting.emplace_back([this, Each, Wait = this->draw(0, MaxStartWaitMs)] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(Wait));
+        Each->start();
+        this->Departures.recordStart(Each->Config.Name);
+      });
+    for (std::thread &Each : Starting)
+      Each.join();
   }
 
   /// Returns the names of the servers that a daemon uses.
@@ -269,12 +348,18 @@
   }
 
   std::mt19937_64 Random;
+  const size_t ServerCount;
+  const bool IsLarge;
+  /// Zero if the daemons start again some at a time.
+  const Duration StartAllInterval;
   Hall Fixture;
   DepartureLog Departures;
+  /// Guards Listed while servers write their entries on a thread of their own.
+  std::mutex ListMutex;
   /// The servers that the store lists.
   std::set<std::string> Listed;
   int LastId = 0;
-  int Sequence = 0;
+  std::atomic<int> Sequence{0};
 };
 
 } // namespace
