A server that is destroyed waits for its requests while it can still park them

HttpServer destroyed the parker before the pool, whose last requests hand their connections to it. The daemon itself leaves by _Exit, so callers of canvaswickd did not see it; whoever embeds the library does.

--- a/include/canvaswick/Http/HttpServer.h
+++ b/include/canvaswick/Http/HttpServer.h
@@ -161,8 +161,9 @@
   /// The socket that accepts connections, or -1.
   std::atomic<int> Listening{-1};
   uint16_t Port = 0;
-  WorkerPool Pool;
+  /// Outlives the pool, whose last requests park their connections.
   std::unique_ptr<IdleParker> Parker;
+  WorkerPool Pool;
 };
 
 } // namespace canvaswick
--- a/unittests/Http/HttpServerTest.cpp
+++ b/unittests/Http/HttpServerTest.cpp
@@ -230,6 +230,29 @@
   Caller.join();
 }
 
+// Guards against a connection that is parked by a server that is being
+// destroyed.
+TEST_CASE("a server waits for its requests before it is gone") {
+  for (int I = 0; I < 20; ++I) {
+    std::atomic<bool> HasEntered{false};
+    auto Server =
+        std::make_unique<HttpServer>(HttpServerLimits{}, [&](HttpExchange &) {
+          HasEntered = true;
+          std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        });
+    REQUIRE(Server->start({"127.0.0.1", 0}));
+    const Endpoint Address{"127.0.0.1", Server->getPort()};
+    ConnectionPool Pool(1);
+    ExchangeResult Result;
+    std::thread Caller([&] { Result = get(Pool, Address); });
+    while (!HasEntered)
+      std::this_thread::yield();
+    Server.reset();
+    Caller.join();
+    CHECK(Result.Status == 200);
+  }
+}
+
 TEST_CASE("the number of connections to one address is limited") {
   Gate Blocked{HttpServerLimits()};
   ConnectionPool Pool(1);
