A server's entry that was only written again is no change of the list

With 720 servers that write every 2 s, each answer of the store was a change of the list: all was compiled anew and rested for up to 0.8 s, and a departure among them waited. applyServer compared sequence numbers too. Heartbeats (nothing else differs, no warm-up left) are recorded, and change nothing.

Ruled out: nothing but the log lines used the time of the last heartbeat.

Conclusion: a list is compiled when it changes; positions of heartbeats stay comparable in the replica.

--- a/unittests/PlatformAdapter/FleetViewTest.cpp
+++ b/unittests/PlatformAdapter/FleetViewTest.cpp
@@ -39,12 +39,13 @@
       Version, Version);
 }
 
-static std::string makeServer(const std::string &State) {
+static std::string makeServer(const std::string &State, int Sequence = 1,
+                              int WarmupLeft = 0) {
   return fmt::format(
       R"({{"address": "10.0.0.9:80", "info": {{"service": "s", "version": "v",
       "zone": "h", "slots": 3}},
-      "status": {{"state": "{}", "seq": 1, "warmupLeftS": 0}}}})",
-      State);
+      "status": {{"state": "{}", "seq": {}, "warmupLeftS": {}}}}})",
+      State, Sequence, WarmupLeft);
 }
 
 static size_t countServers(const FleetView &View) {
@@ -255,6 +256,26 @@
   return Config->Services[0].Servers[0];
 }
 
+// Guards against departures that wait while the entries of a large store's
+// servers, written again, are put in force one after the other (DRAIN).
+TEST_CASE("an entry that only its sequence number sets apart is no change") {
+  FleetView View({70}, fromSeconds(2));
+  fill(View);
+  const uint64_t Counted = View.getChangeCounts().Config;
+  const auto Write = [&](const std::string &Entry, uint64_t Revision) {
+    applyEvents(View, {{"servers/i-1", Entry, {0, Revision}, false}},
+                {0, Revision}, Start);
+    return View.getChangeCounts().Config - Counted;
+  };
+  CHECK(Write(makeServer("ready", 2), 11) == 0);
+  CHECK(Write(makeServer("ready", 3), 12) == 0);
+  CHECK(View.getAsOf() == StorePosition{0, 12});
+  CHECK(Write(makeServer("ready", 4, 5), 13) == 1);
+  CHECK(Write(makeServer("ready", 5, 5), 14) == 2);
+  CHECK(Write(makeServer("draining", 6), 15) == 3);
+  CHECK(Write(makeServer("draining", 7), 16) == 3);
+}
+
 TEST_CASE("a server that restarts under its ID is another server") {
   FleetView View({70}, fromSeconds(2));
   replaceAll(
