A stop with a short grace time waits for servers until its last sixth

Cause: final answers were given 0.6 s, and the process ended 0.4 s, before the end of any grace time. Class: a constant that was measured at one length of another. Now an eighth and a twelfth of the grace time, at most as before; from 4.8 s on nothing changes.

PlannedStop 'a short stop waits for servers until its last sixth': 504 after 901 ms of 1.5 s before, 1,250 or more due. 'Requests near the end of a stop are refused and not begun' has a grace time of 2.2 s in place of 2.5: its second request, 0.1 s in and with 1.9 s, must not fit the rest, which is longer now; its checks are the same.

--- a/include/canvaswick/Daemon/Gateway.h
+++ b/include/canvaswick/Daemon/Gateway.h
@@ -72,7 +72,7 @@
 
   /// Fails readiness checks. Responses from now on close their connections, and
   /// all requests get theirs before KilledAt, when the process is ended.
-  void beginStop(TimePoint KilledAt);
+  void beginStop(TimePoint KilledAt, TimePoint Now);
 
   /// Waits for requests in flight, then stops. Returns whether all of them
   /// ended before Deadline. A second call does nothing and returns true, and a
--- a/lib/Daemon/Gateway.cpp
+++ b/lib/Daemon/Gateway.cpp
@@ -16,6 +16,8 @@
 #include "GatewayImpl.h"
 #include "canvaswick/Support/Log.h"
 
+#include <algorithm>
+
 namespace canvaswick {
 
 /// Threads that serve health checks and metrics.
@@ -46,8 +48,10 @@
 static constexpr Duration ControlTimeLimit = fromSeconds(3);
 
 /// A stopping daemon answers the remaining requests this long before it is
-/// killed, so that no request ends without an answer.
-static constexpr Duration StopMargin = fromMillis(600);
+/// killed, so that no request ends without an answer, but in the last sixth of
+/// a short grace time: servers are still at work on them.
+static constexpr Duration MaxStopMargin = fromMillis(600);
+static constexpr int StopMarginDivisor = 8;
 
 /// While a starting daemon has no settings, callers wait in the listen queue
 /// for at most this time, provided that nothing has failed; afterwards they are
@@ -266,9 +270,11 @@
   this->Proxy.getQuarantine().forgetOld(Now);
 }
 
-void Gateway::Impl::beginStop(TimePoint KilledAt) {
+void Gateway::Impl::beginStop(TimePoint KilledAt, TimePoint Now) {
   this->IsStopping = true;
-  this->Proxy.beginStop(KilledAt - StopMargin);
+  const Duration Margin =
+      std::min(MaxStopMargin, (KilledAt - Now) / StopMarginDivisor);
+  this->Proxy.beginStop(KilledAt - Margin);
   this->Callers->beginClosing();
   this->TunnelAnswers.beginStop();
   logInfo("daemon-stopping", "in-flight={}", this->Callers->countInFlight());
@@ -336,8 +342,8 @@
   this->Implementation->stopWaitingForSettings();
 }
 
-void Gateway::beginStop(TimePoint KilledAt) {
-  this->Implementation->beginStop(KilledAt);
+void Gateway::beginStop(TimePoint KilledAt, TimePoint Now) {
+  this->Implementation->beginStop(KilledAt, Now);
 }
 
 bool Gateway::finishStop(TimePoint Deadline) {
--- a/lib/Daemon/GatewayImpl.h
+++ b/lib/Daemon/GatewayImpl.h
@@ -50,7 +50,7 @@
   }
   void setStoreState(const StoreState &State, bool ShouldNotify);
   void stopWaitingForSettings();
-  void beginStop(TimePoint KilledAt);
+  void beginStop(TimePoint KilledAt, TimePoint Now);
   bool finishStop(TimePoint Deadline);
 
   ChangesSource Source;
--- a/tools/canvaswickd/canvaswickd.cpp
+++ b/tools/canvaswickd/canvaswickd.cpp
@@ -22,6 +22,8 @@
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
+#include <algorithm>
+
 DEFINE_string(settings, "",
               "The daemon's INI file. Default: the path in the environment "
               "variable CANVASWICK_NODE_FILE");
@@ -82,8 +84,10 @@
 static constexpr double AcceptingFraction = 0.5;
 static constexpr Duration MaxAcceptingTime = fromSeconds(3);
 
-/// The time reserved for the process to exit.
-static constexpr Duration ExitMargin = fromMillis(400);
+/// The time reserved for the process to exit. In a short grace time it is less,
+/// so that the last requests are answered before.
+static constexpr Duration MaxExitMargin = fromMillis(400);
+static constexpr int ExitMarginDivisor = 12;
 
 /// The interval at which the settings file is read again: it may change without
 /// a signal.
@@ -113,8 +117,11 @@
   }
   serveUntilStopped(Server, File);
   const Duration Grace = File.getConfig().Grace;
-  const TimePoint KilledAt = readSteadyClock() + Grace;
-  Server.beginStop(KilledAt);
+  const TimePoint Now = readSteadyClock();
+  const TimePoint KilledAt = Now + Grace;
+  const Duration ExitMargin =
+      std::min(MaxExitMargin, Grace / ExitMarginDivisor);
+  Server.beginStop(KilledAt, Now);
   const Duration Accepting = std::min(
       MaxAcceptingTime, fromSeconds(toSeconds(Grace) * AcceptingFraction));
   waitForSecondStopSignal(toMillis(Accepting));
--- a/unittests/PlannedStop/PlannedStopTest.cpp
+++ b/unittests/PlannedStop/PlannedStopTest.cpp
@@ -41,7 +41,7 @@
 // and aborted it half a second later, since it had to exit; its last response
 // was sent at 5.4 s.
 TEST_CASE("requests near the end of a stop are refused and not begun") {
-  DaemonFixture Fixture(fromMillis(2500));
+  DaemonFixture Fixture(fromMillis(2200));
   Fixture.startServing();
   Fixture.setBehaviours(Behaviour::Slow);
   Fixture.beginStop();
@@ -77,3 +77,16 @@
   CHECK(Result.Status == 504);
   CHECK(readSteadyClock() - StartTime < Fixture.Config.Grace);
 }
+
+// Guards against answers of one's own while most of a short grace is left and
+// servers are at work (LOST).
+TEST_CASE("a short stop waits for servers until its last sixth") {
+  DaemonFixture Fixture(fromMillis(1500));
+  Fixture.startServing();
+  Fixture.setBehaviours(Behaviour::Slow);
+  Fixture.beginStop();
+  const TimePoint Began = readSteadyClock();
+  CHECK(Fixture.sendRequest("POST", "/pay/1", "x").Status == 504);
+  CHECK(readSteadyClock() - Began >= Fixture.Config.Grace * 5 / 6);
+  CHECK(readSteadyClock() - Began < Fixture.Config.Grace);
+}
--- a/unittests/PlatformAdapter/PlatformFixture.h
+++ b/unittests/PlatformAdapter/PlatformFixture.h
@@ -277,7 +277,8 @@
 
   /// Begins a planned stop that lasts as long as the settings say.
   void beginStop() {
-    this->Daemon->beginStop(readSteadyClock() + this->Config.Grace);
+    const TimePoint Now = readSteadyClock();
+    this->Daemon->beginStop(Now + this->Config.Grace, Now);
   }
 
   int getReadyStatus() {
