What usually takes longer than is left of a stop is refused at once

Callers' requests that came late in a stop ran, and were broken off at its end, among them what may run once (LOST). While a stopping daemon still takes connections it took everything.

Ruled out: refusing all whose time limit does not fit, which refuses most of what is served in 0.3 s. getRetryCheckDelay is getTypicalTime now: three places use it.

--- a/include/canvaswick/Proxy/RequestProxy.h
+++ b/include/canvaswick/Proxy/RequestProxy.h
@@ -96,7 +96,8 @@
 
   /// Begins to shut down: from now on no attempt is abandoned while a server
   /// works on it, no request waits for a retry, and new requests get their
-  /// final response before Until.
+  /// final response before Until. Those that usually take longer are refused at
+  /// once.
   void beginStop(TimePoint Until);
 
   /// Refuses new requests whose deadline lies after the end set by beginStop.
@@ -112,6 +113,8 @@
 
   // RequestProxy.cpp: routing, admission and final responses.
   bool findRoute(RequestContext &Request);
+  static bool isUsuallyServedBefore(const RequestContext &Request,
+                                    TimePoint Until);
   bool applyStopDeadline(RequestContext &Request);
   ServiceRuntimeRef chooseService(const FleetRuntime &Runtime,
                                   const RouteConfig &Route);
--- a/include/canvaswick/Proxy/ServiceRuntime.h
+++ b/include/canvaswick/Proxy/ServiceRuntime.h
@@ -291,10 +291,10 @@
   void applyRemoteEstimates(const std::vector<HealthEstimate> &Given,
                             TimePoint Now);
 
-  /// Returns the time without a response after which it is first checked
+  /// Returns the typical time of an answer on a route, or a part of Objective
+  /// if little is known. After that time without a response it is first checked
   /// whether a retry at another server is better.
-  Duration getRetryCheckDelay(const std::string &Route,
-                              Duration Objective) const;
+  Duration getTypicalTime(const std::string &Route, Duration Objective) const;
 
   /// Returns whether an attempt without a response should be abandoned for a
   /// retry at another server. Needs lists the servers that were tried.
--- a/lib/Proxy/RequestAttempts.cpp
+++ b/lib/Proxy/RequestAttempts.cpp
@@ -89,9 +89,7 @@
   return Now < Request.Deadline || Relay.hasBegun();
 }
 
-/// Returns the latency objective of a request.
-static Duration getObjective(const RouteConfig &Route,
-                             const ServiceConfig &Service) {
+Duration getObjective(const RouteConfig &Route, const ServiceConfig &Service) {
   return fromMillis(Route.ObjectiveMs > 0 ? Route.ObjectiveMs
                                           : Service.ObjectiveMs);
 }
--- a/lib/Proxy/RequestContext.h
+++ b/lib/Proxy/RequestContext.h
@@ -30,6 +30,9 @@
 /// Marks a refusal without a Retry-After.
 inline constexpr Duration NoWait = Duration::zero();
 
+/// Returns the latency objective of a request.
+Duration getObjective(const RouteConfig &Route, const ServiceConfig &Service);
+
 /// The state of one request.
 struct RequestProxy::RequestContext {
   explicit RequestContext(HttpExchange &Exchange) : Exchange(Exchange) {}
--- a/lib/Proxy/RequestProxy.cpp
+++ b/lib/Proxy/RequestProxy.cpp
@@ -40,6 +40,10 @@
 /// A caller that accepts no byte for this long is considered gone.
 static constexpr Duration CallerStallLimit = fromSeconds(30);
 
+/// A stopping daemon takes a request if this many typical times of its route
+/// are left.
+static constexpr int StopTimeFactor = 2;
+
 /// Maps an id or a name to a number in [0, 1), uniformly distributed.
 static double drawFraction(const std::string &Name) {
   constexpr uint64_t Steps = 1024;
@@ -151,6 +155,15 @@
     this->serve(Request);
 }
 
+/// Returns whether a request that has just come is usually served before Until.
+bool RequestProxy::isUsuallyServedBefore(const RequestContext &Request,
+                                         TimePoint Until) {
+  const Duration Typical = Request.Service->getTypicalTime(
+      Request.Route->Name,
+      getObjective(*Request.Route, Request.Service->getConfig()));
+  return Request.Began + Typical * StopTimeFactor <= Until;
+}
+
 /// Limits the deadline of a request to the end of the daemon's shutdown.
 /// Returns false if the request was refused, because it might have to be
 /// aborted.
@@ -159,7 +172,7 @@
   if (Request.Deadline <= Until)
     return true;
   Request.Deadline = Until;
-  if (!this->RefusesLateRequests)
+  if (!this->RefusesLateRequests && isUsuallyServedBefore(Request, Until))
     return true;
   this->refuseUnadmitted(Request, Refusal::Stopping,
                          fromMillis(this->Options.DefaultRetryAfterMs));
--- a/lib/Proxy/RequestRetries.cpp
+++ b/lib/Proxy/RequestRetries.cpp
@@ -65,8 +65,8 @@
     return Request.Deadline;
   const TimePoint Until =
       Now + (Request.IsWeighed
-                 ? Request.Service->getRetryCheckDelay(Request.Route->Name,
-                                                       Request.Needs.Objective)
+                 ? Request.Service->getTypicalTime(Request.Route->Name,
+                                                   Request.Needs.Objective)
                  : PathCheckInterval);
   IsSoftDeadline = Until < Request.Deadline;
   return std::min(Until, Request.Deadline);
--- a/lib/Proxy/RequestWaits.cpp
+++ b/lib/Proxy/RequestWaits.cpp
@@ -66,8 +66,8 @@
   Waiting.IsBeyondQuota = Request.IsBeyondQuota;
   Waiting.ObjectiveDeadline = Request.Needs.ObjectiveDeadline;
   Waiting.Deadline = Request.Deadline;
-  Waiting.WorkTime = Request.Service->getRetryCheckDelay(
-      Request.Route->Name, Request.Needs.Objective);
+  Waiting.WorkTime = Request.Service->getTypicalTime(Request.Route->Name,
+                                                     Request.Needs.Objective);
   Waiting.Patience = Request.Needs.Objective / PatienceDivisor;
   return Waiting;
 }
--- a/lib/Proxy/ServiceRetries.cpp
+++ b/lib/Proxy/ServiceRetries.cpp
@@ -97,8 +97,8 @@
     });
 }
 
-Duration ServiceRuntime::getRetryCheckDelay(const std::string &Route,
-                                            Duration Objective) const {
+Duration ServiceRuntime::getTypicalTime(const std::string &Route,
+                                        Duration Objective) const {
   std::lock_guard<std::mutex> Lock(this->Mutex);
   return this->Latency.getTypicalTime(Route, Objective);
 }
--- a/unittests/PlannedStop/PlannedStopTest.cpp
+++ b/unittests/PlannedStop/PlannedStopTest.cpp
@@ -78,6 +78,32 @@
   CHECK(readSteadyClock() - StartTime < Fixture.Config.Grace);
 }
 
+// Guards against requests that are taken late in a stop, run, and are broken
+// off (LOST).
+TEST_CASE("what usually takes longer than is left of a stop is refused at once "
+          "and not run") {
+  DaemonFixture Fixture(fromMillis(1500));
+  Fixture.startServing();
+  Fixture.setBehaviours(Behaviour::Slow);
+  Fixture.One.AnswerDelay = Fixture.Two.AnswerDelay = TypicalAnswerTime;
+  for (int Round = 0; Round < 4; ++Round) {
+    std::vector<std::thread> Callers;
+    for (int I = 0; I < 4; ++I)
+      Callers.emplace_back([&] { Fixture.sendRequest("POST", "/pay/1", "x"); });
+    for (std::thread &Each : Callers)
+      Each.join();
+  }
+  const int Runs = Fixture.countRuns();
+  Fixture.beginStop();
+  CHECK(Fixture.sendRequest("POST", "/pay/2", "x").Status == 200);
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  const ExchangeResult Late = Fixture.sendRequest("POST", "/pay/3", "x");
+  CHECK(Late.Status == 503);
+  const auto Outcome = Late.Headers.find("Canvaswick-Outcome");
+  CHECK((Outcome != Late.Headers.end() && Outcome->second == "not-run"));
+  CHECK(Fixture.countRuns() == Runs + 1);
+}
+
 // Guards against answers of one's own while most of a short grace is left and
 // servers are at work (LOST).
 TEST_CASE("a short stop waits for servers until its last sixth") {
