An answer to a question that the caller did not ask is a failure

Statuses are checked by their value only; 206, 304 and 416 answer a header of the request. Without it they are a failure of the server (502, :answer=unasked-status), repeated where that is allowed. Test: 6 of 6 answers passed before (206, 304, 416; /a and /once); with Range a 206 still passes. Status 000 was refused before and is (row '000 No' added); 101 is an interim answer to us and never the last one (by reading).

--- a/lib/Proxy/ResponseRelay.cpp
+++ b/lib/Proxy/ResponseRelay.cpp
@@ -21,8 +21,10 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <cstdlib>
+#include <iterator>
 
 namespace canvaswick {
 
@@ -97,6 +99,35 @@
                         hasSingleValue(Response, this->Names.RequestId));
 }
 
+namespace {
+
+/// A status that answers a question which requests ask by a header.
+struct AskedStatus {
+  int Status;
+  std::array<const char *, 2> Headers;
+};
+
+} // namespace
+
+static constexpr AskedStatus AskedStatuses[] = {
+    {206, {"Range", "Range"}},
+    {304, {"If-None-Match", "If-Modified-Since"}},
+    {416, {"Range", "Range"}},
+};
+
+/// Returns whether a status answers a question that the request did not ask.
+static bool isUnasked(int Status, const httplib::Request &Request) {
+  return std::any_of(std::begin(AskedStatuses), std::end(AskedStatuses),
+                     [&](const AskedStatus &Each) {
+                       return Each.Status == Status &&
+                              std::none_of(Each.Headers.begin(),
+                                           Each.Headers.end(),
+                                           [&](const char *Name) {
+                                             return Request.has_header(Name);
+                                           });
+                     });
+}
+
 /// Upper bound of a reported load; larger values are clamped.
 static constexpr int MaxLoad = 10000;
 
@@ -136,6 +167,10 @@
   if (!this->Names.ExpectedInstance.empty() &&
       Response.status == MisdirectedStatus)
     return ResponseVerdict::NotRun;
+  if (isUnasked(Response.status, this->Exchange.Request)) {
+    this->Fault = "unasked-status";
+    return ResponseVerdict::Failed;
+  }
   if (!this->isAuthentic(Response)) {
     this->Fault = "no-proof";
     return ResponseVerdict::Failed;
--- a/unittests/Proxy/AnswerHeadTest.cpp
+++ b/unittests/Proxy/AnswerHeadTest.cpp
@@ -44,7 +44,7 @@
     Add("encoding " + Value, makeHead("Transfer-Encoding: " + Value + "\r\n"),
         Chunked);
   for (const std::string Status :
-       {"600 No", "999 No", "099 No", "20 No", "2000 No", "-20 No",
+       {"000 No", "600 No", "999 No", "099 No", "20 No", "2000 No", "-20 No",
         "200 O\x01K", "200 O\x7fK", "200\tOK"})
     Add("status " + Status, makeHead(Length, Status));
   Add("no content with a length", makeHead(Length, "204 No Content"));
@@ -108,6 +108,28 @@
     }
 }
 
+// Guards against a part of a body that passes as a success (MIXED).
+TEST_CASE("an answer to a question that the caller did not ask is a failure") {
+  const std::string Part = makeHead(
+      "Content-Length: 40\r\nContent-Range: bytes 0-39/400\r\n", "206 Part");
+  for (const std::string Target : {"/a", "/once"}) {
+    CAPTURE(Target);
+    for (const std::string &Answer :
+         {Part + Body, makeHead("", "304 Not Modified"),
+          makeHead("Content-Length: 0\r\n", "416 No Such Range")}) {
+      CAPTURE(Answer);
+      SpoiltAnswers Server;
+      Server.setAnswer(Answer);
+      CHECK(Server.ask(Target).Head.starts_with("HTTP/1.1 502"));
+    }
+    SpoiltAnswers Server;
+    Server.setAnswer(Part + Body);
+    const SeenAnswer Asked = Server.ask(Target, "Range: bytes=0-39\r\n");
+    CHECK(Asked.Head.starts_with("HTTP/1.1 206"));
+    CHECK(Asked.Body == Body);
+  }
+}
+
 TEST_CASE("sound answers pass whole, whatever their heads allow") {
   for (const HeadCase &Each : makeSoundAnswers()) {
     for (const std::string Target : {"/a", "/once"}) {
--- a/unittests/Proxy/SpoiltAnswers.h
+++ b/unittests/Proxy/SpoiltAnswers.h
@@ -67,13 +67,15 @@
     this->PauseAfter = PauseAfter;
   }
 
-  /// Sends one request. One to /once may run once only.
-  SeenAnswer ask(const std::string &Target) {
+  /// Sends one request, with more fields if any are given. One to /once may run
+  /// once only.
+  SeenAnswer ask(const std::string &Target, const std::string &Fields = "") {
     const size_t Before = this->Arrivals;
     RawSocket Caller(RawSocket::connectTo(this->Front.getPort()));
     Caller.setTimeLimit(5);
-    CHECK(Caller.write("GET " + Target + " HTTP/1.1\r\nHost: h\r\nCaller-Id: " +
-                       CallerId + "\r\nX-Deadline-Ms: 3000\r\n\r\n"));
+    CHECK(Caller.write("GET " + Target +
+                       " HTTP/1.1\r\nHost: h\r\nCaller-Id: " + CallerId +
+                       "\r\nX-Deadline-Ms: 3000\r\n" + Fields + "\r\n"));
     RawMessage Answer;
     SeenAnswer Seen;
     Seen.IsWhole = Caller.readMessage(Answer);
