Who is far behind by up to 2,000 items has a peer send them

What was feared was bulk through two watchers' thin links; a copy of 1,163 items is 31 KB packed, and large answers have their own bound (two at a time a sender, receivers pass them on).

Its program has one fixture for what stood four times; 'asks for the settings alone' has 2,500 items in place of 600, since 600 are sent now; its checks are the same and two more.

--- a/unittests/FarBehind/FarBehindTest.cpp
+++ b/unittests/FarBehind/FarBehindTest.cpp
@@ -26,54 +26,34 @@
 
 static constexpr const char *ConfigKey = "op/config";
 
-/// More changes, and more items, than a daemon asks a peer for.
+/// More changes, and more items, than a daemon asks a peer for at once.
 static constexpr uint64_t ManyChanges = 600;
 
-/// Returns the items of a large fleet as of the first revision.
-static std::vector<StoreItem> makeManyItems() {
+/// More items than a daemon that is far behind has a peer send it.
+static constexpr uint64_t VeryManyItems = 2500;
+
+/// Returns so many items of a fleet as of the first revision.
+static std::vector<StoreItem> makeItems(uint64_t Count) {
   std::vector<StoreItem> Items;
-  for (uint64_t I = 0; I < ManyChanges; ++I)
+  for (uint64_t I = 0; I < Count; ++I)
     Items.push_back({fmt::format("canvaswick/other-{}", I), "", {0, 1}, false});
   return Items;
 }
 
-static constexpr Duration SettingsTime = fromSeconds(2);
+/// Returns the entry of a server, written for the given time.
+static std::string makeServer(const char *State, int Sequence) {
+  return fmt::format(R"({{"address": "127.0.0.1:9", "info": {{"service": "s",
+      "version": "v1", "zone": "h", "slots": 3}},
+      "status": {{"state": "{}", "seq": {}, "warmupLeftS": 0}}}})",
+                     State, Sequence);
+}
 
-TEST_CASE("a daemon that lacks hundreds of changes has new settings in time") {
-  FleetView PeerView{{70}, fromSeconds(2)};
-  replaceAll(PeerView, {}, {0, 1}, readSteadyClock());
-  const StorePosition ConfigAt{0, ManyChanges};
-  applyEvents(PeerView, {{ConfigKey, std::string(5000, ' '), ConfigAt, false}},
-              {0, ManyChanges + 1}, readSteadyClock());
-  JsonRpcDispatcher Dispatcher;
-  ChangesResponder Responder(
-      [&PeerView](const ChangesRequest &Request) {
-        return PeerView.getChangesAfter(Request.After, Request.Held);
-      },
-      [] { return true; });
-  addDirectoryMethod(Dispatcher, Responder);
-  HttpServer Server(HttpServerLimits{}, [&](HttpExchange &Exchange) {
-    serveUnsignedCall(Exchange, Dispatcher);
-  });
-  REQUIRE(Server.start({"127.0.0.1", 0}));
+static constexpr Duration SettingsTime = fromSeconds(2);
 
-  CounterTable Counters;
-  FleetView View{{70}, fromSeconds(2)};
-  replaceAll(View, {}, {0, 1}, readSteadyClock());
-  PeerFollower Follower({"a", "h", {}, {}}, {}, {}, View, Counters, [] {});
-  Follower.setDaemons({{"peer", "h", {"127.0.0.1", Server.getPort()}, {}}},
-                      readSteadyClock());
-  PeerMessage Message;
-  Message.Source = "peer";
-  Message.Hall = "h";
-  Message.AsOf = PeerView.getAsOf();
-  const TimePoint GiveUpAt = readSteadyClock() + SettingsTime;
-  while (!View.findItem(ConfigKey) && readSteadyClock() < GiveUpAt) {
-    Follower.handleMessage(Message, readSteadyClock());
-    Follower.runRound(readSteadyClock());
-    std::this_thread::sleep_for(std::chrono::milliseconds(20));
-  }
-  CHECK(View.findItem(ConfigKey).has_value());
+/// Returns whether a daemon that holds this view would still use a server.
+static bool isInUse(const FleetView &View, const std::string &Id) {
+  const std::optional<StoreItem> Entry = View.findItem("servers/" + Id);
+  return Entry && Entry->Value.find("draining") == std::string::npos;
 }
 
 namespace {
@@ -92,7 +72,6 @@
         }) {
     addDirectoryMethod(this->Dispatcher, this->Responder);
     REQUIRE(this->Server.start({"127.0.0.1", 0}));
-    replaceAll(this->View, {}, {0, 1}, readSteadyClock());
   }
 
   void count(ChangesScope Scope) {
@@ -117,39 +96,73 @@
   HttpServer Server;
 };
 
+/// A daemon that follows one peer of its hall. Both begin with the same items.
+struct FollowingFixture {
+  FollowingFixture(const std::vector<StoreItem> &Items,
+                   const StorePosition &AsOf)
+      : Follower({"a", "h", {}, {}}, {}, {}, this->View, this->Counters,
+                 [] {}) {
+    replaceAll(this->Peer.View, Items, AsOf, readSteadyClock());
+    replaceAll(this->View, Items, AsOf, readSteadyClock());
+    this->Follower.setDaemons(
+        {{"peer", "h", {"127.0.0.1", this->Peer.Server.getPort()}, {}}},
+        readSteadyClock());
+  }
+
+  /// Follows the peer until Condition holds, or for two seconds.
+  template <typename Check> void follow(Check Condition) {
+    PeerMessage Message;
+    Message.Source = "peer";
+    Message.Hall = "h";
+    Message.AsOf = this->Peer.View.getAsOf();
+    const TimePoint GiveUpAt = readSteadyClock() + SettingsTime;
+    while (!Condition() && readSteadyClock() < GiveUpAt) {
+      this->Follower.handleMessage(Message, readSteadyClock());
+      this->Follower.runRound(readSteadyClock());
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+  }
+
+  CountingPeer Peer;
+  CounterTable Counters;
+  FleetView View{{70}, fromSeconds(2)};
+  PeerFollower Follower;
+};
+
 } // namespace
 
+static StoreItem makeConfig() {
+  return {ConfigKey, std::string(5000, ' '), {0, ManyChanges}, false};
+}
+
+TEST_CASE("a daemon that lacks hundreds of changes has new settings in time") {
+  FollowingFixture Fixture({}, {0, 1});
+  applyEvents(Fixture.Peer.View, {makeConfig()}, {0, ManyChanges + 1},
+              readSteadyClock());
+  const auto HasConfig = [&] {
+    return Fixture.View.findItem(ConfigKey).has_value();
+  };
+  Fixture.follow(HasConfig);
+  CHECK(HasConfig());
+}
+
 TEST_CASE(
     "a daemon that is far behind asks a peer for the settings alone, once "
     "a second") {
-  CountingPeer Peer;
-  const StorePosition ConfigAt{0, ManyChanges};
+  FollowingFixture Fixture(makeItems(VeryManyItems), {0, 1});
+  CountingPeer &Peer = Fixture.Peer;
+  const uint64_t Newest = VeryManyItems + ManyChanges;
   applyEvents(Peer.View,
-              {{ConfigKey, std::string(5000, ' '), ConfigAt, false},
-               {"servers/i-1", "{}", {0, ManyChanges - 1}, false}},
-              {0, ManyChanges + 1}, readSteadyClock());
-  CounterTable Counters;
-  FleetView View{{70}, fromSeconds(2)};
-  replaceAll(View, makeManyItems(), {0, 1}, readSteadyClock());
-  PeerFollower Follower({"a", "h", {}, {}}, {}, {}, View, Counters, [] {});
-  Follower.setDaemons({{"peer", "h", {"127.0.0.1", Peer.Server.getPort()}, {}}},
-                      readSteadyClock());
-  PeerMessage Message;
-  Message.Source = "peer";
-  Message.Hall = "h";
-  Message.AsOf = Peer.View.getAsOf();
-  const TimePoint Began = readSteadyClock();
-  while (readSteadyClock() < Began + SettingsTime) {
-    Follower.handleMessage(Message, readSteadyClock());
-    Follower.runRound(readSteadyClock());
-    std::this_thread::sleep_for(std::chrono::milliseconds(20));
-  }
-  REQUIRE(View.findItem(ConfigKey).has_value());
-  CHECK(View.findItem(ConfigKey)->At == ConfigAt);
+              {makeConfig(), {"servers/i-1", "{}", {0, Newest - 1}, false}},
+              {0, Newest}, readSteadyClock());
+  Fixture.follow([] { return false; });
+  const std::optional<StoreItem> Config = Fixture.View.findItem(ConfigKey);
+  REQUIRE(Config.has_value());
+  CHECK(Config->At == makeConfig().At);
   // The rest comes with the snapshot, which its replica is not complete
   // without.
-  CHECK(!View.findItem("servers/i-1").has_value());
-  CHECK(View.getAsOf() == StorePosition{0, 1});
+  CHECK(!Fixture.View.findItem("servers/i-1").has_value());
+  CHECK(Fixture.View.getAsOf() == StorePosition{0, 1});
   CHECK(Peer.OthersAsked == 0);
   CHECK(Peer.SettingsAsked >= 1);
   CHECK(Peer.SettingsAsked <= 3);
@@ -158,83 +171,68 @@
   CHECK(Peer.DeparturesAsked <= 5);
 }
 
-/// Returns the entry of a server, written for the given time.
-static std::string makeServer(const char *State, int Sequence) {
-  return fmt::format(R"({{"address": "127.0.0.1:9", "info": {{"service": "s",
-      "version": "v1", "zone": "h", "slots": 3}},
-      "status": {{"state": "{}", "seq": {}, "warmupLeftS": 0}}}})",
-                     State, Sequence);
-}
-
-/// Returns whether a daemon that holds this view would still use a server.
-static bool isInUse(const FleetView &View, const std::string &Id) {
-  const std::optional<StoreItem> Entry = View.findItem("servers/" + Id);
-  return Entry && Entry->Value.find("draining") == std::string::npos;
+// Guards against daemons of a large store that wait for a snapshot which is far
+// behind again as soon as it was written.
+TEST_CASE("a daemon that is far behind by a few hundred items has a peer send "
+          "them") {
+  FollowingFixture Fixture(makeItems(ManyChanges), {0, 1});
+  applyEvents(Fixture.Peer.View, {{"servers/i-1", "{}", {0, 9000}, false}},
+              {0, 9000}, readSteadyClock());
+  Fixture.follow([&] {
+    return Fixture.View.getAsOf() == StorePosition{0, 9000};
+  });
+  CHECK(Fixture.View.getAsOf() == StorePosition{0, 9000});
+  CHECK(Fixture.View.findItem("servers/i-1").has_value());
 }
 
-// Guards against requests to servers that have left or said so, while a large
-// store's snapshot is waited for (DRAIN).
-TEST_CASE("a daemon that is far behind stops using servers that have left or "
-          "said so, however often other entries were written") {
-  CountingPeer Peer;
-  std::vector<StoreItem> Items = makeManyItems();
+/// Checks that servers which have left or said so, among so many items, are
+/// used no more soon.
+static void checkDepartures(uint64_t ItemCount, bool CanPeerTell) {
+  CAPTURE(ItemCount);
+  CAPTURE(CanPeerTell);
+  std::vector<StoreItem> Items = makeItems(ItemCount);
   for (const char *Id : {"servers/i-1", "servers/i-2", "servers/i-3"})
     Items.push_back({Id, makeServer("ready", 1), {0, 1}, false});
-  replaceAll(Peer.View, Items, {0, 2}, readSteadyClock());
-  applyEvents(Peer.View,
+  FollowingFixture Fixture(Items, {0, 2});
+  FleetView &PeerView = Fixture.Peer.View;
+  applyEvents(PeerView,
               {{"servers/i-1", "", {0, 5}, true},
                {"servers/i-2", makeServer("draining", 2), {0, 6}, false},
-               {"servers/i-3", makeServer("ready", 9), {0, 900}, false}},
-              {0, 900}, readSteadyClock());
-  CounterTable Counters;
-  FleetView View{{70}, fromSeconds(2)};
-  replaceAll(View, Items, {0, 2}, readSteadyClock());
-  PeerFollower Follower({"a", "h", {}, {}}, {}, {}, View, Counters, [] {});
-  Follower.setDaemons({{"peer", "h", {"127.0.0.1", Peer.Server.getPort()}, {}}},
-                      readSteadyClock());
-  PeerMessage Message;
-  Message.Source = "peer";
-  Message.Hall = "h";
-  Message.AsOf = Peer.View.getAsOf();
-  const TimePoint GiveUpAt = readSteadyClock() + SettingsTime;
-  while ((isInUse(View, "i-1") || isInUse(View, "i-2")) &&
-         readSteadyClock() < GiveUpAt) {
-    Follower.handleMessage(Message, readSteadyClock());
-    Follower.runRound(readSteadyClock());
-    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+               {"servers/i-3", makeServer("ready", 9), {0, 9000}, false}},
+              {0, 9000}, readSteadyClock());
+  if (!CanPeerTell) {
+    // Who has read everything anew does not know what was removed before.
+    const std::vector<StoreItem> All = PeerView.getChangesAfter({}).Items;
+    replaceAll(PeerView, All, {0, 9001}, readSteadyClock());
   }
+  FleetView &View = Fixture.View;
+  Fixture.follow(
+      [&] { return !isInUse(View, "i-1") && !isInUse(View, "i-2"); });
   CHECK_FALSE(isInUse(View, "i-1"));
   CHECK_FALSE(isInUse(View, "i-2"));
   CHECK(isInUse(View, "i-3"));
 }
 
+// Guards against requests to servers that have left or said so, while a large
+// store's snapshot is waited for (DRAIN).
+TEST_CASE("a daemon that is far behind stops using servers that have left or "
+          "said so, however often other entries were written") {
+  for (const uint64_t ItemCount : {ManyChanges, VeryManyItems})
+    for (const bool CanPeerTell : {true, false})
+      checkDepartures(ItemCount, CanPeerTell);
+}
+
 TEST_CASE("a daemon of a small fleet that starts from an old snapshot stops "
           "using a server that has left since") {
-  CountingPeer Peer;
-  const std::string Ready = "{}";
-  replaceAll(Peer.View, {{"servers/i-1", Ready, {0, 2}, false}}, {0, 2},
-             readSteadyClock());
-  applyEvents(Peer.View,
+  FollowingFixture Fixture({{"servers/i-1", "{}", {0, 2}, false}}, {0, 2});
+  applyEvents(Fixture.Peer.View,
               {{"servers/i-1", "", {0, 5}, true},
-               {"servers/i-2", Ready, {0, ManyChanges}, false}},
+               {"servers/i-2", "{}", {0, ManyChanges}, false}},
               {0, ManyChanges + 1}, readSteadyClock());
-  CounterTable Counters;
-  FleetView View{{70}, fromSeconds(2)};
-  replaceAll(View, {{"servers/i-1", Ready, {0, 2}, false}}, {0, 2},
-             readSteadyClock());
-  PeerFollower Follower({"a", "h", {}, {}}, {}, {}, View, Counters, [] {});
-  Follower.setDaemons({{"peer", "h", {"127.0.0.1", Peer.Server.getPort()}, {}}},
-                      readSteadyClock());
-  PeerMessage Message;
-  Message.Source = "peer";
-  Message.Hall = "h";
-  Message.AsOf = Peer.View.getAsOf();
-  const TimePoint GiveUpAt = readSteadyClock() + SettingsTime;
-  while (View.findItem("servers/i-1") && readSteadyClock() < GiveUpAt) {
-    Follower.handleMessage(Message, readSteadyClock());
-    Follower.runRound(readSteadyClock());
-    std::this_thread::sleep_for(std::chrono::milliseconds(20));
-  }
-  CHECK_FALSE(View.findItem("servers/i-1").has_value());
-  CHECK(View.findItem("servers/i-2").has_value());
+  const auto HasEntry = [&](const char *Key) {
+    return Fixture.View.findItem(Key).has_value();
+  };
+  Fixture.follow([&] { return !HasEntry("servers/i-1"); });
+  CHECK_FALSE(HasEntry("servers/i-1"));
+  CHECK(HasEntry("servers/i-2"));
 }
