--- a/unittests/PlannedStop/PlannedStopTest.cpp
+++ b/unittests/PlannedStop/PlannedStopTest.cpp
@@ -17,6 +17,9 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
+#include <thread>
+
 using namespace canvaswick;
 using namespace canvaswick::platform;
 
@@ -87,9 +90,9 @@
   Fixture.setBehaviours(Behaviour::Slow);
   Fixture.One.AnswerDelay = Fixture.Two.AnswerDelay = TypicalAnswerTime;
   for (int Round = 0; Round < 4; ++Round) {
-    std::vector<std::thread> Callers;
-    for (int I = 0; I < 4; ++I)
-      Callers.emplace_back([&] { Fixture.sendRequest("POST", "/pay/1", "x"); });
+    std::array<std::thread, 4> Callers;
+    for (std::thread &Each : Callers)
+      Each = std::thread([&] { Fixture.sendRequest("POST", "/pay/1", "x"); });
     for (std::thread &Each : Callers)
       Each.join();
   }
--- a/unittests/ReplicaSoak/ReplicaSoakTest.cpp
+++ b/unittests/ReplicaSoak/ReplicaSoakTest.cpp
@@ -311,11 +311,13 @@
 
   void restart(const std::vector<Member *> &Chosen) {
     std::vector<std::thread> Stopping;
+    Stopping.reserve(Chosen.size());
     for (Member *Each : Chosen)
       Stopping.emplace_back([Each] { Each->stop(); });
     for (std::thread &Each : Stopping)
       Each.join();
     std::vector<std::thread> Starting;
+    Starting.reserve(Chosen.size());
     for (Member *Each : Chosen)
       Starting.emplace_back([this, Each, Wait = this->draw(0, MaxStartWaitMs)] {
         std::this_thread::sleep_for(std::chrono::milliseconds(Wait));
