--- a/unittests/ReplicaSoak/ReplicaSoakTest.cpp
+++ b/unittests/ReplicaSoak/ReplicaSoakTest.cpp
@@ -70,6 +70,8 @@
 /// Departures longer ago are not looked for any more.
 constexpr Duration WatchedTime = fromSeconds(30);
 
+const int MaxHallIndex = static_cast<int>(LargeHallPlan.size()) - 1;
+
 int readSetting(const char *Name, int Default) {
   const char *Text = std::getenv(Name);
   return Text ? std::atoi(Text) : Default;
@@ -301,10 +303,17 @@
     this->restart(All);
   }
 
+  /// Starts some daemons again: a third of all, or those of one hall where the
+  /// store is large.
   void restartSome() {
+    std::string WholeHall;
+    if (this->IsLarge && this->draw(0, 1) == 0)
+      WholeHall =
+          LargeHallPlan[static_cast<size_t>(this->draw(0, MaxHallIndex))];
     std::vector<Member *> Chosen;
     for (const std::unique_ptr<Member> &Each : this->Fixture.Members)
-      if (this->draw(0, 2) == 0)
+      if (WholeHall.empty() ? this->draw(0, 2) == 0
+                            : Each->Config.Hall == WholeHall)
         Chosen.push_back(Each.get());
     this->restart(Chosen);
   }
